--- /dev/null
+++ b/attemptid.go
@@ -0,0 +1,4 @@
+package savorystep
+
+// An AttemptID names one attempt at running a keyed request.
+type AttemptID string
--- /dev/null
+++ b/budgets.go
@@ -0,0 +1,19 @@
+package savorystep
+
+import "time"
+
+// Budgets hands out the units of budgets that instances share.
+type Budgets interface {
+	// Acquire takes one unit of a budget with the given cap. The error has kind
+	// KindCapReached if this instance's grant is used up.
+	Acquire(now time.Time, name BudgetName, limit Slots) (Hold, error)
+}
+
+// A Hold is one acquired unit of a budget.
+type Hold interface {
+	// Release gives the unit back. Only the first call counts.
+	Release()
+	// Valid reports whether the unit may still be used at the given time. It
+	// is checked just before the first byte of a request goes out.
+	Valid(now time.Time) bool
+}
--- /dev/null
+++ b/cmd/rootcmd.go
@@ -0,0 +1,14 @@
+package cmd
+
+import "github.com/spf13/cobra"
+
+// newRootCmd returns the savorystep command with its subcommands.
+func newRootCmd() *cobra.Command {
+	root := &cobra.Command{
+		Use:           "savorystep",
+		Short:         "Steer traffic between callers and upstreams",
+		SilenceErrors: true,
+		SilenceUsage:  true,
+	}
+	return root
+}
--- /dev/null
+++ b/endpoints.go
@@ -0,0 +1,23 @@
+package savorystep
+
+import "time"
+
+// Endpoints is the set of upstream endpoints that this instance may use.
+type Endpoints interface {
+	// Regions returns what a region can take for a service now.
+	Regions(service Service, now time.Time) []RegionLoad
+}
+
+// A RegionLoad is the load of a service in a region as this instance sees it.
+type RegionLoad struct {
+	Region Region `json:"region"`
+	// Slots counts the slots of usable endpoints.
+	Slots Slots `json:"slots"`
+	// Used counts the slots in use by all instances.
+	Used Slots `json:"used"`
+	// Queued counts the requests that wait at this instance.
+	Queued int `json:"queued"`
+	// Usable and Endpoints count endpoints.
+	Usable    int `json:"usable"`
+	Endpoints int `json:"endpoints"`
+}
--- /dev/null
+++ b/lookup.go
@@ -0,0 +1,22 @@
+package savorystep
+
+import "time"
+
+// A Lookup is the answer to a look-up.
+type Lookup struct {
+	Service  Service  `json:"service"`
+	Revision Revision `json:"revision"`
+	Region   Region   `json:"region"`
+	// Lifetime is how long a caller may use the answer, in milliseconds on the
+	// wire.
+	Lifetime time.Duration `json:"-"`
+	Millis   int64         `json:"lifetime"`
+	Entries  []Entry       `json:"entries"`
+}
+
+// An Entry is one entry instance of a look-up's answer, best first.
+type Entry struct {
+	ID      InstanceID `json:"id"`
+	Address Address    `json:"address"`
+	Zone    Zone       `json:"zone"`
+}
--- /dev/null
+++ b/name.go
@@ -0,0 +1,5 @@
+package savorystep
+
+// A Name is what a caller sends for a service: the service's own name or one
+// of its known misspellings.
+type Name string
--- /dev/null
+++ b/requestid.go
@@ -0,0 +1,4 @@
+package savorystep
+
+// A RequestID names one request of a caller.
+type RequestID string
--- /dev/null
+++ b/row.go
@@ -0,0 +1,9 @@
+package savorystep
+
+// A Row is a row of the platform's table. A row that does not exist has
+// version 0 and no value.
+type Row struct {
+	Key     RowKey     `json:"key"`
+	Version RowVersion `json:"version"`
+	Value   []byte     `json:"value,omitempty"`
+}
--- /dev/null
+++ b/rowkey.go
@@ -0,0 +1,4 @@
+package savorystep
+
+// A RowKey is the key of a row in the platform's table.
+type RowKey string
--- /dev/null
+++ b/standin/table.go
@@ -0,0 +1,98 @@
+package standin
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"savorystep"
+)
+
+var _ savorystep.Table = &Table{}
+
+// A Table is a transactional table in memory.
+type Table struct {
+	mu      sync.Mutex
+	rows    map[savorystep.RowKey]savorystep.Row
+	version savorystep.RowVersion
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{rows: make(map[savorystep.RowKey]savorystep.Row)}
+}
+
+// Commit makes a transaction.
+func (t *Table) Commit(ctx context.Context, txn savorystep.Txn) (savorystep.Commit, error) {
+	if err := ctx.Err(); err != nil {
+		return savorystep.Commit{}, savorystep.WrapError(savorystep.KindPlatformDown, err, "the commit was cancelled")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	conflicts := t.conflicts(txn.Conditions)
+	if len(conflicts) > 0 {
+		return savorystep.Commit{Conflicts: conflicts}, nil
+	}
+	t.version++
+	for _, write := range txn.Writes {
+		if write.Delete {
+			delete(t.rows, write.Key)
+			continue
+		}
+		value := append([]byte(nil), write.Value...)
+		t.rows[write.Key] = savorystep.Row{Key: write.Key, Version: t.version, Value: value}
+	}
+	return savorystep.Commit{Version: t.version}, nil
+}
+
+// conflicts returns the current rows of the conditions that do not hold.
+func (t *Table) conflicts(conditions []savorystep.Condition) []savorystep.Row {
+	var conflicts []savorystep.Row
+	for _, condition := range conditions {
+		row := t.row(condition.Key)
+		if row.Version != condition.Version {
+			conflicts = append(conflicts, row)
+		}
+	}
+	return conflicts
+}
+
+// row returns the row with the given key, at version 0 if it does not exist.
+func (t *Table) row(key savorystep.RowKey) savorystep.Row {
+	row, ok := t.rows[key]
+	if !ok {
+		return savorystep.Row{Key: key}
+	}
+	return row
+}
+
+// Get reads a row.
+func (t *Table) Get(ctx context.Context, key savorystep.RowKey) (savorystep.Row, error) {
+	if err := ctx.Err(); err != nil {
+		return savorystep.Row{}, savorystep.WrapError(savorystep.KindPlatformDown, err, "the read was cancelled")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.row(key), nil
+}
+
+// Scan reads rows by prefix in key order.
+func (t *Table) Scan(ctx context.Context, prefix, after savorystep.RowKey, limit int) ([]savorystep.Row, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, savorystep.WrapError(savorystep.KindPlatformDown, err, "the scan was cancelled")
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var rows []savorystep.Row
+	for key, row := range t.rows {
+		if strings.HasPrefix(string(key), string(prefix)) && key > after {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	if len(rows) > limit {
+		rows = rows[:limit]
+	}
+	return rows, nil
+}
