--- a/blockid.go
+++ b/blockid.go
@@ -1,4 +1,5 @@
 package savorystep
 
-// A BlockID is the index of a block of clients in the client-block table.
+// A BlockID names a block of clients. It is a hash of the block's prefix, so
+// that it stays the same when other blocks come and go.
 type BlockID uint32
--- /dev/null
+++ b/caller/roster.go
@@ -0,0 +1,218 @@
+package caller
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"savorystep"
+)
+
+const (
+	// slotsPerOwner is how many slots of a service in a region one owner entry
+	// keeps in use.
+	slotsPerOwner = 256
+	// standbys is how many entries follow the owners in a look-up's answer.
+	standbys = 3
+)
+
+// A Roster ranks the entries for each service and region. It caches rankings
+// until the set of eligible entries changes.
+type Roster struct {
+	members savorystep.Members
+	refresh time.Duration
+
+	mu       sync.RWMutex
+	checked  time.Time
+	eligible []savorystep.Member
+	ranked   map[rosterKey]*ranking
+}
+
+// A rosterKey names a ranking.
+type rosterKey struct {
+	service savorystep.Service
+	region  savorystep.Region
+}
+
+// A ranking holds the entries for a service and region, best first.
+type ranking struct {
+	owners  int
+	entries []savorystep.Entry
+}
+
+// RosterConfig configures a Roster.
+type RosterConfig struct {
+	Members savorystep.Members
+	// Refresh is how long the set of eligible entries may be reused.
+	Refresh time.Duration
+}
+
+// NewRoster returns a roster over the given members.
+func NewRoster(config RosterConfig) *Roster {
+	if config.Refresh <= 0 {
+		config.Refresh = 100 * time.Millisecond
+	}
+	return &Roster{
+		members: config.Members,
+		refresh: config.Refresh,
+		ranked:  make(map[rosterKey]*ranking),
+	}
+}
+
+// Entries returns the entries that a caller of the given block should use for
+// a service in a region, best first. slots is the number of slots that the
+// service has there. The slice must not be changed.
+func (r *Roster) Entries(
+	service savorystep.Service,
+	region savorystep.Region,
+	slots savorystep.Slots,
+	block savorystep.BlockID,
+	now time.Time,
+) []savorystep.Entry {
+	found := r.ranking(service, region, slots, now)
+	if found.owners <= 1 {
+		return found.entries
+	}
+	first := int(uint32(block) % uint32(found.owners))
+	if first == 0 {
+		return found.entries
+	}
+	entries := slices.Clone(found.entries)
+	entries[0], entries[first] = entries[first], entries[0]
+	return entries
+}
+
+// IsOwner reports whether an instance is an owner of a service in a region.
+func (r *Roster) IsOwner(
+	id savorystep.InstanceID,
+	service savorystep.Service,
+	region savorystep.Region,
+	slots savorystep.Slots,
+	now time.Time,
+) bool {
+	found := r.ranking(service, region, slots, now)
+	for i := 0; i < found.owners && i < len(found.entries); i++ {
+		if found.entries[i].ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// ranking returns the cached ranking or makes it.
+func (r *Roster) ranking(
+	service savorystep.Service,
+	region savorystep.Region,
+	slots savorystep.Slots,
+	now time.Time,
+) *ranking {
+	owners := ownerCount(slots)
+	key := rosterKey{service: service, region: region}
+	r.mu.RLock()
+	found, ok := r.ranked[key]
+	fresh := now.Sub(r.checked) < r.refresh
+	r.mu.RUnlock()
+	if ok && fresh && found.owners == owners {
+		return found
+	}
+	return r.makeRanking(key, owners, now)
+}
+
+// makeRanking refreshes the eligible entries if needed and ranks them.
+func (r *Roster) makeRanking(key rosterKey, owners int, now time.Time) *ranking {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if now.Sub(r.checked) >= r.refresh {
+		r.checked = now
+		eligible := selectEligible(r.members.Members(now))
+		if !sameMembers(eligible, r.eligible) {
+			r.eligible = eligible
+			clear(r.ranked)
+		}
+	}
+	found, ok := r.ranked[key]
+	if ok && found.owners == owners {
+		return found
+	}
+	found = &ranking{owners: owners, entries: rankEntries(r.eligible, key, owners+standbys)}
+	r.ranked[key] = found
+	return found
+}
+
+// ownerCount returns how many owners a service with the given slots has.
+func ownerCount(slots savorystep.Slots) int {
+	return max(1, int((slots+slotsPerOwner-1)/slotsPerOwner))
+}
+
+// selectEligible returns the members that look-ups may name: ready, not
+// leaving and not suspecting their own link. Members behind in revision are
+// left out, unless that would leave none.
+func selectEligible(members []savorystep.Member) []savorystep.Member {
+	var newest savorystep.Revision
+	var able []savorystep.Member
+	for _, member := range members {
+		if !member.Ready || member.Leaving {
+			continue
+		}
+		able = append(able, member)
+		newest = max(newest, member.Revision)
+	}
+	able = prefer(able, func(m savorystep.Member) bool { return !m.Suspect })
+	return prefer(able, func(m savorystep.Member) bool { return m.Revision == newest })
+}
+
+// prefer returns the members that meet the test, or all if none does.
+func prefer(members []savorystep.Member, test func(savorystep.Member) bool) []savorystep.Member {
+	var kept []savorystep.Member
+	for _, member := range members {
+		if test(member) {
+			kept = append(kept, member)
+		}
+	}
+	if len(kept) == 0 {
+		return members
+	}
+	return kept
+}
+
+// sameMembers reports whether both lists hold the same instances at the same
+// addresses.
+func sameMembers(a, b []savorystep.Member) bool {
+	return slices.EqualFunc(a, b, func(x, y savorystep.Member) bool {
+		return x.Instance.ID == y.Instance.ID && x.Instance.Caller == y.Instance.Caller
+	})
+}
+
+// rankEntries returns the best entries for a key. Entries in the region come
+// before all others.
+func rankEntries(members []savorystep.Member, key rosterKey, limit int) []savorystep.Entry {
+	type scored struct {
+		entry savorystep.Entry
+		local bool
+		score uint64
+	}
+	all := make([]scored, 0, len(members))
+	for _, member := range members {
+		instance := member.Instance
+		all = append(all, scored{
+			entry: savorystep.Entry{ID: instance.ID, Address: instance.Caller, Zone: instance.Place.Zone},
+			local: instance.Place.Region == key.region,
+			score: rankScore(key.service, key.region, instance.ID),
+		})
+	}
+	slices.SortFunc(all, func(a, b scored) int {
+		if a.local != b.local {
+			if a.local {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Compare(b.score, a.score)
+	})
+	entries := make([]savorystep.Entry, 0, limit)
+	for i := 0; i < len(all) && i < limit; i++ {
+		entries = append(entries, all[i].entry)
+	}
+	return entries
+}
--- /dev/null
+++ b/caller/steering.go
@@ -0,0 +1,136 @@
+package caller
+
+import (
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"savorystep"
+)
+
+// lookupLifetime is how long callers may use the answer to a look-up. It
+// bounds how long a leaving entry still gets requests.
+const lookupLifetime = 5 * time.Second
+
+// A SteerFunc chooses the region for a block of clients.
+type SteerFunc func(
+	record *savorystep.Record,
+	block savorystep.BlockID,
+	home savorystep.Region,
+	loads []savorystep.RegionLoad,
+	now time.Time,
+) savorystep.Decision
+
+// A Steering answers look-ups.
+type Steering struct {
+	SteeringConfig
+	roster *Roster
+	blocks atomic.Pointer[BlockTable]
+}
+
+// SteeringConfig configures a Steering.
+type SteeringConfig struct {
+	Config    savorystep.Config
+	Endpoints savorystep.Endpoints
+	Members   savorystep.Members
+	Self      savorystep.Instance
+	Steer     SteerFunc
+}
+
+// NewSteering returns a steering with an empty block table.
+func NewSteering(config SteeringConfig) *Steering {
+	steering := &Steering{
+		SteeringConfig: config,
+		roster:         NewRoster(RosterConfig{Members: config.Members}),
+	}
+	steering.blocks.Store(NewBlockTable(nil))
+	return steering
+}
+
+// SetBlocks replaces the block table.
+func (s *Steering) SetBlocks(blocks *BlockTable) {
+	s.blocks.Store(blocks)
+}
+
+// An Origin is where a caller calls from.
+type Origin struct {
+	Block savorystep.BlockID `json:"block"`
+	Home  savorystep.Region  `json:"home"`
+}
+
+// Origin returns the origin of a caller. from is an IP number or a region, and
+// remote is the caller's own address, used if from is empty or its number lies
+// outside of all blocks. A caller outside of all blocks belongs to the region
+// of this instance.
+func (s *Steering) Origin(from string, remote netip.Addr) Origin {
+	table := s.blocks.Load()
+	addr := remote
+	if from != "" {
+		parsed, err := netip.ParseAddr(from)
+		if err != nil {
+			id, _, _ := table.Find(remote)
+			return Origin{Block: id, Home: savorystep.Region(from)}
+		}
+		addr = parsed
+	}
+	id, home, ok := table.Find(addr)
+	if !ok {
+		home = s.Self.Place.Region
+	}
+	return Origin{Block: id, Home: home}
+}
+
+// Resolve returns the record that a name leads to in the given view. An unknown
+// name gives KindUnknownName with suggestions.
+func Resolve(view *savorystep.View, name savorystep.Name) (*savorystep.Record, error) {
+	service, ok := view.Services[name]
+	if !ok {
+		return nil, unknownNameError(view, name)
+	}
+	return view.Records[service], nil
+}
+
+// unknownNameError returns the refusal of an unknown name.
+func unknownNameError(view *savorystep.View, name savorystep.Name) error {
+	err := savorystep.NewError(savorystep.KindUnknownName, "no service has the name %q", name)
+	err.Suggestions = Suggest(name, view)
+	return err
+}
+
+// Lookup answers a look-up at the given time.
+func (s *Steering) Lookup(
+	name savorystep.Name,
+	origin Origin,
+	now time.Time,
+) (savorystep.Lookup, savorystep.Decision, error) {
+	view := s.Config.View()
+	record, err := Resolve(view, name)
+	if err != nil {
+		return savorystep.Lookup{}, savorystep.Decision{}, err
+	}
+	loads := s.Endpoints.Regions(record.Service, now)
+	decision := s.Steer(record, origin.Block, origin.Home, loads, now)
+	if decision.Region == "" {
+		err := savorystep.NewError(savorystep.KindNoUpstream, "no region can take service %s: %s", record.Service, decision.Reason)
+		return savorystep.Lookup{}, decision, err
+	}
+	entries := s.roster.Entries(record.Service, decision.Region, slotsIn(loads, decision.Region), origin.Block, now)
+	return savorystep.Lookup{
+		Service:  record.Service,
+		Revision: view.Revision,
+		Region:   decision.Region,
+		Lifetime: lookupLifetime,
+		Millis:   lookupLifetime.Milliseconds(),
+		Entries:  entries,
+	}, decision, nil
+}
+
+// slotsIn returns the slots of a region.
+func slotsIn(loads []savorystep.RegionLoad, region savorystep.Region) savorystep.Slots {
+	for i := range loads {
+		if loads[i].Region == region {
+			return loads[i].Slots
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/caller/unknowns.go
@@ -0,0 +1,37 @@
+package caller
+
+import (
+	"context"
+	"time"
+
+	"savorystep"
+)
+
+// flushInterval is how often counts of unknown names are published.
+const flushInterval = time.Second
+
+// Unknowns publishes the counts of unknown names to the other instances.
+type Unknowns struct {
+	*UnknownNames
+	Clock savorystep.Clock
+	Facts savorystep.Facts
+}
+
+// Start publishes counts until ctx ends.
+func (u *Unknowns) Start(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		ticker := time.NewTicker(flushInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				done <- nil
+				return
+			case <-ticker.C:
+				u.Flush(u.Clock.Now(), u.Facts)
+			}
+		}
+	}()
+	return done
+}
