Test the callers' side and add the entry client and delayed links

Cause: look-ups and requests had no tests, and load and failure tests need a client of entries and links with the sites' latencies.

--- a/caller/blocktable.go
+++ b/caller/blocktable.go
@@ -190,15 +190,16 @@
 	end := start
 	bits := prefix.Bits()
 	last := false
-	if bits > 64 {
+	switch {
+	case bits == 0:
+		last = true
+	case bits > 64:
 		end.low += uint64(1) << (128 - bits)
 		if end.low == 0 {
 			end.high++
 			last = end.high == 0
 		}
-	} else if bits == 0 {
-		last = true
-	} else {
+	default:
 		end.high += uint64(1) << (64 - bits)
 		last = end.high == 0
 	}
--- /dev/null
+++ b/entry/client.go
@@ -0,0 +1,204 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"savorystep"
+)
+
+const (
+	defaultAttempts = 4
+	defaultTimeout  = 10 * time.Second
+	// maxBody bounds the answers that are kept in memory, in bytes.
+	maxBody = 256 << 20
+	// maxLookup bounds the answer to a look-up, in bytes.
+	maxLookup = 1 << 20
+	// lookupTimeout bounds one look-up, so that a silent entry does not use up
+	// the time of the request.
+	lookupTimeout = 2 * time.Second
+)
+
+// A Client calls services through entries.
+type Client struct {
+	config ClientConfig
+	http   *http.Client
+
+	mu       sync.Mutex
+	revision savorystep.Revision
+	cache    map[savorystep.Name]cachedLookup
+	known    []savorystep.Address
+}
+
+// A cachedLookup is an answer to a look-up with the time until which it holds.
+type cachedLookup struct {
+	savorystep.Lookup
+	until time.Time
+}
+
+// New returns a client.
+func New(config ClientConfig) *Client {
+	if config.Attempts == 0 {
+		config.Attempts = defaultAttempts
+	}
+	if config.Timeout <= 0 {
+		config.Timeout = defaultTimeout
+	}
+	if config.Connections <= 0 {
+		config.Connections = 64
+	}
+	dial := config.Dial
+	if dial == nil {
+		dialer := &net.Dialer{Timeout: 3 * time.Second}
+		dial = dialer.DialContext
+	}
+	transport := &http.Transport{
+		DialContext:         dial,
+		MaxIdleConns:        0,
+		MaxIdleConnsPerHost: config.Connections,
+		IdleConnTimeout:     time.Minute,
+		DisableCompression:  true,
+	}
+	return &Client{
+		config: config,
+		http:   &http.Client{Transport: transport},
+		cache:  make(map[savorystep.Name]cachedLookup),
+		known:  append([]savorystep.Address(nil), config.Seeds...),
+	}
+}
+
+// Close closes idle connections.
+func (c *Client) Close() {
+	c.http.CloseIdleConnections()
+}
+
+// Lookup returns the entries for a name, from the cache while it holds.
+func (c *Client) Lookup(ctx context.Context, name savorystep.Name) (savorystep.Lookup, error) {
+	now := c.config.Clock.Now()
+	c.mu.Lock()
+	cached, ok := c.cache[name]
+	known := append([]savorystep.Address(nil), c.known...)
+	c.mu.Unlock()
+	if ok && now.Before(cached.until) {
+		return cached.Lookup, nil
+	}
+	lookup, err := c.askAny(ctx, name, known)
+	if err != nil {
+		if ok && savorystep.KindOf(err) != savorystep.KindUnknownName {
+			return cached.Lookup, nil
+		}
+		return savorystep.Lookup{}, err
+	}
+	c.remember(name, lookup, now)
+	return lookup, nil
+}
+
+// askAny asks entries one after the other until one answers.
+func (c *Client) askAny(ctx context.Context, name savorystep.Name, known []savorystep.Address) (savorystep.Lookup, error) {
+	var last error = savorystep.NewError(savorystep.KindNotReady, "no entry is known")
+	for _, address := range known {
+		limited, cancel := context.WithTimeout(ctx, lookupTimeout)
+		lookup, err := c.ask(limited, address, name)
+		cancel()
+		if err == nil {
+			return lookup, nil
+		}
+		last = err
+		if savorystep.KindOf(err) == savorystep.KindUnknownName || ctx.Err() != nil {
+			break
+		}
+	}
+	return savorystep.Lookup{}, last
+}
+
+// ask asks one entry.
+func (c *Client) ask(ctx context.Context, address savorystep.Address, name savorystep.Name) (savorystep.Lookup, error) {
+	query := url.Values{"name": {string(name)}}
+	if c.config.From != "" {
+		query.Set("from", c.config.From)
+	}
+	c.mu.Lock()
+	query.Set("revision", strconv.FormatUint(uint64(c.revision), 10))
+	c.mu.Unlock()
+	target := fmt.Sprintf("http://%s/v1/lookup?%s", address, query.Encode())
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, target, http.NoBody)
+	if err != nil {
+		return savorystep.Lookup{}, savorystep.WrapError(savorystep.KindBadRequest, err, "the look-up can't be made")
+	}
+	response, err := c.http.Do(request)
+	if err != nil {
+		return savorystep.Lookup{}, savorystep.WrapError(savorystep.KindNotReady, err, "entry %s does not answer", address)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxLookup))
+	if err != nil {
+		return savorystep.Lookup{}, savorystep.WrapError(savorystep.KindNotReady, err, "the answer of entry %s ended early", address)
+	}
+	if response.StatusCode != http.StatusOK {
+		return savorystep.Lookup{}, refusalError(response, body)
+	}
+	var lookup savorystep.Lookup
+	if err := json.Unmarshal(body, &lookup); err != nil {
+		return savorystep.Lookup{}, savorystep.WrapError(savorystep.KindInternal, err, "the answer of entry %s is not JSON", address)
+	}
+	lookup.Lifetime = time.Duration(lookup.Millis) * time.Millisecond
+	return lookup, nil
+}
+
+// remember caches an answer and the entries it names.
+func (c *Client) remember(name savorystep.Name, lookup savorystep.Lookup, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.revision = max(c.revision, lookup.Revision)
+	c.cache[name] = cachedLookup{Lookup: lookup, until: now.Add(lookup.Lifetime)}
+	addresses := make([]savorystep.Address, 0, len(lookup.Entries)+len(c.config.Seeds))
+	seen := make(map[savorystep.Address]bool)
+	for _, entry := range lookup.Entries {
+		if !seen[entry.Address] {
+			seen[entry.Address] = true
+			addresses = append(addresses, entry.Address)
+		}
+	}
+	for _, seed := range c.config.Seeds {
+		if !seen[seed] {
+			seen[seed] = true
+			addresses = append(addresses, seed)
+		}
+	}
+	c.known = addresses
+}
+
+// Forget drops the cached answer for a name.
+func (c *Client) Forget(name savorystep.Name) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.cache, name)
+}
+
+// refusalError returns the error that an entry's refusal stands for.
+func refusalError(response *http.Response, body []byte) error {
+	kind, ok := savorystep.ParseKind(response.Header.Get(savorystep.HeaderKind))
+	if !ok {
+		return savorystep.NewError(savorystep.KindInternal, "an entry answered with status %d and no kind", response.StatusCode)
+	}
+	var refusal struct {
+		Detail      string               `json:"detail"`
+		Delay       int64                `json:"delay"`
+		Suggestions []savorystep.Service `json:"suggestions"`
+	}
+	if err := json.Unmarshal(body, &refusal); err != nil {
+		refusal.Detail = "the entry gave no reason"
+	}
+	err := savorystep.NewError(kind, "%s", refusal.Detail)
+	err.Delay = time.Duration(refusal.Delay) * time.Millisecond
+	err.Suggestions = refusal.Suggestions
+	return err
+}
--- /dev/null
+++ b/entry/send.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"savorystep"
+)
+
+// Send sends a request and returns the whole answer. It goes to another entry
+// if the request did not run, or if running it twice does no harm. A request
+// with a key keeps its key, so it runs at most once.
+func (c *Client) Send(ctx context.Context, request Request) (*Response, error) {
+	timeout := request.Timeout
+	if timeout <= 0 {
+		timeout = c.config.Timeout
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	var last error
+	for attempt := range max(1, c.config.Attempts) {
+		lookup, err := c.Lookup(ctx, request.Name)
+		if err != nil {
+			return nil, err
+		}
+		if len(lookup.Entries) == 0 {
+			return nil, savorystep.NewError(savorystep.KindNotReady, "no entry serves %s", request.Name)
+		}
+		entry := lookup.Entries[attempt%len(lookup.Entries)]
+		response, err := c.sendTo(ctx, entry, &request)
+		if err == nil {
+			response.Attempts = attempt + 1
+			return response, nil
+		}
+		last = err
+		if !c.mayRepeat(&request, err) || !wait(ctx, delayOf(err)) {
+			break
+		}
+	}
+	return nil, last
+}
+
+// mayRepeat reports whether the request may be sent again after an error.
+func (c *Client) mayRepeat(request *Request, err error) bool {
+	kind := savorystep.KindOf(err)
+	answer := kind.Answer()
+	if answer.Ran == savorystep.RanNo {
+		return answer.Retry
+	}
+	if kind == savorystep.KindOutcomeUnknown || kind == savorystep.KindDeadlineExceeded {
+		return false
+	}
+	return request.repeatable()
+}
+
+// sendTo sends a request to one entry.
+func (c *Client) sendTo(ctx context.Context, entry savorystep.Entry, request *Request) (*Response, error) {
+	var sent atomic.Bool
+	trace := &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { sent.Store(true) },
+	}
+	outgoing, err := c.newRequest(httptrace.WithClientTrace(ctx, trace), entry, request)
+	if err != nil {
+		return nil, err
+	}
+	response, err := c.http.Do(outgoing)
+	if err != nil {
+		return nil, sendError(ctx, err, entry, sent.Load())
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
+	if err != nil {
+		return nil, sendError(ctx, err, entry, true)
+	}
+	if len(body) > maxBody {
+		return nil, savorystep.NewError(savorystep.KindInternal, "the answer has more than %d bytes", maxBody)
+	}
+	if response.Header.Get(savorystep.HeaderKind) != "" {
+		return nil, refusalError(response, body)
+	}
+	return &Response{Status: response.StatusCode, Header: response.Header, Body: body, Entry: entry}, nil
+}
+
+// newRequest makes the HTTP request for one attempt.
+func (c *Client) newRequest(ctx context.Context, entry savorystep.Entry, request *Request) (*http.Request, error) {
+	var body io.Reader = http.NoBody
+	if request.Body != nil {
+		body = request.Body()
+	}
+	target := fmt.Sprintf("http://%s/s/%s%s", entry.Address, request.Name, request.Path)
+	outgoing, err := http.NewRequestWithContext(ctx, request.Method, target, body)
+	if err != nil {
+		return nil, savorystep.WrapError(savorystep.KindBadRequest, err, "the request can't be made")
+	}
+	if request.Body != nil {
+		outgoing.ContentLength = request.Length
+		// Without this the transport sends a request again on its own when an
+		// idle connection closes, which hides whether it was sent.
+		outgoing.GetBody = nil
+	}
+	for name, values := range request.Header {
+		outgoing.Header[name] = values
+	}
+	outgoing.Header.Set(savorystep.HeaderRequest, string(request.ID))
+	if request.Key != "" {
+		outgoing.Header.Set(savorystep.HeaderKey, string(request.Key))
+	}
+	if c.config.From != "" {
+		outgoing.Header.Set(savorystep.HeaderFrom, c.config.From)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		left := max(1, deadline.Sub(c.config.Clock.Now()).Milliseconds())
+		outgoing.Header.Set(savorystep.HeaderDeadline, strconv.FormatInt(left, 10))
+	}
+	return outgoing, nil
+}
+
+// sendError returns the error for an attempt that got no whole answer.
+func sendError(ctx context.Context, err error, entry savorystep.Entry, sent bool) error {
+	if !sent {
+		return savorystep.WrapError(savorystep.KindNotReady, err, "entry %s can't be reached", entry.Address)
+	}
+	if ctx.Err() != nil {
+		return savorystep.WrapError(savorystep.KindDeadlineExceeded, err, "entry %s did not answer in time", entry.Address)
+	}
+	return savorystep.WrapError(savorystep.KindUpstreamFailed, err, "entry %s broke the connection off", entry.Address)
+}
+
+// delayOf returns how long to wait before the next attempt.
+func delayOf(err error) time.Duration {
+	var typed *savorystep.Error
+	if !errors.As(err, &typed) {
+		return 0
+	}
+	if typed.Cause != nil && typed.Delay == 0 {
+		// A connection error: another entry may work at once.
+		return 0
+	}
+	return typed.RetryAfter()
+}
+
+// wait waits for the delay and reports whether ctx still holds.
+func wait(ctx context.Context, delay time.Duration) bool {
+	if delay <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/standin/shape.go
@@ -0,0 +1,136 @@
+package standin
+
+import (
+	"fmt"
+	"time"
+
+	"savorystep"
+)
+
+// A Shape is the size of a site.
+type Shape struct {
+	Name          string
+	Regions       []savorystep.Region
+	ZoneLatency   time.Duration
+	RegionLatency time.Duration
+	ClientLatency time.Duration
+	// Store is the region of the platform's store.
+	Store    savorystep.Region
+	Services []ServiceShape
+	// Connect is the cost of a new connection.
+	Connect time.Duration
+	// Drained is the region that drain scenarios empty, Target the one that
+	// takes its traffic.
+	Drained savorystep.Region
+	Target  savorystep.Region
+	// Prefer is what the site weighs most.
+	Prefer savorystep.Preference
+}
+
+// A ServiceShape is the size of one service.
+type ServiceShape struct {
+	Service     savorystep.Service
+	Endpoints   int
+	Slots       savorystep.Slots
+	Connections int
+	// Misspellings are names that callers send for the service.
+	Misspellings []savorystep.Name
+	// Unsafe is true if requests to it are not idempotent.
+	Unsafe bool
+}
+
+// Corrente returns the shape of Cooperativa Corrente Limpa.
+func Corrente() Shape {
+	return Shape{
+		Name:          "corrente",
+		Regions:       []savorystep.Region{"recife", "natal", "fortaleza"},
+		ZoneLatency:   1500 * time.Microsecond,
+		RegionLatency: 35 * time.Millisecond,
+		ClientLatency: 3 * time.Millisecond,
+		Store:         "recife",
+		Services: []ServiceShape{
+			{Service: "status", Endpoints: 14, Slots: 6, Connections: 330, Misspellings: []savorystep.Name{"statsu", "staus"}},
+			{Service: "renewals", Endpoints: 12, Slots: 3, Connections: 330, Misspellings: []savorystep.Name{"renewels"}, Unsafe: true},
+			{Service: "claims", Endpoints: 12, Slots: 4, Connections: 330, Misspellings: []savorystep.Name{"clains"}},
+			{Service: "stock", Endpoints: 13, Slots: 5, Connections: 330, Misspellings: []savorystep.Name{"stokc"}},
+		},
+		Connect: time.Millisecond,
+		Drained: "recife",
+		Target:  "natal",
+		Prefer:  savorystep.PreferLatency,
+	}
+}
+
+// Huon returns the shape of Huon Foamworks.
+func Huon() Shape {
+	return Shape{
+		Name:          "huon",
+		Regions:       []savorystep.Region{"hobart", "launceston", "burnie"},
+		ZoneLatency:   time.Millisecond,
+		RegionLatency: 35 * time.Millisecond,
+		ClientLatency: 8 * time.Millisecond,
+		Store:         "hobart",
+		Services: []ServiceShape{
+			{Service: "stock", Endpoints: 20, Slots: 3, Connections: 390, Misspellings: []savorystep.Name{"stcok"}},
+			{Service: "orders", Endpoints: 12, Slots: 3, Connections: 390, Misspellings: []savorystep.Name{"oders"}, Unsafe: true},
+			{Service: "scans", Endpoints: 12, Slots: 3, Connections: 390, Misspellings: []savorystep.Name{"scnas"}},
+			{Service: "patterns", Endpoints: 12, Slots: 3, Connections: 390, Misspellings: []savorystep.Name{"paterns"}},
+		},
+		Connect: time.Millisecond,
+		Drained: "hobart",
+		Target:  "burnie",
+		Prefer:  savorystep.PreferHeadroom,
+	}
+}
+
+// Zones returns the availability zones of a region, two each.
+func (s Shape) Zones(region savorystep.Region) []savorystep.Zone {
+	return []savorystep.Zone{
+		savorystep.Zone(string(region) + "-a"),
+		savorystep.Zone(string(region) + "-b"),
+	}
+}
+
+// Places returns all places, spread so that neighbours lie in different
+// regions.
+func (s Shape) Places() []savorystep.Place {
+	places := make([]savorystep.Place, 0, 2*len(s.Regions))
+	for i := range 2 {
+		for _, region := range s.Regions {
+			places = append(places, savorystep.Place{Region: region, Zone: s.Zones(region)[i]})
+		}
+	}
+	return places
+}
+
+// Endpoints returns the endpoints of a service without their addresses.
+func (s Shape) Endpoints(service ServiceShape) []savorystep.Endpoint {
+	places := s.Places()
+	endpoints := make([]savorystep.Endpoint, 0, service.Endpoints)
+	for i := range service.Endpoints {
+		endpoints = append(endpoints, savorystep.Endpoint{
+			ID:          savorystep.EndpointID(fmt.Sprintf("%s-%02d", service.Service, i+1)),
+			Service:     service.Service,
+			Place:       places[i%len(places)],
+			State:       savorystep.StateLive,
+			Slots:       service.Slots,
+			Connections: service.Connections,
+		})
+	}
+	return endpoints
+}
+
+// Record returns the steering record of a service with equal shares.
+func (s Shape) Record(service ServiceShape) savorystep.Record {
+	shares := make([]savorystep.Share, 0, len(s.Regions))
+	for _, region := range s.Regions {
+		shares = append(shares, savorystep.Share{Region: region, Weight: 1})
+	}
+	return savorystep.Record{
+		Schema:  2,
+		Service: service.Service,
+		Names:   service.Misspellings,
+		Prefer:  s.Prefer,
+		Shares:  shares,
+	}
+}
