--- /dev/null
+++ b/entry/loadresult.go
@@ -0,0 +1,113 @@
+package entry
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"savorystep"
+)
+
+const (
+	// The histograms hold 1 microsecond to 2 minutes with three digits.
+	lowestMicros   = 1
+	highestMicros  = 120_000_000
+	histogramDigit = 3
+	microsPerMilli = 1000.0
+)
+
+// A LoadResult is what became of the requests of a load.
+type LoadResult struct {
+	Length time.Duration
+	// Sent counts the requests after the warm-up.
+	Sent int
+	// Wrong counts answers that were not whole or another request's.
+	Wrong int
+	// Refused counts requests without an answer by error kind.
+	Refused map[string]int
+	// Streams are the results by stream.
+	Streams []StreamResult
+	// Endpoints counts the answers of each endpoint.
+	Endpoints map[savorystep.EndpointID]int
+	// Sendings counts how often requests were sent to entries.
+	Sendings int
+
+	all *hdrhistogram.Histogram
+}
+
+// A StreamResult is what became of the requests of one stream.
+type StreamResult struct {
+	Answered int
+	Refused  int
+	hist     *hdrhistogram.Histogram
+}
+
+// newLoadResult returns an empty result.
+func newLoadResult(streams int) *LoadResult {
+	result := &LoadResult{
+		Refused:   make(map[string]int),
+		Streams:   make([]StreamResult, streams),
+		Endpoints: make(map[savorystep.EndpointID]int),
+		all:       newHistogram(),
+	}
+	for i := range result.Streams {
+		result.Streams[i].hist = newHistogram()
+	}
+	return result
+}
+
+// newHistogram returns an empty histogram of microseconds.
+func newHistogram() *hdrhistogram.Histogram {
+	return hdrhistogram.New(lowestMicros, highestMicros, histogramDigit)
+}
+
+// addRefusal counts a request without an answer.
+func (r *LoadResult) addRefusal(arrival Arrival, kind savorystep.Kind) {
+	r.Sent++
+	r.Refused[kind.String()]++
+	r.Streams[arrival.Stream].Refused++
+}
+
+// addAnswer counts an answer.
+func (r *LoadResult) addAnswer(arrival Arrival, took time.Duration, own bool, response *Response) {
+	r.Sent++
+	if !own {
+		r.Wrong++
+	}
+	r.Sendings += response.Attempts
+	r.Endpoints[savorystep.EndpointID(response.Header.Get(savorystep.HeaderEndpoint))]++
+	stream := &r.Streams[arrival.Stream]
+	stream.Answered++
+	record(r.all, took)
+	record(stream.hist, took)
+}
+
+// record records a time, at most the highest that the histogram holds.
+func record(histogram *hdrhistogram.Histogram, took time.Duration) {
+	micros := min(max(took.Microseconds(), lowestMicros), highestMicros)
+	_ = histogram.RecordValue(micros)
+}
+
+// Answered returns how many requests were answered.
+func (r *LoadResult) Answered() int {
+	return int(r.all.TotalCount())
+}
+
+// Millis returns a percentile of the latency in milliseconds.
+func (r *LoadResult) Millis(percentile float64) float64 {
+	return float64(r.all.ValueAtQuantile(percentile)) / microsPerMilli
+}
+
+// Millis returns a percentile of the stream's latency in milliseconds.
+func (s *StreamResult) Millis(percentile float64) float64 {
+	return float64(s.hist.ValueAtQuantile(percentile)) / microsPerMilli
+}
+
+// Percentile returns a percentile of times in milliseconds.
+func Percentile(times []time.Duration, percentile float64) float64 {
+	histogram := newHistogram()
+	for _, took := range times {
+		record(histogram, took)
+	}
+	return float64(histogram.ValueAtQuantile(percentile)) / microsPerMilli
+}
