--- /dev/null
+++ b/operator/dryrun.go
@@ -0,0 +1,24 @@
+package operator
+
+import (
+	"context"
+
+	"savorystep"
+)
+
+var _ savorystep.Config = &DryRun{}
+
+// A DryRun is a configuration that checks changes as the wrapped one does and
+// makes none.
+type DryRun struct {
+	savorystep.Config
+}
+
+// Apply refuses a change with a wrong base and returns revision 0 for all
+// others.
+func (d *DryRun) Apply(_ context.Context, change savorystep.Change) (savorystep.Revision, error) {
+	if version := d.View().Versions[change.Service]; version != change.Base {
+		return 0, savorystep.NewError(savorystep.KindVersionConflict, "record %s is at version %d, not %d", change.Service, version, change.Base)
+	}
+	return 0, nil
+}
--- /dev/null
+++ b/operator/edit.go
@@ -0,0 +1,195 @@
+package operator
+
+import (
+	"cmp"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"savorystep"
+)
+
+// cloneRecord returns a deep copy.
+func cloneRecord(record *savorystep.Record) *savorystep.Record {
+	if record == nil {
+		return nil
+	}
+	c := *record
+	c.Names = slices.Clone(record.Names)
+	c.Shares = slices.Clone(record.Shares)
+	c.Shifts = slices.Clone(record.Shifts)
+	c.Limits = maps.Clone(record.Limits)
+	return &c
+}
+
+// asSchemaTwo returns a copy of a record that may hold shifts.
+func asSchemaTwo(record *savorystep.Record) *savorystep.Record {
+	c := cloneRecord(record)
+	if c.Schema == schemaOne {
+		c.Schema = schemaTwo
+		c.Prefer = savorystep.PreferLatency
+	}
+	return c
+}
+
+// withName returns a copy of a record that has one more name.
+func withName(record *savorystep.Record, name savorystep.Name) *savorystep.Record {
+	c := cloneRecord(record)
+	if !slices.Contains(c.Names, name) {
+		c.Names = append(c.Names, name)
+	}
+	return c
+}
+
+// withShift returns a copy of a record whose shift between two regions is the
+// given one. A shift of 0 percent is removed.
+func withShift(record *savorystep.Record, shift savorystep.Shift) *savorystep.Record {
+	c := asSchemaTwo(record)
+	same := func(s savorystep.Shift) bool { return s.From == shift.From && s.To == shift.To }
+	i := slices.IndexFunc(c.Shifts, same)
+	switch {
+	case shift.Percent == 0:
+		c.Shifts = slices.DeleteFunc(c.Shifts, same)
+	case i >= 0:
+		c.Shifts[i] = shift
+	default:
+		c.Shifts = append(c.Shifts, shift)
+	}
+	return c
+}
+
+// uses reports whether a service sends traffic to a region.
+func uses(record *savorystep.Record, region savorystep.Region) bool {
+	return regionWeight(record, region) > 0 || isTarget(record, region)
+}
+
+// regionWeight sums the weights of a region's shares.
+func regionWeight(record *savorystep.Record, region savorystep.Region) int {
+	sum := 0
+	for _, share := range record.Shares {
+		if share.Region == region {
+			sum += share.Weight
+		}
+	}
+	return sum
+}
+
+// withDrain returns a copy of a record that moves all traffic of a region
+// away. Without targets it goes to the other regions with shares, in
+// proportion to their weights. Shifts into the region end.
+func withDrain(record *savorystep.Record, region savorystep.Region, to []savorystep.Region, limit savorystep.Slots, growth int) (*savorystep.Record, error) {
+	c := asSchemaTwo(record)
+	c.Shifts = slices.DeleteFunc(c.Shifts, func(s savorystep.Shift) bool { return s.From == region || s.To == region })
+	if regionWeight(record, region) == 0 {
+		return c, nil
+	}
+	weights := make([]int, 0, len(to))
+	if len(to) == 0 {
+		for _, other := range shareRegions(record) {
+			if w := regionWeight(record, other); other != region && w > 0 {
+				to = append(to, other)
+				weights = append(weights, w)
+			}
+		}
+	} else {
+		for _, target := range to {
+			weights = append(weights, max(regionWeight(record, target), 1))
+		}
+	}
+	if len(to) == 0 {
+		return nil, savorystep.NewError(savorystep.KindBadRequest, "service %s has no other region with a share; name a target", record.Service)
+	}
+	for i, percent := range divide(maxPercent, weights) {
+		if percent > 0 {
+			c.Shifts = append(c.Shifts, savorystep.Shift{From: region, To: to[i], Percent: percent, Cap: limit, Growth: growth})
+		}
+	}
+	return c, nil
+}
+
+// divide splits a total in proportion to positive weights. The parts are whole
+// and add up to the total; remainders go to the largest fractions first.
+func divide(total int, weights []int) []int {
+	sum := 0
+	for _, w := range weights {
+		sum += w
+	}
+	parts := make([]int, len(weights))
+	order := make([]int, len(weights))
+	left := total
+	for i, w := range weights {
+		parts[i] = total * w / sum
+		order[i] = i
+		left -= parts[i]
+	}
+	slices.SortStableFunc(order, func(a, b int) int {
+		return cmp.Compare(total*weights[b]%sum, total*weights[a]%sum)
+	})
+	for _, i := range order[:left] {
+		parts[i]++
+	}
+	return parts
+}
+
+// withStarts returns a copy of a record whose shifts have their start set, so
+// that the moved part goes on from where it is now. A new shift starts now;
+// one that has grown to m percent starts as long ago as the new growth takes
+// to reach m.
+func withStarts(record, current *savorystep.Record, now time.Time) *savorystep.Record {
+	c := cloneRecord(record)
+	if c == nil {
+		return nil
+	}
+	for i := range c.Shifts {
+		shift := &c.Shifts[i]
+		shift.Start = now
+		if current == nil {
+			continue
+		}
+		for _, old := range current.Shifts {
+			if old.From != shift.From || old.To != shift.To {
+				continue
+			}
+			if growthOf(old) == growthOf(*shift) && old.Percent == shift.Percent && !old.Start.IsZero() {
+				shift.Start = old.Start
+				continue
+			}
+			grown := time.Duration(movedPercent(old, now) * float64(time.Second) / float64(growthOf(*shift)))
+			shift.Start = now.Add(-grown)
+		}
+		// The record is stored as JSON, which has no monotonic reading.
+		shift.Start = shift.Start.Round(0).UTC()
+	}
+	return c
+}
+
+// movedPercent returns the percent that a shift has moved at a time.
+func movedPercent(shift savorystep.Shift, now time.Time) float64 {
+	elapsed := max(now.Sub(shift.Start).Seconds(), 0)
+	return min(float64(shift.Percent), elapsed*float64(growthOf(shift)))
+}
+
+func growthOf(shift savorystep.Shift) int {
+	if shift.Growth == 0 {
+		return savorystep.DefaultGrowth
+	}
+	return shift.Growth
+}
+
+// sameRecord reports whether two records say the same, leaving out the start
+// of shifts.
+func sameRecord(a, b *savorystep.Record) bool {
+	if a == nil || b == nil {
+		return a == b
+	}
+	return withoutStarts(a) == withoutStarts(b)
+}
+
+func withoutStarts(record *savorystep.Record) string {
+	c := cloneRecord(record)
+	for i := range c.Shifts {
+		c.Shifts[i].Start = time.Time{}
+	}
+	return fmt.Sprintf("%+v", *c)
+}
--- /dev/null
+++ b/operator/steering.go
@@ -0,0 +1,315 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"savorystep"
+)
+
+const (
+	// maxConflicts is how often a change that the server computes itself is
+	// tried again. Operators are few, so more conflicts in a row point to a
+	// fault.
+	maxConflicts = 5
+	// conflictWait bounds the wait for the instance's copy to catch up after a
+	// conflict; polls of the configuration take about a second.
+	conflictWait = 3 * time.Second
+	// viewPoll is the interval at which in-memory state is looked at while a
+	// request waits for it.
+	viewPoll = 50 * time.Millisecond
+	// historyDepth is how far back versions are looked up.
+	historyDepth = 1000
+)
+
+// Changes makes changes of the configuration. Errors have a kind.
+type Changes interface {
+	Apply(ctx context.Context, request ApplyRequest) (*Outcome, error)
+	Undo(ctx context.Context, request UndoRequest) (*Outcome, error)
+	Shift(ctx context.Context, request ShiftRequest) (*Outcome, error)
+	Drain(ctx context.Context, request DrainRequest) ([]Outcome, error)
+	Correct(ctx context.Context, request CorrectRequest) (*Outcome, error)
+}
+
+var _ Changes = &steering{}
+
+// A steering makes changes on a configuration.
+type steering struct {
+	clock     savorystep.Clock
+	config    savorystep.Config
+	dry       bool
+	endpoints savorystep.Endpoints
+	members   savorystep.Members
+}
+
+// Apply replaces a record.
+func (s *steering) Apply(ctx context.Context, request ApplyRequest) (*Outcome, error) {
+	if request.Record == nil {
+		return nil, savorystep.NewError(savorystep.KindBadRequest, "the request has no record")
+	}
+	return s.replaceOnce(ctx, request.ChangeInfo, request.Record.Service, request.Base, request.Record)
+}
+
+// Undo restores an old record.
+func (s *steering) Undo(ctx context.Context, request UndoRequest) (*Outcome, error) {
+	var record *savorystep.Record
+	if request.To != 0 {
+		old, err := s.version(ctx, request.Service, request.To)
+		if err != nil {
+			return nil, err
+		}
+		record = old.Record
+	}
+	return s.replaceOnce(ctx, request.ChangeInfo, request.Service, request.Base, record)
+}
+
+// A conflictError is an error of kind KindVersionConflict that tells the
+// record's current version.
+type conflictError struct {
+	error
+
+	current savorystep.Revision
+}
+
+// Unwrap returns the error with its kind.
+func (v *conflictError) Unwrap() error {
+	return v.error
+}
+
+// replaceOnce proposes a record with the operator's own base. A conflict is
+// answered with the current version, for which the instance's copy may have to
+// catch up first.
+func (s *steering) replaceOnce(ctx context.Context, info ChangeInfo, service savorystep.Service, base savorystep.Revision, record *savorystep.Record) (*Outcome, error) {
+	outcome, err := s.replace(ctx, info, service, base, record)
+	if savorystep.KindOf(err) != savorystep.KindVersionConflict {
+		return outcome, err
+	}
+	s.awaitVersion(ctx, service, base)
+	current := s.config.View().Versions[service]
+	return nil, &conflictError{
+		error:   savorystep.NewError(savorystep.KindVersionConflict, "record %s is at version %d, not %d", service, current, base),
+		current: current,
+	}
+}
+
+// version returns the change that made a version of a record.
+func (s *steering) version(ctx context.Context, service savorystep.Service, revision savorystep.Revision) (*savorystep.Change, error) {
+	changes, err := s.config.History(ctx, service, historyDepth)
+	if err != nil {
+		return nil, err
+	}
+	for i := range changes {
+		if changes[i].Revision == revision {
+			return &changes[i], nil
+		}
+	}
+	return nil, savorystep.NewError(savorystep.KindNotFound, "service %s has no version %d", service, revision)
+}
+
+// Shift sets a shift.
+func (s *steering) Shift(ctx context.Context, request ShiftRequest) (*Outcome, error) {
+	if err := s.knownRegions(request.Shift.From, request.Shift.To); err != nil {
+		return nil, err
+	}
+	return s.edit(ctx, request.ChangeInfo, request.Service, func(record *savorystep.Record) (*savorystep.Record, error) {
+		return withShift(record, request.Shift), nil
+	})
+}
+
+// Drain moves the traffic of a region elsewhere, one service after another. A
+// service whose change fails has the reason in its outcome; the others are
+// drained all the same.
+func (s *steering) Drain(ctx context.Context, request DrainRequest) ([]Outcome, error) {
+	if err := s.knownRegions(append([]savorystep.Region{request.Region}, request.To...)...); err != nil {
+		return nil, err
+	}
+	if slices.Contains(request.To, request.Region) {
+		return nil, savorystep.NewError(savorystep.KindBadRequest, "region %s cannot take its own traffic", request.Region)
+	}
+	view := s.config.View()
+	services := request.Services
+	if len(services) == 0 {
+		for _, service := range slices.Sorted(maps.Keys(view.Records)) {
+			if uses(view.Records[service], request.Region) {
+				services = append(services, service)
+			}
+		}
+	}
+	if len(services) == 0 {
+		return nil, savorystep.NewError(savorystep.KindNotFound, "no service sends traffic to region %s", request.Region)
+	}
+	outcomes := make([]Outcome, 0, len(services))
+	for _, service := range services {
+		info := request.ChangeInfo
+		// Each service is a change of its own and needs an ID of its own.
+		info.ID += savorystep.ChangeID("/" + service)
+		outcome, err := s.edit(ctx, info, service, func(record *savorystep.Record) (*savorystep.Record, error) {
+			return withDrain(record, request.Region, request.To, request.Cap, request.Growth)
+		})
+		if err != nil {
+			outcome = &Outcome{Service: service, Error: err.Error()}
+		}
+		outcomes = append(outcomes, *outcome)
+	}
+	return outcomes, nil
+}
+
+// Correct makes a misspelling lead to a service.
+func (s *steering) Correct(ctx context.Context, request CorrectRequest) (*Outcome, error) {
+	if !isName(string(request.Name)) {
+		return nil, savorystep.NewError(savorystep.KindBadRequest, "%q is not a name; allowed: %s", request.Name, allowedName)
+	}
+	return s.edit(ctx, request.ChangeInfo, request.Service, func(record *savorystep.Record) (*savorystep.Record, error) {
+		if request.Name == savorystep.Name(request.Service) {
+			return record, nil
+		}
+		return withName(record, request.Name), nil
+	})
+}
+
+// edit changes the record of a service by a function, again on the newer
+// record after a version conflict.
+func (s *steering) edit(ctx context.Context, info ChangeInfo, service savorystep.Service, change func(*savorystep.Record) (*savorystep.Record, error)) (*Outcome, error) {
+	for attempt := 1; ; attempt++ {
+		view := s.config.View()
+		record := view.Records[service]
+		if record == nil {
+			err := savorystep.NewError(savorystep.KindNotFound, "service %s has no record", service)
+			err.Suggestions = Nearest(savorystep.Name(service), view)
+			return nil, err
+		}
+		changed, err := change(record)
+		if err != nil {
+			return nil, err
+		}
+		base := view.Versions[service]
+		outcome, err := s.replace(ctx, info, service, base, changed)
+		if savorystep.KindOf(err) != savorystep.KindVersionConflict || attempt == maxConflicts {
+			return outcome, err
+		}
+		if !s.awaitVersion(ctx, service, base) {
+			return nil, err
+		}
+	}
+}
+
+// awaitVersion waits until the instance's copy of a record is no longer at a
+// version, and reports whether it is.
+func (s *steering) awaitVersion(ctx context.Context, service savorystep.Service, version savorystep.Revision) bool {
+	ctx, cancel := context.WithTimeout(ctx, conflictWait)
+	defer cancel()
+	ticker := time.NewTicker(viewPoll)
+	defer ticker.Stop()
+	for s.config.View().Versions[service] == version {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+// replace proposes a record, nil to remove the service.
+func (s *steering) replace(ctx context.Context, info ChangeInfo, service savorystep.Service, base savorystep.Revision, record *savorystep.Record) (*Outcome, error) {
+	if info.ID == "" {
+		return nil, savorystep.NewError(savorystep.KindBadRequest, "the change has no id")
+	}
+	view := s.config.View()
+	current := view.Records[service]
+	if record != nil {
+		if err := Validate(record); err != nil {
+			return nil, err
+		}
+		if err := checkOtherServices(view, record); err != nil {
+			return nil, err
+		}
+	}
+	now := s.clock.Now()
+	outcome := &Outcome{Service: service, Base: base, Dry: s.dry}
+	if view.Versions[service] == base && sameRecord(current, record) {
+		outcome.Unchanged = true
+		outcome.Revision = base
+		return outcome, nil
+	}
+	record = withStarts(record, current, now)
+	diff, err := DiffRecords(current, record, versionName(service, view.Versions[service]), versionName(service, 0))
+	if err != nil {
+		return nil, err
+	}
+	outcome.Diff = diff
+	outcome.Warnings = s.warnings(record, now)
+	outcome.Revision, err = s.config.Apply(ctx, savorystep.Change{
+		ID: info.ID, Author: info.Author, Note: info.Note, Time: now.Round(0).UTC(),
+		Service: service, Base: base, Record: record,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return outcome, nil
+}
+
+// versionName names a version in diffs, 0 for the proposed one.
+func versionName(service savorystep.Service, version savorystep.Revision) string {
+	if version == 0 {
+		return string(service) + " (new)"
+	}
+	return fmt.Sprintf("%s (version %d)", service, version)
+}
+
+// checkOtherServices refuses a record whose names lead to another service.
+func checkOtherServices(view *savorystep.View, record *savorystep.Record) error {
+	names := append([]savorystep.Name{savorystep.Name(record.Service)}, record.Names...)
+	for _, name := range names {
+		if owner, ok := view.Services[name]; ok && owner != record.Service {
+			return savorystep.NewError(savorystep.KindBadRequest, "name %q leads to service %s already", name, owner)
+		}
+	}
+	return nil
+}
+
+// knownRegions refuses regions that no instance and no record knows, which
+// are most likely misspelled.
+func (s *steering) knownRegions(regions ...savorystep.Region) error {
+	known := map[savorystep.Region]bool{}
+	for _, record := range s.config.View().Records {
+		for _, region := range shareRegions(record) {
+			known[region] = true
+		}
+	}
+	for _, member := range s.members.Members(s.clock.Now()) {
+		known[member.Instance.Place.Region] = true
+	}
+	for _, region := range regions {
+		if !known[region] {
+			return savorystep.NewError(savorystep.KindBadRequest, "region %q is unknown; allowed: %s", region, joinRegions(slices.Sorted(maps.Keys(known))))
+		}
+	}
+	return nil
+}
+
+// warnings compares what shifts move with what their targets have free now.
+func (s *steering) warnings(record *savorystep.Record, now time.Time) []string {
+	if record == nil || s.endpoints == nil || len(record.Shifts) == 0 {
+		return nil
+	}
+	loads := map[savorystep.Region]savorystep.RegionLoad{}
+	for _, load := range s.endpoints.Regions(record.Service, now) {
+		loads[load.Region] = load
+	}
+	var texts []string
+	for _, shift := range record.Shifts {
+		moving := int(loads[shift.From].Used) * shift.Percent / maxPercent
+		if shift.Cap > 0 {
+			moving = min(moving, int(shift.Cap))
+		}
+		free := max(int(loads[shift.To].Slots-loads[shift.To].Used), 0)
+		if moving > free {
+			texts = append(texts, fmt.Sprintf("shift %s to %s would move about %d requests now, but %s has %d free slots; the rest will be refused", shift.From, shift.To, moving, shift.To, free))
+		}
+	}
+	return texts
+}
