Wire an instance and the stand-ins' commands

Cause: the parts need one process. dig makes the parts; the instance starts them, and on SIGTERM ends the callers' listener first, while everything that its requests need still works.

--- a/caller/request.go
+++ b/caller/request.go
@@ -44,7 +44,7 @@
 		s.refuseRequest(w, request, err)
 		return
 	}
-	s.served.Add(1)
+	s.meter.Add(now)
 	s.metrics.served.Inc()
 	s.copyResponse(w, response)
 }
--- a/caller/server.go
+++ b/caller/server.go
@@ -26,7 +26,7 @@
 	lookups  *rate.Limiter
 	metrics  *Metrics
 	leaving  atomic.Bool
-	served   atomic.Uint64
+	meter    Meter
 	inFlight atomic.Int64
 }
 
@@ -65,9 +65,9 @@
 	return router
 }
 
-// Served returns how many requests were served.
-func (s *Server) Served() uint64 {
-	return s.served.Load()
+// Rate returns the requests served per second at the given time.
+func (s *Server) Rate(now time.Time) float64 {
+	return s.meter.Rate(now)
 }
 
 // InFlight returns how many requests are in flight.
--- /dev/null
+++ b/cmd/container.go
@@ -0,0 +1,307 @@
+package cmd
+
+import (
+	"crypto/rand"
+	"fmt"
+	"strings"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/dig"
+
+	"savorystep"
+	"savorystep/caller"
+	"savorystep/operator"
+	"savorystep/peer"
+	"savorystep/platform"
+	"savorystep/upstream"
+)
+
+// newContainer returns a container that makes the parts of an instance.
+func newContainer(config instanceConfig) (*dig.Container, error) {
+	container := dig.New()
+	for _, constructor := range []any{
+		func() instanceConfig { return config },
+		func() savorystep.Clock { return config.Clock },
+		newBudgets,
+		newCallerServer,
+		newExchange,
+		newForwarder,
+		newHLC,
+		newInstance,
+		newKeys,
+		newLog,
+		newMetricsRegistry,
+		newOperatorHandler,
+		newPlatformClient,
+		newPool,
+		newRing,
+		newSelf,
+		newSteering,
+		newUnknownNames,
+	} {
+		if err := container.Provide(constructor); err != nil {
+			return nil, err
+		}
+	}
+	return container, nil
+}
+
+// newSelf describes this instance under an ID of its own.
+func newSelf(config instanceConfig) savorystep.Instance {
+	settings := config.Settings.Instance
+	id := fmt.Sprintf("%s-%s", settings.Zone, strings.ToLower(rand.Text()[:8]))
+	return savorystep.Instance{
+		ID:       savorystep.InstanceID(id),
+		Place:    savorystep.Place{Region: settings.Region, Zone: settings.Zone},
+		State:    savorystep.StateLive,
+		Caller:   settings.Caller,
+		Operator: settings.Operator,
+		Peer:     settings.Peer,
+	}
+}
+
+// newMetricsRegistry returns a registry with the metrics of the process.
+func newMetricsRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return registry
+}
+
+// newHLC returns the clock that stamps events.
+func newHLC(clock savorystep.Clock) *peer.HLC {
+	return peer.NewHLC(clock)
+}
+
+// newRing returns the ring of events.
+func newRing(self savorystep.Instance, hlc *peer.HLC) *peer.Ring {
+	return peer.NewRing(peer.RingConfig{Self: self.ID, HLC: hlc})
+}
+
+// newPlatformClient returns the client of the platform.
+func newPlatformClient(config instanceConfig) *platform.Client {
+	settings := config.Settings.Platform
+	return platform.New(platform.Config{
+		Address: settings.Address,
+		Clock:   config.Clock,
+		Timeout: settings.Timeout,
+	})
+}
+
+// newExchange returns the exchange of facts with peers.
+func newExchange(
+	config instanceConfig,
+	self savorystep.Instance,
+	hlc *peer.HLC,
+	ring *peer.Ring,
+	client *platform.Client,
+) *peer.Exchange {
+	settings := config.Settings.Peer
+	return peer.New(peer.Config{
+		Bytes:    int(settings.Rate),
+		Clock:    config.Clock,
+		Dial:     config.Dial,
+		HLC:      hlc,
+		Recorder: ring,
+		Registry: client,
+		Secret:   settings.Secret,
+		Seeds:    settings.Seeds,
+		Self:     self,
+	})
+}
+
+// newLog returns the configuration log.
+func newLog(
+	config instanceConfig,
+	client *platform.Client,
+	exchange *peer.Exchange,
+	ring *peer.Ring,
+) *platform.Log {
+	log := platform.NewLog(platform.LogConfig{
+		Clock:        config.Clock,
+		Facts:        exchange,
+		Members:      exchange,
+		PeerRevision: newPeerRevision(exchange),
+		Peers:        exchange,
+		Recorder:     ring,
+		Table:        client,
+	})
+	exchange.SetSource(log)
+	return log
+}
+
+// newBudgets returns the budgets.
+func newBudgets(
+	config instanceConfig,
+	self savorystep.Instance,
+	client *platform.Client,
+	ring *peer.Ring,
+) *platform.Budgets {
+	return platform.NewBudgets(platform.BudgetsConfig{
+		Clock:        config.Clock,
+		LedgerConfig: platform.LedgerConfig{Self: self.ID},
+		Recorder:     ring,
+		Registry:     client,
+		Table:        client,
+		Timeout:      config.Settings.Platform.Timeout,
+	})
+}
+
+// newKeys returns the ledger of idempotency keys.
+func newKeys(config instanceConfig, client *platform.Client) *platform.Keys {
+	return platform.NewKeys(platform.KeysConfig{
+		Clock:   config.Clock,
+		Objects: client.Objects(),
+		Table:   client,
+	})
+}
+
+// newPool returns the pool of upstream endpoints.
+func newPool(
+	config instanceConfig,
+	self savorystep.Instance,
+	budgets *platform.Budgets,
+	client *platform.Client,
+	exchange *peer.Exchange,
+	ring *peer.Ring,
+) *upstream.Pool {
+	return upstream.New(upstream.Config{
+		Budgets:  budgets,
+		Clock:    config.Clock,
+		Dial:     config.Dial,
+		Facts:    exchange,
+		Recorder: ring,
+		Registry: client,
+		Self:     self,
+	})
+}
+
+// newForwarder returns the chain of forwarders. Retries lie around the
+// quarantine, so that a strike is known to peers before the next attempt.
+func newForwarder(
+	config instanceConfig,
+	self savorystep.Instance,
+	exchange *peer.Exchange,
+	keys *platform.Keys,
+	pool *upstream.Pool,
+	ring *peer.Ring,
+) *upstream.Keyed {
+	quarantine := upstream.NewQuarantine(pool, upstream.QuarantineConfig{
+		Clock:    config.Clock,
+		Facts:    exchange,
+		Recorder: ring,
+		Self:     self.ID,
+	})
+	retrier := upstream.NewRetrier(quarantine, upstream.RetrierConfig{Recorder: ring})
+	return upstream.NewKeyed(retrier, upstream.KeyedConfig{Keys: keys})
+}
+
+// newSteering returns the look-up decisions.
+func newSteering(
+	config instanceConfig,
+	self savorystep.Instance,
+	exchange *peer.Exchange,
+	log *platform.Log,
+	pool *upstream.Pool,
+) *caller.Steering {
+	steering := caller.NewSteering(caller.SteeringConfig{
+		Config:    log,
+		Endpoints: pool,
+		Members:   exchange,
+		Self:      self,
+		Steer:     upstream.Steer,
+	})
+	steering.SetBlocks(caller.NewBlockTable(config.Settings.Blocks))
+	return steering
+}
+
+// newUnknownNames returns the counter of unknown names.
+func newUnknownNames(config instanceConfig, exchange *peer.Exchange) *caller.Unknowns {
+	return &caller.Unknowns{
+		Clock:        config.Clock,
+		Facts:        exchange,
+		UnknownNames: caller.NewUnknownNames(caller.UnknownNamesConfig{}),
+	}
+}
+
+// newCallerServer returns the server of the callers' listener.
+func newCallerServer(
+	config instanceConfig,
+	forwarder *upstream.Keyed,
+	log *platform.Log,
+	registry *prometheus.Registry,
+	ring *peer.Ring,
+	steering *caller.Steering,
+	unknown *caller.Unknowns,
+) *caller.Server {
+	limits := config.Settings.Limits
+	return caller.New(caller.Config{
+		Clock:     config.Clock,
+		Forwarder: forwarder,
+		Limits: caller.Limits{
+			Body:        limits.Body,
+			Connections: limits.Connections,
+			Drain:       limits.Drain,
+			Header:      int(limits.Header),
+			Lookups:     float64(limits.Lookups),
+		},
+		Ready:     log.Ready,
+		Recorder:  ring,
+		Registry:  registry,
+		Revisions: log,
+		Steering:  steering,
+		Unknown:   unknown.UnknownNames,
+	})
+}
+
+// An operatorHandler is the handler of the operators' listener with the
+// channel that ends its streams.
+type operatorHandler struct {
+	operatorServer
+	stopping chan struct{}
+}
+
+// newOperatorHandler returns the handler of the operators' listener.
+func newOperatorHandler(
+	config instanceConfig,
+	self savorystep.Instance,
+	exchange *peer.Exchange,
+	log *platform.Log,
+	pool *upstream.Pool,
+	registry *prometheus.Registry,
+	ring *peer.Ring,
+	steering *caller.Steering,
+) *operatorHandler {
+	access := config.Settings.Operator
+	stopping := make(chan struct{})
+	handler := operator.NewServer(operator.ServerConfig{
+		Authority: access.Authority != "",
+		Clock:     config.Clock,
+		Config:    log,
+		Endpoints: pool,
+		Explain: func(name, from string) (any, error) {
+			return steering.Explain(savorystep.Name(name), from, config.Clock.Now())
+		},
+		Facts:      exchange,
+		Gatherer:   registry,
+		Members:    exchange,
+		Ready:      func() error { return readyError(log) },
+		Recorder:   ring,
+		Registerer: registry,
+		Self:       self,
+		Stopping:   stopping,
+		Token:      access.Token,
+	})
+	return &operatorHandler{operatorServer: operatorServer{Handler: handler}, stopping: stopping}
+}
+
+// readyError returns why the instance is not ready, nil if it is.
+func readyError(log *platform.Log) error {
+	if log.Ready() {
+		return nil
+	}
+	return savorystep.NewError(savorystep.KindNotReady, "the configuration is not known to be current")
+}
--- /dev/null
+++ b/cmd/instance.go
@@ -0,0 +1,271 @@
+package cmd
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"savorystep"
+	"savorystep/caller"
+	"savorystep/operator"
+	"savorystep/peer"
+	"savorystep/platform"
+	"savorystep/upstream"
+)
+
+const (
+	// statusInterval is how often an instance states its status anew.
+	statusInterval = 250 * time.Millisecond
+	// shutdownTimeout bounds the end of the listeners for peers and operators.
+	shutdownTimeout = 2 * time.Second
+	// registerTimeout bounds one call that registers the instance.
+	registerTimeout = 3 * time.Second
+)
+
+// logServe is the log of the instance as a whole.
+const logServe = savorystep.Logger("serve")
+
+// An operatorServer is a handler with its TLS configuration.
+type operatorServer struct {
+	http.Handler
+}
+
+// An instance is one process of savorystep, or one of several in a test.
+type instance struct {
+	config    instanceConfig
+	self      savorystep.Instance
+	budgets   *platform.Budgets
+	caller    *caller.Server
+	client    *platform.Client
+	exchange  *peer.Exchange
+	forwarder *upstream.Keyed
+	keys      *platform.Keys
+	log       *platform.Log
+	operator  *operatorHandler
+	pool      *upstream.Pool
+	ring      *peer.Ring
+	unknown   *caller.Unknowns
+
+	leaving atomic.Bool
+}
+
+// newInstance puts the parts of an instance together.
+func newInstance(
+	config instanceConfig,
+	self savorystep.Instance,
+	budgets *platform.Budgets,
+	server *caller.Server,
+	client *platform.Client,
+	exchange *peer.Exchange,
+	forwarder *upstream.Keyed,
+	keys *platform.Keys,
+	log *platform.Log,
+	operator *operatorHandler,
+	pool *upstream.Pool,
+	ring *peer.Ring,
+	unknown *caller.Unknowns,
+) *instance {
+	return &instance{
+		config:    config,
+		self:      self,
+		budgets:   budgets,
+		caller:    server,
+		client:    client,
+		exchange:  exchange,
+		forwarder: forwarder,
+		keys:      keys,
+		log:       log,
+		operator:  operator,
+		pool:      pool,
+		ring:      ring,
+		unknown:   unknown,
+	}
+}
+
+// buildInstance makes an instance from its configuration.
+func buildInstance(config instanceConfig) (*instance, error) {
+	if config.Clock == nil {
+		config.Clock = savorystep.SystemClock{}
+	}
+	container, err := newContainer(config)
+	if err != nil {
+		return nil, err
+	}
+	var built *instance
+	err = container.Invoke(func(i *instance) { built = i })
+	return built, err
+}
+
+// Run serves until ctx ends, then stops gracefully. The callers' listener goes
+// first, while all parts that its requests need still work.
+func (i *instance) Run(ctx context.Context) error {
+	background, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	var group errgroup.Group
+	i.startParts(background, &group)
+	operators, err := i.serveOperators(background)
+	if err != nil {
+		return err
+	}
+	peers := i.servePeers(background)
+	i.ring.Record(savorystep.Event{Kind: savorystep.EventStart, Region: i.self.Place.Region, Text: "Started."})
+	logServe.Infof("Instance %s serves callers on %s.", i.self.ID, i.self.Caller)
+	callers := i.caller.Serve(ctx, i.config.Listeners.Caller)
+	err = i.wait(ctx, callers)
+	i.finishRequests()
+	stop()
+	close(i.operator.stopping)
+	for _, server := range []*http.Server{operators, peers} {
+		shutdownServer(server)
+	}
+	err = errors.Join(err, group.Wait())
+	i.client.Close()
+	logServe.Infof("Instance %s stopped.", i.self.ID)
+	return err
+}
+
+// startParts starts the parts that work in the background.
+func (i *instance) startParts(ctx context.Context, group *errgroup.Group) {
+	for _, runner := range []savorystep.Runner{i.exchange, i.log, i.budgets, i.keys, i.pool, i.unknown, i} {
+		ended := runner.Start(ctx)
+		group.Go(func() error { return ignoreCancelled(<-ended) })
+	}
+}
+
+// wait waits for the callers' listener to end, for the platform's word that
+// this instance was taken for ended, or for ctx, whose end starts the stop.
+func (i *instance) wait(ctx context.Context, callers <-chan error) error {
+	select {
+	case err := <-callers:
+		return ignoreClosed(err)
+	case err := <-i.client.Lost():
+		return savorystep.WrapError(savorystep.KindPlatformDown, err, "the platform lists this instance as ended")
+	case <-ctx.Done():
+		i.leave()
+		return ignoreClosed(<-callers)
+	}
+}
+
+// leave tells peers and the platform that this instance is leaving.
+func (i *instance) leave() {
+	i.leaving.Store(true)
+	i.stateStatus()
+	i.ring.Record(savorystep.Event{Kind: savorystep.EventStop, Region: i.self.Place.Region, Text: "Leaving."})
+	leaving := i.self
+	leaving.State = savorystep.StateLeaving
+	go i.register(context.Background(), leaving)
+}
+
+// finishRequests waits for the requests that outlive their callers, and for
+// their keys.
+func (i *instance) finishRequests() {
+	i.forwarder.Wait()
+	ctx, cancel := context.WithTimeout(context.Background(), i.config.Settings.Limits.Drain)
+	defer cancel()
+	if err := i.keys.Drain(ctx); err != nil {
+		logServe.Warningf("Some keys were not settled: %v.", err)
+	}
+}
+
+// Start registers the instance and states its status until ctx ends.
+func (i *instance) Start(ctx context.Context) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		registered := false
+		ticker := time.NewTicker(statusInterval)
+		defer ticker.Stop()
+		for {
+			if !registered && !i.leaving.Load() {
+				registered = i.register(ctx, i.self)
+			}
+			i.stateStatus()
+			select {
+			case <-ctx.Done():
+				done <- nil
+				return
+			case <-ticker.C:
+			}
+		}
+	}()
+	return done
+}
+
+// register tells the platform about this instance and reports success.
+func (i *instance) register(ctx context.Context, self savorystep.Instance) bool {
+	limited, cancel := context.WithTimeout(ctx, registerTimeout)
+	defer cancel()
+	if err := i.client.Register(limited, self); err != nil {
+		logServe.Debugf("The platform did not take the registration: %v.", err)
+		return false
+	}
+	return true
+}
+
+// stateStatus states the status of this instance to its peers.
+func (i *instance) stateStatus() {
+	i.exchange.SetStatus(i.log.Ready(), i.leaving.Load(), i.pool.Suspect(), i.log.View().Revision, i.caller.Rate(i.config.Clock.Now()))
+}
+
+// serveOperators starts the operators' listener.
+func (i *instance) serveOperators(ctx context.Context) (*http.Server, error) {
+	config, err := operator.ServerTLS(i.config.Settings.Operator)
+	if err != nil {
+		return nil, err
+	}
+	listener := i.config.Listeners.Operator
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	return serveHTTP(ctx, listener, i.operator), nil
+}
+
+// servePeers starts the listener for other instances.
+func (i *instance) servePeers(ctx context.Context) *http.Server {
+	return serveHTTP(ctx, i.config.Listeners.Peer, i.exchange.Handler())
+}
+
+// serveHTTP serves a handler until its server is shut down.
+func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: 10 * time.Second,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+	}
+	go func() {
+		if err := ignoreClosed(server.Serve(listener)); err != nil {
+			logServe.Errorf("The listener on %s failed: %v.", listener.Addr(), err)
+		}
+	}()
+	return server
+}
+
+// shutdownServer ends a server, by force after a short time.
+func shutdownServer(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		_ = server.Close()
+	}
+}
+
+// ignoreClosed drops the error of a server that was shut down.
+func ignoreClosed(err error) error {
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// ignoreCancelled drops the error of a part that was told to end.
+func ignoreCancelled(err error) error {
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/instanceconfig.go
@@ -0,0 +1,65 @@
+package cmd
+
+import (
+	"context"
+	"net"
+
+	"savorystep"
+	"savorystep/operator"
+)
+
+// An instanceConfig configures an instance.
+type instanceConfig struct {
+	Clock     savorystep.Clock
+	Settings  *operator.Settings
+	Listeners listeners
+	// Dial opens connections to upstreams and peers; nil means plain TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// Listeners are the open listeners of an instance.
+type listeners struct {
+	Caller   net.Listener
+	Operator net.Listener
+	Peer     net.Listener
+}
+
+// newListeners opens the listeners that the settings name.
+func newListeners(ctx context.Context, settings *operator.Settings) (listeners, error) {
+	var opened listeners
+	for _, l := range []struct {
+		address savorystep.Address
+		to      *net.Listener
+	}{
+		{address: settings.Instance.Caller, to: &opened.Caller},
+		{address: settings.Instance.Operator, to: &opened.Operator},
+		{address: settings.Instance.Peer, to: &opened.Peer},
+	} {
+		listener, err := listen(ctx, l.address)
+		if err != nil {
+			opened.close()
+			return listeners{}, err
+		}
+		*l.to = listener
+	}
+	return opened, nil
+}
+
+// close closes the listeners that are open.
+func (l listeners) close() {
+	for _, listener := range []net.Listener{l.Caller, l.Operator, l.Peer} {
+		if listener != nil {
+			_ = listener.Close()
+		}
+	}
+}
+
+// listen opens a TCP listener.
+func listen(ctx context.Context, address savorystep.Address) (net.Listener, error) {
+	var config net.ListenConfig
+	listener, err := config.Listen(ctx, "tcp", string(address))
+	if err != nil {
+		return nil, savorystep.WrapError(savorystep.KindBadRequest, err, "can't listen on %s", address)
+	}
+	return listener, nil
+}
--- a/cmd/rootcmd.go
+++ b/cmd/rootcmd.go
@@ -10,5 +10,6 @@
 		SilenceErrors: true,
 		SilenceUsage:  true,
 	}
+	root.AddCommand(newServeCmd(), newStandinCmd())
 	return root
 }
