--- /dev/null
+++ b/peer/connect.go
@@ -0,0 +1,368 @@
+package peer
+
+import (
+	"context"
+	"crypto/subtle"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+	"golang.org/x/sync/errgroup"
+
+	"savorystep"
+)
+
+// Path is the path of the WebSocket.
+const Path = "/peer"
+
+// Handler serves the WebSocket of peers at Path.
+func (e *Exchange) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc(Path, e.serve)
+	return mux
+}
+
+// serve accepts the connection of a peer and returns when it has ended.
+func (e *Exchange) serve(w http.ResponseWriter, r *http.Request) {
+	conn, err := websocket.Accept(w, r, &websocket.AcceptOptions{CompressionMode: websocket.CompressionDisabled})
+	if err != nil {
+		logger.Debugf("accept: %v", err)
+		return
+	}
+	conn.SetReadLimit(maxFrame)
+	done := make(chan struct{})
+	running := e.spawn(func() error {
+		defer close(done)
+		// The request's context ends when the connection was taken over.
+		e.accept(context.WithoutCancel(r.Context()), conn)
+		return nil
+	})
+	if !running {
+		_ = conn.Close(closeStopping, "instance does not run")
+		return
+	}
+	<-done
+}
+
+// accept exchanges hellos with a dialing peer and runs the link.
+func (e *Exchange) accept(ctx context.Context, conn *websocket.Conn) {
+	hello, err := e.readHello(ctx, conn)
+	if err == nil {
+		err = e.check(hello)
+	}
+	if err == nil && !e.mayAccept(hello.Instance.ID) {
+		_ = conn.Close(closeDuplicate, "connected already or too many connections")
+		return
+	}
+	if err == nil {
+		err = e.sendHello(ctx, conn, hello.Instance.ID)
+	}
+	if err != nil {
+		e.refuse(conn, err)
+		return
+	}
+	l := e.newLink(conn, hello.Instance, false)
+	if !e.register(l, hello.Suspected) {
+		_ = conn.Close(closeDuplicate, "connected already")
+		return
+	}
+	e.run(ctx, l)
+}
+
+// connect dials a peer and runs the link in the background. An empty ID means
+// that any instance may answer.
+func (e *Exchange) connect(ctx context.Context, id savorystep.InstanceID, address savorystep.Address) error {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTime)
+	defer cancel()
+	scheme := "ws"
+	if e.config.TLS != nil {
+		scheme = "wss"
+	}
+	conn, response, err := websocket.Dial(ctx, scheme+"://"+string(address)+Path, &websocket.DialOptions{HTTPClient: e.client})
+	if response != nil && response.Body != nil {
+		defer response.Body.Close() //nolint:errcheck // The connection was taken over.
+	}
+	if err != nil {
+		return err
+	}
+	conn.SetReadLimit(maxFrame)
+	err = e.sendHello(ctx, conn, id)
+	var hello *helloFrame
+	if err == nil {
+		hello, err = e.readHello(ctx, conn)
+	}
+	if err == nil {
+		err = e.check(hello)
+	}
+	if err == nil && id != "" && hello.Instance.ID != id {
+		err = savorystep.NewError(savorystep.KindNotFound, "address %s has instance %s, not %s", address, hello.Instance.ID, id)
+	}
+	if err != nil {
+		e.refuse(conn, err)
+		return err
+	}
+	l := e.newLink(conn, hello.Instance, true)
+	if !e.register(l, hello.Suspected) {
+		_ = conn.Close(closeDuplicate, "connected already")
+		return nil
+	}
+	if !e.spawn(func() error { e.run(context.WithoutCancel(ctx), l); return nil }) {
+		e.unregister(l)
+		_ = conn.Close(closeStopping, "instance stops")
+	}
+	return nil
+}
+
+// errSelf means that an address leads to this instance itself.
+var errSelf = errors.New("address is this instance's own")
+
+// check verifies a peer's hello.
+func (e *Exchange) check(hello *helloFrame) error {
+	if subtle.ConstantTimeCompare(hello.Secret, e.secret[:]) != 1 {
+		return savorystep.NewError(savorystep.KindUnauthorized, "wrong secret")
+	}
+	if hello.Version != protocolVersion {
+		return savorystep.NewError(savorystep.KindBadRequest, "protocol version %d, want %d", hello.Version, protocolVersion)
+	}
+	if hello.Instance.ID == e.config.Self.ID {
+		return errSelf
+	}
+	return nil
+}
+
+// refuse closes a connection with the reason.
+func (e *Exchange) refuse(conn *websocket.Conn, err error) {
+	e.mu.Lock()
+	e.stats.Refused++
+	e.mu.Unlock()
+	code := closeBadFrame
+	if savorystep.KindOf(err) == savorystep.KindUnauthorized {
+		code = closeRefused
+	}
+	_ = conn.Close(code, shorten(err.Error()))
+}
+
+// shorten bounds the reason of a close frame, which may have 123 bytes.
+func shorten(reason string) string {
+	const most = 120
+	if len(reason) > most {
+		return reason[:most]
+	}
+	return reason
+}
+
+func (e *Exchange) sendHello(ctx context.Context, conn *websocket.Conn, to savorystep.InstanceID) error {
+	e.mu.Lock()
+	hello := &helloFrame{Version: protocolVersion, Instance: e.config.Self, Secret: e.secret[:], Suspected: e.store.suspectedSequence(to)}
+	e.mu.Unlock()
+	data, err := frames.Encode(frame{Stamp: e.config.HLC.Now(), Hello: hello})
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, handshakeTime)
+	defer cancel()
+	return conn.Write(ctx, websocket.MessageBinary, data)
+}
+
+func (e *Exchange) readHello(ctx context.Context, conn *websocket.Conn) (*helloFrame, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTime)
+	defer cancel()
+	_, data, err := conn.Read(ctx)
+	if err != nil {
+		return nil, err
+	}
+	f, err := decodeFrame(data)
+	if err != nil {
+		return nil, err
+	}
+	if f.Hello == nil {
+		return nil, savorystep.NewError(savorystep.KindBadRequest, "first frame is not a hello")
+	}
+	if subtle.ConstantTimeCompare(f.Hello.Secret, e.secret[:]) == 1 {
+		e.config.HLC.Observe(f.Stamp)
+	}
+	return f.Hello, nil
+}
+
+func (e *Exchange) newLink(conn *websocket.Conn, instance savorystep.Instance, dialed bool) *link {
+	now := e.config.Clock.Now()
+	return &link{
+		exchange: e,
+		peer:     instance,
+		dialed:   dialed,
+		conn:     conn,
+		wake:     make(chan struct{}, 1),
+		end:      make(chan struct{}),
+		opened:   now,
+		needed:   now,
+		heard:    now,
+		pending:  make(map[factKey]struct{}),
+		names:    make(map[string]uint64),
+	}
+}
+
+// mayAccept reports whether a connection dialed by a peer would be kept.
+func (e *Exchange) mayAccept(id savorystep.InstanceID) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if old := e.links[id]; old != nil {
+		return e.isReplaceable(old, false)
+	}
+	return len(e.links) < e.config.Connections
+}
+
+// isReplaceable reports whether a new connection replaces an old one to the
+// same peer. Both ends decide alike: of two connections dialed by different
+// ends the one dialed by the lesser ID stays. A second one dialed by the same
+// end means that this end has given up the first one.
+func (e *Exchange) isReplaceable(old *link, dialed bool) bool {
+	if old.ended || old.dialed == dialed {
+		return true
+	}
+	if e.config.Clock.Now().Sub(old.heard) >= 2*e.config.Heartbeat {
+		return true
+	}
+	return dialed == (e.config.Self.ID < old.peer.ID)
+}
+
+// register makes a link the one to its peer. It returns false if another one
+// stays.
+func (e *Exchange) register(l *link, suspected uint64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	id := l.peer.ID
+	if old := e.links[id]; old != nil {
+		if !e.isReplaceable(old, l.dialed) {
+			return false
+		}
+		old.close(closeDuplicate, "replaced")
+	}
+	if e.group == nil {
+		return false
+	}
+	e.links[id] = l
+	if l.dialed {
+		e.stats.Dials++
+	}
+	e.watches[id] = &watch{heard: l.heard}
+	now := e.config.Clock.Now()
+	if m := e.store.members[e.config.Self.ID]; suspected >= m.sequence {
+		e.store.sequence = max(e.store.sequence, suspected)
+		e.stateStatus(now)
+	}
+	for _, facts := range e.store.facts {
+		for key := range facts {
+			if key.instance == e.config.Self.ID {
+				l.add(key)
+			}
+		}
+	}
+	l.due, l.urgent, l.digest = true, true, true
+	l.signal()
+	e.record(savorystep.EventMember, fmt.Sprintf("connected to instance %s", id))
+	return true
+}
+
+// unregister removes an ended link.
+func (e *Exchange) unregister(l *link) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l.close(closeSurplus, "ended")
+	e.stats.Ends++
+	if e.links[l.peer.ID] != l {
+		return
+	}
+	delete(e.links, l.peer.ID)
+	if len(e.links) == 0 {
+		e.alone = e.config.Clock.Now()
+	}
+	for _, w := range e.waiters {
+		if w.outstanding[l.peer.ID] {
+			delete(w.outstanding, l.peer.ID)
+			w.lost++
+			w.settle()
+		}
+	}
+	e.wakeOverlay()
+}
+
+// run sends and receives until the link ends.
+func (e *Exchange) run(ctx context.Context, l *link) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	group, ctx := errgroup.WithContext(ctx)
+	group.Go(func() error {
+		defer cancel()
+		err := l.write(ctx)
+		// A peer that does not answer the close frame holds the connection
+		// for a heartbeat at most; ending the reader closes it.
+		timer := time.AfterFunc(e.config.Heartbeat, cancel)
+		defer timer.Stop()
+		e.finish(l, err)
+		return err
+	})
+	group.Go(func() error {
+		defer cancel()
+		err := l.read(ctx)
+		e.mu.Lock()
+		if savorystep.KindOf(err) == savorystep.KindBadRequest || savorystep.KindOf(err) == savorystep.KindTooLarge {
+			e.stats.Refused++
+			l.close(closeBadFrame, shorten(err.Error()))
+			logger.Warningf("instance %s sent a bad frame: %v", l.peer.ID, err)
+		} else {
+			l.close(closeSurplus, "connection ended")
+		}
+		e.mu.Unlock()
+		if websocket.CloseStatus(err) == closeSurplus {
+			e.unwatch(l)
+		}
+		return err
+	})
+	err := group.Wait()
+	logger.Debugf("connection to instance %s ended: %v", l.peer.ID, err)
+	e.unregister(l)
+}
+
+// finish closes the connection after the writer ended. The close frame is sent
+// only if the peer may still read it.
+func (e *Exchange) finish(l *link, err error) {
+	e.mu.Lock()
+	l.close(closeSurplus, "connection ended")
+	code, reason := l.code, l.reason
+	e.mu.Unlock()
+	if err != nil || code == closeSilent {
+		_ = l.conn.CloseNow()
+		return
+	}
+	_ = l.conn.Close(code, reason)
+}
+
+// unwatch ends the monitoring of a peer that closed a connection it did not
+// choose. Its own neighbours monitor it.
+func (e *Exchange) unwatch(l *link) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.links[l.peer.ID] == l {
+		delete(e.watches, l.peer.ID)
+	}
+}
+
+// suspectedSequence returns the sequence of an instance's status under which
+// it is suspected or forgotten here, or 0.
+func (s *store) suspectedSequence(id savorystep.InstanceID) uint64 {
+	if current := s.suspicions[id]; current != nil {
+		return current.sequence
+	}
+	return s.graves[id].sequence
+}
+
+// backoff returns the time to wait after a number of failures in a row.
+func backoff(failures int) time.Duration {
+	const first, most = 100 * time.Millisecond, 2 * time.Second
+	if failures > 5 {
+		return most
+	}
+	return min(most, first<<failures)
+}
--- /dev/null
+++ b/peer/exchange_test.go
@@ -0,0 +1,142 @@
+package peer_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"savorystep"
+)
+
+// TestExchangeSpreadsFacts guards against facts, revisions and statuses that
+// do not reach every instance.
+func TestExchangeSpreadsFacts(t *testing.T) {
+	f := newFleet(t, 8, nil)
+	t.Logf("full after %v", f.full(t))
+	f.nodes[0].Publish(savorystep.FactInFlight, "endpoint-1", savorystep.InFlightFact{Count: 3})
+	f.nodes[0].Publish(savorystep.FactRevision, "", savorystep.RevisionFact{Revision: 7})
+	f.nodes[0].SetStatus(true, false, false, 7, 100)
+	eventually(t, "facts known", func() bool {
+		for _, n := range f.nodes {
+			if len(n.Facts(savorystep.FactInFlight)) != 1 || len(n.Facts(savorystep.FactRevision)) != 1 {
+				return false
+			}
+			m := n.Members(time.Now())[0]
+			if !m.Ready || m.Revision != 7 || m.Rate != 100 {
+				return false
+			}
+		}
+		return true
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	acked, missing := f.nodes[1].Push(ctx, savorystep.FactStrike, "00ff", savorystep.StrikeFact{Strikes: 1})
+	if acked != 7 || missing != 0 {
+		t.Errorf("acked %d missing %d", acked, missing)
+	}
+	for i, n := range f.nodes {
+		if len(n.Facts(savorystep.FactStrike)) != 1 {
+			t.Errorf("node %d has no strike after the acks", i)
+		}
+	}
+}
+
+// TestExchangeDropsKilled guards against a killed instance that stays a
+// member.
+func TestExchangeDropsKilled(t *testing.T) {
+	f := newFleet(t, 8, nil)
+	f.full(t)
+	f.kill(f.nodes[7])
+	t.Logf("left out after %v", f.full(t))
+}
+
+// A source answers wants from a list.
+type source []savorystep.Change
+
+func (s source) Changes(after savorystep.Revision, limit int) []savorystep.Change {
+	var changes []savorystep.Change
+	for _, change := range s {
+		if change.Revision > after && len(changes) < limit {
+			changes = append(changes, change)
+		}
+	}
+	return changes
+}
+
+// TestChangesFrom guards against changes that lose their content on the way.
+func TestChangesFrom(t *testing.T) {
+	f := newFleet(t, 2, nil)
+	f.full(t)
+	when := time.Date(2026, 1, 2, 3, 4, 5, 6, time.UTC)
+	f.nodes[0].SetSource(source{
+		{Revision: 1, ID: "a", Time: when, Service: "status"},
+		{Revision: 2, ID: "b", Time: when, Service: "status", Base: 1, Record: &savorystep.Record{
+			Schema: 2, Service: "status", Shares: []savorystep.Share{{Region: "recife", Weight: 1}},
+			Shifts: []savorystep.Shift{{From: "recife", To: "natal", Percent: 20, Start: when}},
+			Limits: map[savorystep.Region]savorystep.Slots{"recife": 12},
+		}},
+	})
+	changes, err := f.nodes[1].ChangesFrom(t.Context(), f.nodes[0].Self().ID, 1, 10)
+	if err != nil || len(changes) != 1 {
+		t.Fatalf("%v %v", changes, err)
+	}
+	got := changes[0]
+	if got.ID != "b" || !got.Time.Equal(when) || got.Record.Limits["recife"] != 12 || !got.Record.Shifts[0].Start.Equal(when) {
+		t.Errorf("got %+v", got)
+	}
+	_, err = f.nodes[1].ChangesFrom(t.Context(), "absent", 1, 10)
+	if savorystep.KindOf(err) != savorystep.KindNotFound {
+		t.Errorf("absent instance: %v", err)
+	}
+}
+
+var _ savorystep.ChangeSource = source(nil)
+
+// TestExchangeReplacesSilentConnection guards against a connection that goes
+// silent for ever while new ones work: it must be replaced without the peer
+// being left out.
+func TestExchangeReplacesSilentConnection(t *testing.T) {
+	f := newFleet(t, 2, nil)
+	f.full(t)
+	a, b := f.nodes[0], f.nodes[1]
+	if f.network.silence(a.Self().Peer, b.Self().Peer) == 0 {
+		t.Fatal("no connection to silence")
+	}
+	a.Publish(savorystep.FactDraining, "endpoint-1", nil)
+	eventually(t, "fact over a new connection", func() bool {
+		return len(b.Facts(savorystep.FactDraining)) == 1
+	})
+	f.full(t)
+}
+
+// TestExchangeRejoins guards against halves of a healed partition that stay
+// apart, and against facts that are lost with it.
+func TestExchangeRejoins(t *testing.T) {
+	f := newFleet(t, 6, nil)
+	f.full(t)
+	left := make(map[string]bool)
+	for _, n := range f.nodes[:3] {
+		left[string(n.Self().Peer)] = true
+	}
+	f.network.part(func(a, b string) bool { return left[a] != left[b] })
+	eventually(t, "halves apart", func() bool {
+		for _, n := range f.nodes {
+			if len(n.Members(time.Now())) != 3 {
+				return false
+			}
+		}
+		return true
+	})
+	f.nodes[0].Publish(savorystep.FactStrike, "left", savorystep.StrikeFact{Strikes: 1})
+	f.nodes[5].Publish(savorystep.FactStrike, "right", savorystep.StrikeFact{Strikes: 1})
+	f.network.part(func(string, string) bool { return false })
+	t.Logf("full after %v", f.full(t))
+	eventually(t, "strikes known", func() bool {
+		for _, n := range f.nodes {
+			if len(n.Facts(savorystep.FactStrike)) != 2 {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/peer/fleet_test.go
@@ -0,0 +1,139 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"savorystep"
+	"savorystep/peer"
+)
+
+// A node is one exchange of a fleet with its listener.
+type node struct {
+	*peer.Exchange
+	listener net.Listener
+	server   *http.Server
+	cancel   context.CancelFunc
+	done     <-chan error
+	once     sync.Once
+}
+
+// stop ends the exchange in order.
+func (n *node) stop() {
+	n.once.Do(func() {
+		n.cancel()
+		if err := <-n.done; err != nil {
+			panic(err)
+		}
+		_ = n.server.Close()
+	})
+}
+
+// A fleet is a number of exchanges in one process that talk over loopback.
+type fleet struct {
+	network *network
+	nodes   []*node
+	change  func(*peer.Config)
+	places  int
+	made    int
+}
+
+func newFleet(tb testing.TB, size int, change func(*peer.Config)) *fleet {
+	tb.Helper()
+	f := &fleet{network: newNetwork(), change: change, places: 6}
+	for range size {
+		f.add(tb)
+	}
+	tb.Cleanup(f.stop)
+	return f
+}
+
+// add starts one more exchange. Its seeds are the first nodes.
+func (f *fleet) add(tb testing.TB) *node {
+	tb.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0") //nolint:noctx // A listener on loopback opens at once.
+	if err != nil {
+		tb.Fatal(err)
+	}
+	address := listener.Addr().String()
+	place := f.made % f.places
+	self := savorystep.Instance{
+		ID: savorystep.InstanceID(fmt.Sprintf("entry-%04d-%s", f.made, address[len("127.0.0.1:"):])),
+		Place: savorystep.Place{
+			Region: savorystep.Region(fmt.Sprintf("region-%d", place/2)),
+			Zone:   savorystep.Zone(fmt.Sprintf("zone-%d", place)),
+		},
+		State: savorystep.StateLive,
+		Peer:  savorystep.Address(address),
+	}
+	f.made++
+	config := peer.Config{Self: self, Secret: "secret", Dial: f.network.dialer(address)}
+	for _, other := range f.nodes[:min(3, len(f.nodes))] {
+		config.Seeds = append(config.Seeds, other.Self().Peer)
+	}
+	if f.change != nil {
+		f.change(&config)
+	}
+	n := &node{Exchange: peer.New(config), listener: listener}
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	n.done = n.Start(ctx)
+	n.server = &http.Server{Handler: n.Handler(), ReadHeaderTimeout: time.Minute}
+	go func() { _ = n.server.Serve(listener) }()
+	f.nodes = append(f.nodes, n)
+	return n
+}
+
+// kill cuts all connections of a node without a word and stops it.
+func (f *fleet) kill(n *node) {
+	f.network.kill(n.Self().Peer)
+	_ = n.listener.Close()
+	for i, other := range f.nodes {
+		if other == n {
+			f.nodes = append(f.nodes[:i:i], f.nodes[i+1:]...)
+			break
+		}
+	}
+	n.stop()
+}
+
+func (f *fleet) stop() {
+	var group sync.WaitGroup
+	for _, n := range f.nodes {
+		group.Go(n.stop)
+	}
+	group.Wait()
+}
+
+// eventually waits until a condition holds. Its limit is far above any time
+// that a busy machine needs; it only ends a test that hangs.
+func eventually(tb testing.TB, what string, condition func() bool) time.Duration {
+	tb.Helper()
+	const limit, step = 2 * time.Minute, 5 * time.Millisecond
+	start := time.Now()
+	for !condition() {
+		if time.Since(start) > limit {
+			tb.Fatalf("%s: not within %v", what, limit)
+		}
+		time.Sleep(step)
+	}
+	return time.Since(start)
+}
+
+// full waits until every node sees every node.
+func (f *fleet) full(tb testing.TB) time.Duration {
+	tb.Helper()
+	return eventually(tb, "full membership", func() bool {
+		for _, n := range f.nodes {
+			if len(n.Members(time.Now())) != len(f.nodes) {
+				return false
+			}
+		}
+		return true
+	})
+}
--- /dev/null
+++ b/peer/hlc.go
@@ -0,0 +1,76 @@
+package peer
+
+import (
+	"sync"
+	"time"
+
+	"savorystep"
+)
+
+// MaxSkew is how far ahead of this machine's clock a peer's stamp may be. A
+// stamp further ahead is ignored, so that one machine with a wrong clock
+// cannot move the stamps of all others into the future.
+const MaxSkew = time.Minute
+
+// An HLC is a hybrid logical clock. It is safe for concurrent use.
+type HLC struct {
+	clock savorystep.Clock
+
+	mu   sync.Mutex
+	last savorystep.Stamp
+}
+
+// NewHLC returns a hybrid logical clock over a physical clock.
+func NewHLC(clock savorystep.Clock) *HLC {
+	return &HLC{clock: clock}
+}
+
+// Now returns a stamp greater than every stamp returned or observed before.
+func (h *HLC) Now() savorystep.Stamp {
+	wall := h.clock.Now().UnixNano()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.last = next(h.last, wall)
+	return h.last
+}
+
+// Observe advances the clock past a stamp received from a peer. It returns
+// false and ignores the stamp if it is more than MaxSkew ahead.
+func (h *HLC) Observe(stamp savorystep.Stamp) bool {
+	wall := h.clock.Now().UnixNano()
+	if stamp.Wall > wall+int64(MaxSkew) {
+		return false
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if CompareStamps(h.last, stamp) < 0 {
+		h.last = stamp
+	}
+	return true
+}
+
+// next returns the least stamp after last whose wall time is at least wall.
+func next(last savorystep.Stamp, wall int64) savorystep.Stamp {
+	if wall > last.Wall {
+		return savorystep.Stamp{Wall: wall}
+	}
+	if last.Logical == ^uint32(0) {
+		return savorystep.Stamp{Wall: last.Wall + 1}
+	}
+	return savorystep.Stamp{Wall: last.Wall, Logical: last.Logical + 1}
+}
+
+// CompareStamps returns -1, 0 or 1 as a is before, equal to or after b.
+func CompareStamps(a, b savorystep.Stamp) int {
+	switch {
+	case a.Wall < b.Wall:
+		return -1
+	case a.Wall > b.Wall:
+		return 1
+	case a.Logical < b.Logical:
+		return -1
+	case a.Logical > b.Logical:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/peer/network_test.go
@@ -0,0 +1,130 @@
+package peer_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"savorystep"
+)
+
+// A network lets tests fault the connections between nodes.
+type network struct {
+	mu    sync.Mutex
+	conns map[*faultyConn]struct{}
+	// parted reports whether two addresses cannot reach each other.
+	parted func(a, b string) bool
+}
+
+func newNetwork() *network {
+	return &network{conns: make(map[*faultyConn]struct{}), parted: func(string, string) bool { return false }}
+}
+
+var errParted = errors.New("network is parted")
+
+// dialer returns the dialing function of the node at an address.
+func (n *network) dialer(from string) func(context.Context, string, string) (net.Conn, error) {
+	return func(ctx context.Context, kind, to string) (net.Conn, error) {
+		n.mu.Lock()
+		parted := n.parted(from, to)
+		n.mu.Unlock()
+		if parted {
+			return nil, errParted
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, kind, to)
+		if err != nil {
+			return nil, err
+		}
+		c := &faultyConn{Conn: conn, network: n, from: from, to: to, closed: make(chan struct{})}
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		n.conns[c] = struct{}{}
+		return c, nil
+	}
+}
+
+// part parts the network and silences the connections that cross it.
+func (n *network) part(parted func(a, b string) bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.parted = parted
+	for c := range n.conns {
+		if parted(c.from, c.to) {
+			c.silent = true
+		}
+	}
+}
+
+// silence makes the present connections between two addresses silent for
+// ever. New ones work.
+func (n *network) silence(a, b savorystep.Address) int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	count := 0
+	for c := range n.conns {
+		if (c.from == string(a) && c.to == string(b)) || (c.from == string(b) && c.to == string(a)) {
+			c.silent = true
+			count++
+		}
+	}
+	return count
+}
+
+// kill silences all connections of an address and makes it unreachable.
+func (n *network) kill(address savorystep.Address) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	parted := n.parted
+	n.parted = func(a, b string) bool {
+		return a == string(address) || b == string(address) || parted(a, b)
+	}
+	for c := range n.conns {
+		if c.from == string(address) || c.to == string(address) {
+			c.silent = true
+		}
+	}
+}
+
+// A faultyConn is a connection that can go silent: what is written is lost,
+// and nothing more is read.
+type faultyConn struct {
+	net.Conn
+	network  *network
+	from, to string
+	silent   bool
+	once     sync.Once
+	closed   chan struct{}
+}
+
+func (c *faultyConn) isSilent() bool {
+	c.network.mu.Lock()
+	defer c.network.mu.Unlock()
+	return c.silent
+}
+
+func (c *faultyConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if c.isSilent() {
+		<-c.closed
+		return 0, net.ErrClosed
+	}
+	return n, err
+}
+
+func (c *faultyConn) Write(p []byte) (int, error) {
+	if c.isSilent() {
+		return len(p), nil
+	}
+	return c.Conn.Write(p)
+}
+
+func (c *faultyConn) Close() error {
+	c.once.Do(func() {
+		close(c.closed)
+		c.network.mu.Lock()
+		delete(c.network.conns, c)
+		c.network.mu.Unlock()
+	})
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/peer/revisiontable.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"savorystep"
+)
+
+// A revisionTable knows the revision in force at each member. It exchanges
+// them as vectors.
+type revisionTable struct {
+	// top is the greatest revision in force at any member.
+	top savorystep.Revision
+	// version counts the changes, so that a connection knows whether it has
+	// sent the newest state.
+	version uint64
+	buckets [bucketCount][]orderedMember
+}
+
+// An orderedMember is a member in a bucket, in order of its hash.
+type orderedMember struct {
+	id savorystep.InstanceID
+	m  *member
+}
+
+func hashID(id savorystep.InstanceID) uint64 {
+	return xxh3.HashString(string(id))
+}
+
+func (t *revisionTable) add(id savorystep.InstanceID, m *member) {
+	bucket := bucketOf(id)
+	at, _ := slices.BinarySearchFunc(t.buckets[bucket], m.hash, compareHash)
+	t.buckets[bucket] = slices.Insert(t.buckets[bucket], at, orderedMember{id: id, m: m})
+	t.version++
+}
+
+func (t *revisionTable) drop(id savorystep.InstanceID, m *member) {
+	bucket := bucketOf(id)
+	at, found := slices.BinarySearchFunc(t.buckets[bucket], m.hash, compareHash)
+	if found {
+		t.buckets[bucket] = slices.Delete(t.buckets[bucket], at, at+1)
+		t.version++
+	}
+}
+
+func compareHash(o orderedMember, hash uint64) int {
+	return cmp.Compare(o.m.hash, hash)
+}
+
+// raise notes that a member has a revision in force. It returns false if that
+// was known. A revision never goes down.
+func (t *revisionTable) raise(m *member, revision savorystep.Revision) bool {
+	if revision <= m.revision {
+		return false
+	}
+	m.revision = revision
+	t.top = max(t.top, revision)
+	t.version++
+	return true
+}
+
+// vector returns the members that have the top revision in force. It is nil if
+// there is no revision yet.
+func (t *revisionTable) vector() *vector {
+	if t.top == 0 {
+		return nil
+	}
+	v := &vector{Revision: t.top}
+	for index, members := range t.buckets {
+		bits := make([]byte, (len(members)+7)/8)
+		set := false
+		for i, o := range members {
+			if o.m.revision >= t.top {
+				bits[i/8] |= 1 << (i % 8)
+				set = true
+			}
+		}
+		if set {
+			v.Buckets = append(v.Buckets, vectorBucket{Index: uint8(index), Check: checkOf(members), Bits: bits})
+		}
+	}
+	return v
+}
+
+// merge takes a vector of a peer and returns the members whose revision grew.
+func (t *revisionTable) merge(v *vector) []orderedMember {
+	var raised []orderedMember
+	for _, bucket := range v.Buckets {
+		members := t.buckets[bucket.Index]
+		if checkOf(members) != bucket.Check || len(bucket.Bits) != (len(members)+7)/8 {
+			continue
+		}
+		for i, o := range members {
+			if bucket.Bits[i/8]&(1<<(i%8)) != 0 && t.raise(o.m, v.Revision) {
+				raised = append(raised, o)
+			}
+		}
+	}
+	return raised
+}
+
+// checkOf returns the checksum of the members of a bucket.
+func checkOf(members []orderedMember) uint32 {
+	var sum uint64
+	for _, o := range members {
+		sum ^= o.m.hash
+	}
+	return uint32(sum >> 32)
+}
--- /dev/null
+++ b/peer/rounds.go
@@ -0,0 +1,154 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"savorystep"
+)
+
+const (
+	// expireInterval is the time between passes over all facts.
+	expireInterval = time.Second
+	// digestInterval is the time between comparisons of digests with one
+	// random peer. A digest has 256 bytes, which is 5% of the budget.
+	digestInterval = time.Second
+	// suspectAgain is the least time between two suspicions of an instance
+	// that refuted but cannot be reached from here.
+	suspectAgain = 10 * time.Second
+)
+
+// A watch is what a monitor knows of one instance.
+type watch struct {
+	// heard is when a frame last came from it, or when this instance first
+	// tried to reach it.
+	heard time.Time
+	// suspected is when this instance last stated a suspicion, zero if a frame
+	// came since.
+	suspected time.Time
+}
+
+// runRounds drives the exchange.
+func (e *Exchange) runRounds(ctx context.Context) error {
+	ticker := time.NewTicker(e.config.Round)
+	defer ticker.Stop()
+	var expired, compared time.Time
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+		e.mu.Lock()
+		now := e.config.Clock.Now()
+		e.round(now)
+		if now.Sub(expired) >= expireInterval {
+			expired = now
+			e.expire(now)
+		}
+		if now.Sub(compared) >= digestInterval {
+			compared = now
+			if chosen := e.chooseLinks(1); len(chosen) > 0 {
+				chosen[0].digest = true
+				chosen[0].signal()
+			}
+		}
+		e.mu.Unlock()
+	}
+}
+
+// round chooses the peers of a round, sends heartbeats, and gives up silent
+// connections.
+func (e *Exchange) round(now time.Time) {
+	for _, l := range e.chooseLinks(e.config.Fanout) {
+		l.due = true
+		l.signal()
+	}
+	for id, l := range e.links {
+		if now.Sub(l.heard) >= e.config.Silence {
+			l.close(closeSilent, "no frame within the limit")
+			continue
+		}
+		if w := e.watches[id]; w != nil {
+			if l.heard.After(w.heard) {
+				w.suspected = time.Time{}
+			}
+			w.heard = l.heard
+		}
+		if now.Sub(l.sent) >= e.config.Heartbeat-e.config.Round || l.urgent {
+			l.beat = l.beat || now.Sub(l.sent) >= e.config.Heartbeat-e.config.Round
+			l.signal()
+		}
+	}
+	for id, w := range e.watches {
+		if now.Sub(w.heard) < e.config.Silence || now.Sub(w.suspected) < suspectAgain || e.isIsolated(now) {
+			continue
+		}
+		if entry := e.store.suspect(now, id); entry != nil {
+			w.suspected = now
+			e.spread(entry, nil)
+			e.record(savorystep.EventSuspect, "instance "+string(id)+" is no longer heard")
+		}
+	}
+	if e.store.isSelfSuspected() {
+		e.stateStatus(now)
+	}
+}
+
+// expire drops old facts and watches of forgotten instances.
+func (e *Exchange) expire(now time.Time) {
+	e.store.expire(now)
+	for id := range e.watches {
+		if e.store.members[id] == nil && e.links[id] == nil {
+			delete(e.watches, id)
+		}
+	}
+}
+
+// chooseLinks returns some random links, near ones more often.
+func (e *Exchange) chooseLinks(count int) []*link {
+	total := 0
+	rest := make([]*link, 0, len(e.links))
+	for _, l := range e.links {
+		rest = append(rest, l)
+		total += nearness(e.config.Self.Place, l.peer.Place)
+	}
+	chosen := make([]*link, 0, count)
+	for len(chosen) < count && len(rest) > 0 {
+		at := rand.IntN(total) //nolint:gosec // The choice needs no secrecy.
+		for i, l := range rest {
+			weight := nearness(e.config.Self.Place, l.peer.Place)
+			if at >= weight {
+				at -= weight
+				continue
+			}
+			chosen = append(chosen, l)
+			total -= weight
+			rest[i] = rest[len(rest)-1]
+			rest = rest[:len(rest)-1]
+			break
+		}
+	}
+	return chosen
+}
+
+// record records an event. It may be called with mu held, since recorders do
+// not call back.
+func (e *Exchange) record(kind savorystep.EventKind, text string) {
+	if e.config.Recorder != nil {
+		e.config.Recorder.Record(savorystep.Event{Kind: kind, Text: text})
+	}
+}
+
+// Status codes of ended connections.
+const (
+	closeDuplicate = websocket.StatusCode(4001)
+	closeRefused   = websocket.StatusPolicyViolation
+	closeSilent    = websocket.StatusCode(4002)
+	closeStopping  = websocket.StatusGoingAway
+	closeSurplus   = websocket.StatusNormalClosure
+	closeBadFrame  = websocket.StatusUnsupportedData
+)
--- /dev/null
+++ b/peer/runoverlay.go
@@ -0,0 +1,223 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"savorystep"
+)
+
+const (
+	// overlayInterval is the time between checks of the connections.
+	overlayInterval = 200 * time.Millisecond
+	// probeInterval is the time between attempts to reach one lost instance,
+	// which joins the halves of a healed partition.
+	probeInterval = 500 * time.Millisecond
+	// surplusAfter is how long a connection that is no longer chosen stays.
+	surplusAfter = 5 * time.Second
+	// pollTime bounds one read of the registry.
+	pollTime = 5 * time.Second
+)
+
+// A dial is the state of connecting to one address.
+type dial struct {
+	busy     bool
+	failures int
+	// next is the earliest time of the next attempt.
+	next time.Time
+	// id is the instance that last answered at the address.
+	id savorystep.InstanceID
+	// self is true if the address is this instance's own.
+	self bool
+}
+
+// wakeOverlay makes the overlay check its connections at once.
+func (e *Exchange) wakeOverlay() {
+	select {
+	case e.wake <- struct{}{}:
+	default:
+	}
+}
+
+// runOverlay keeps the connections to the chosen peers.
+func (e *Exchange) runOverlay(ctx context.Context) error {
+	ticker := time.NewTicker(overlayInterval)
+	defer ticker.Stop()
+	var probed time.Time
+	for {
+		e.mu.Lock()
+		now := e.config.Clock.Now()
+		e.keepNeighbours(ctx, now)
+		if now.Sub(probed) >= probeInterval {
+			probed = now
+			e.probeLost(ctx, now)
+		}
+		e.mu.Unlock()
+		select {
+		case <-ticker.C:
+		case <-e.wake:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// candidates returns the instances that this one may connect to.
+func (e *Exchange) candidates(now time.Time) []savorystep.Instance {
+	candidates := make([]savorystep.Instance, 0, len(e.store.members)+len(e.listed))
+	for id, m := range e.store.members {
+		if id != e.config.Self.ID && !e.store.isLost(now, id) {
+			candidates = append(candidates, m.status.Instance)
+		}
+	}
+	for _, instance := range e.listed {
+		_, buried := e.store.graves[instance.ID]
+		if e.store.members[instance.ID] == nil && !buried {
+			candidates = append(candidates, instance)
+		}
+	}
+	return candidates
+}
+
+// keepNeighbours dials the chosen peers that are not connected and ends
+// connections that are no longer chosen.
+func (e *Exchange) keepNeighbours(ctx context.Context, now time.Time) {
+	candidates := e.candidates(now)
+	chosen := chooseNeighbours(e.config.Self, candidates, e.config.Connections)
+	for _, instance := range chosen {
+		if l := e.links[instance.ID]; l != nil {
+			l.needed = now
+			continue
+		}
+		if e.watches[instance.ID] == nil {
+			e.watches[instance.ID] = &watch{heard: now}
+		}
+		e.tryDial(ctx, now, instance.ID, instance.Peer)
+	}
+	if len(e.links) < neighbours {
+		for _, seed := range e.config.Seeds {
+			e.tryDial(ctx, now, "", seed)
+		}
+	}
+	for _, l := range e.links {
+		if l.dialed && now.Sub(l.needed) >= surplusAfter {
+			delete(e.watches, l.peer.ID)
+			l.close(closeSurplus, "connection is no longer needed")
+		}
+	}
+}
+
+// probeLost dials one random instance that is lost or forgotten, or a seed.
+func (e *Exchange) probeLost(ctx context.Context, now time.Time) {
+	var lost []savorystep.Instance
+	for id, m := range e.store.members {
+		if e.store.isLost(now, id) && e.links[id] == nil {
+			lost = append(lost, m.status.Instance)
+		}
+	}
+	for id, g := range e.store.graves {
+		if g.sequence != buriedForGood && e.links[id] == nil {
+			lost = append(lost, g.instance)
+		}
+	}
+	for _, seed := range e.config.Seeds {
+		lost = append(lost, savorystep.Instance{Peer: seed})
+	}
+	if len(lost) > 0 {
+		chosen := lost[rand.IntN(len(lost))] //nolint:gosec // The choice needs no secrecy.
+		e.tryDial(ctx, now, chosen.ID, chosen.Peer)
+	}
+}
+
+// tryDial dials an address in the background unless it is connected, being
+// dialed or waiting after a failure.
+func (e *Exchange) tryDial(ctx context.Context, now time.Time, id savorystep.InstanceID, address savorystep.Address) {
+	if address == "" || address == e.config.Self.Peer || e.group == nil {
+		return
+	}
+	d := e.dials[address]
+	if d == nil {
+		d = &dial{}
+		if id > e.config.Self.ID {
+			// Both ends want the connection. The greater ID gives way, so
+			// that two dials rarely cross.
+			d.next = now
+		} else if id != "" {
+			d.next = now.Add(overlayInterval)
+		}
+		e.dials[address] = d
+	}
+	if d.busy || d.self || now.Before(d.next) || (id == "" && e.links[d.id] != nil) {
+		return
+	}
+	d.busy = true
+	e.group.Go(func() error {
+		err := e.connect(ctx, id, address)
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		d.busy = false
+		if err == nil {
+			d.failures = 0
+			d.next = e.config.Clock.Now().Add(backoff(0))
+			d.id = e.idAt(address)
+			return nil
+		}
+		d.self = errors.Is(err, errSelf)
+		wait := backoff(d.failures)
+		d.failures++
+		d.next = e.config.Clock.Now().Add(wait/2 + rand.N(wait)) //nolint:gosec // The choice needs no secrecy.
+		logger.Debugf("connect to %s: %v", address, err)
+		return nil
+	})
+}
+
+// idAt returns the connected instance with a peer address.
+func (e *Exchange) idAt(address savorystep.Address) savorystep.InstanceID {
+	for id, l := range e.links {
+		if l.peer.Peer == address {
+			return id
+		}
+	}
+	return ""
+}
+
+// runPoll reads the registry.
+func (e *Exchange) runPoll(ctx context.Context) error {
+	ticker := time.NewTicker(e.config.Poll)
+	defer ticker.Stop()
+	for {
+		e.poll(ctx)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// poll reads the registry once. While the platform is down, the last list
+// stays.
+func (e *Exchange) poll(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, pollTime)
+	defer cancel()
+	instances, err := e.config.Registry.Instances(ctx)
+	if err != nil {
+		logger.Debugf("instance list: %v", err)
+		return
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.config.Clock.Now()
+	e.listed = e.listed[:0]
+	for _, instance := range instances {
+		switch {
+		case instance.ID == e.config.Self.ID:
+		case instance.State == savorystep.StateEnded:
+			e.store.bury(now, instance)
+		default:
+			e.listed = append(e.listed, instance)
+		}
+	}
+}
--- /dev/null
+++ b/peer/store.go
@@ -0,0 +1,401 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"savorystep"
+)
+
+// A store holds the facts and the membership that follows from them. It does
+// no I/O, reads no clock and is not safe for concurrent use.
+type store struct {
+	self     savorystep.InstanceID
+	silence  time.Duration
+	sequence uint64
+
+	facts      map[savorystep.FactKind]map[factKey]*entry
+	members    map[savorystep.InstanceID]*member
+	suspicions map[savorystep.InstanceID]*suspicion
+	graves     map[savorystep.InstanceID]grave
+
+	// buckets holds the facts that all instances shall hear, digest the sum
+	// of the checksums of each bucket.
+	buckets [bucketCount]map[factKey]*entry
+	digest  [bucketCount]uint32
+
+	revisions revisionTable
+	// changes counts the changes of the membership.
+	changes uint64
+}
+
+// version changes when the members or their revisions change.
+func (s *store) version() uint64 {
+	return s.changes + s.revisions.version
+}
+
+var (
+	statuses       = Codec[savorystep.StatusFact]{Limit: maxBody}
+	revisionFacts  = Codec[savorystep.RevisionFact]{Limit: maxBody}
+	suspicionFacts = Codec[suspicionFact]{Limit: maxBody}
+)
+
+func newStore(self savorystep.InstanceID, silence time.Duration) *store {
+	s := &store{
+		self:       self,
+		silence:    silence,
+		facts:      make(map[savorystep.FactKind]map[factKey]*entry),
+		members:    make(map[savorystep.InstanceID]*member),
+		suspicions: make(map[savorystep.InstanceID]*suspicion),
+		graves:     make(map[savorystep.InstanceID]grave),
+	}
+	for i := range s.buckets {
+		s.buckets[i] = make(map[factKey]*entry)
+	}
+	return s
+}
+
+// state makes an own fact with the next sequence. It returns nil if the fact
+// is out of bounds.
+func (s *store) state(now time.Time, kind savorystep.FactKind, subject string, body []byte) *entry {
+	if len(subject) > maxName || len(body) > maxBody {
+		return nil
+	}
+	s.sequence++
+	fact := savorystep.Fact{Instance: s.self, Sequence: s.sequence, Kind: kind, Subject: subject, Body: body}
+	return s.merge(now, fact, now)
+}
+
+// merge takes a fact that was stated at the time born. It returns the new
+// entry, or nil if the fact is not new, has expired, is not valid, or is of a
+// forgotten instance.
+func (s *store) merge(now time.Time, fact savorystep.Fact, born time.Time) *entry {
+	key := factKey{kind: fact.Kind, instance: fact.Instance, subject: fact.Subject}
+	old := s.facts[fact.Kind][key]
+	if old != nil && old.sequence >= fact.Sequence {
+		return nil
+	}
+	if life := lifetime(fact.Kind); life > 0 && now.Sub(born) >= life {
+		return nil
+	}
+	if !s.admit(now, fact, old) {
+		return nil
+	}
+	e := &entry{key: key, sequence: fact.Sequence, body: fact.Body, born: born, heard: now}
+	if old != nil {
+		e.key, e.hash = old.key, old.hash
+		s.remove(old)
+	} else {
+		e.hash = key.hash()
+	}
+	s.insert(e)
+	return e
+}
+
+// admit reports whether a fact may enter the store, and lets statuses and
+// suspicions take effect.
+func (s *store) admit(now time.Time, fact savorystep.Fact, old *entry) bool {
+	dead, buried := s.graves[fact.Instance]
+	switch fact.Kind {
+	case savorystep.FactStatus:
+		if buried && fact.Sequence <= dead.sequence {
+			return false
+		}
+		return s.admitStatus(now, fact)
+	case factSuspicion:
+		return !buried && s.admitSuspicion(now, fact)
+	case savorystep.FactRevision:
+		// Revisions travel in vectors.
+		return false
+	case savorystep.FactUnknown:
+		return !buried && (old != nil || s.makeRoom(fact, s.unknownQuota()))
+	default:
+		return !buried && (old != nil || s.makeRoom(fact, maxSubjects))
+	}
+}
+
+func (s *store) admitStatus(now time.Time, fact savorystep.Fact) bool {
+	status, err := statuses.Decode(fact.Body)
+	if err != nil || status.Instance.ID != fact.Instance || fact.Subject != "" {
+		return false
+	}
+	delete(s.graves, fact.Instance)
+	m := s.members[fact.Instance]
+	if m == nil {
+		m = &member{hash: hashID(fact.Instance)}
+		s.members[fact.Instance] = m
+		s.revisions.add(fact.Instance, m)
+	}
+	s.changes++
+	m.status, m.sequence, m.heard = status, fact.Sequence, now
+	s.revisions.raise(m, status.Revision)
+	if suspected := s.suspicions[fact.Instance]; suspected != nil && suspected.sequence < fact.Sequence {
+		s.clearSuspicion(fact.Instance)
+	}
+	return true
+}
+
+func (s *store) admitSuspicion(now time.Time, fact savorystep.Fact) bool {
+	body, err := suspicionFacts.Decode(fact.Body)
+	if err != nil {
+		return false
+	}
+	subject := savorystep.InstanceID(fact.Subject)
+	if m := s.members[subject]; m != nil && m.sequence > body.Sequence {
+		return false
+	}
+	if dead, buried := s.graves[subject]; buried && dead.sequence == buriedForGood {
+		return false
+	}
+	current := s.suspicions[subject]
+	if current == nil || current.sequence < body.Sequence {
+		s.clearSuspicion(subject)
+		current = &suspicion{sequence: body.Sequence, since: now}
+		s.suspicions[subject] = current
+	}
+	if current.sequence > body.Sequence {
+		return false
+	}
+	s.changes++
+	if !slices.Contains(current.by, fact.Instance) {
+		current.by = append(current.by, fact.Instance)
+	}
+	return true
+}
+
+// clearSuspicion drops a suspicion and the facts that state it.
+func (s *store) clearSuspicion(subject savorystep.InstanceID) {
+	suspected := s.suspicions[subject]
+	if suspected == nil {
+		return
+	}
+	s.changes++
+	delete(s.suspicions, subject)
+	for _, by := range suspected.by {
+		key := factKey{kind: factSuspicion, instance: by, subject: string(subject)}
+		if e := s.facts[factSuspicion][key]; e != nil {
+			s.remove(e)
+		}
+	}
+}
+
+// suspect states that an instance is no longer heard. It returns nil if enough
+// others have stated it or the instance is not known.
+func (s *store) suspect(now time.Time, id savorystep.InstanceID) *entry {
+	m := s.members[id]
+	if m == nil || id == s.self {
+		return nil
+	}
+	if current := s.suspicions[id]; current != nil && (len(current.by) >= maxSuspecters || slices.Contains(current.by, s.self)) {
+		return nil
+	}
+	body, err := suspicionFacts.Encode(suspicionFact{Sequence: m.sequence})
+	if err != nil {
+		return nil
+	}
+	return s.state(now, factSuspicion, string(id), body)
+}
+
+// isSelfSuspected reports whether others suspect this instance under its
+// newest status, so that it has to state a new one.
+func (s *store) isSelfSuspected() bool {
+	current := s.suspicions[s.self]
+	return current != nil && s.members[s.self] != nil && current.sequence >= s.members[s.self].sequence
+}
+
+// isLost reports whether an instance was suspected and did not refute in time.
+func (s *store) isLost(now time.Time, id savorystep.InstanceID) bool {
+	current := s.suspicions[id]
+	return id != s.self && current != nil && now.Sub(current.since) >= refuteWindow(len(s.members))
+}
+
+// bury forgets an instance that the platform lists as ended. The list never
+// says so of a running instance, so no status brings it back.
+func (s *store) bury(now time.Time, instance savorystep.Instance) {
+	if dead, buried := s.graves[instance.ID]; instance.ID == s.self || (buried && dead.sequence == buriedForGood) {
+		return
+	}
+	s.forget(instance.ID)
+	s.clearSuspicion(instance.ID)
+	s.dig(instance.ID, grave{instance: instance, sequence: buriedForGood, until: now.Add(graveLifetime)})
+}
+
+// dig adds a grave. When there are too many, one is dropped.
+func (s *store) dig(id savorystep.InstanceID, g grave) {
+	if len(s.graves) >= maxGraves {
+		for other := range s.graves {
+			delete(s.graves, other)
+			break
+		}
+	}
+	s.graves[id] = g
+}
+
+// forget drops all facts of an instance.
+func (s *store) forget(id savorystep.InstanceID) {
+	for _, facts := range s.facts {
+		for key, e := range facts {
+			if key.instance == id {
+				s.remove(e)
+			}
+		}
+	}
+	if m := s.members[id]; m != nil {
+		s.revisions.drop(id, m)
+		delete(s.members, id)
+		s.changes++
+	}
+}
+
+// expire drops what is too old.
+func (s *store) expire(now time.Time) {
+	for id, suspected := range s.suspicions {
+		m := s.members[id]
+		if m != nil && s.isLost(now, id) && now.Sub(suspected.since) >= refuteWindow(len(s.members))+forgetAfter {
+			s.dig(id, grave{instance: m.status.Instance, sequence: m.sequence, until: now.Add(graveLifetime)})
+			s.forget(id)
+		}
+	}
+	for kind, facts := range s.facts {
+		life := lifetime(kind)
+		for key, e := range facts {
+			orphan := s.members[key.instance] == nil && now.Sub(e.heard) >= forgetAfter
+			if (life > 0 && now.Sub(e.born) >= life) || (orphan && kind != factSuspicion) {
+				s.remove(e)
+			}
+		}
+	}
+	for id, g := range s.graves {
+		if !now.Before(g.until) {
+			delete(s.graves, id)
+			s.clearSuspicion(id)
+		}
+	}
+}
+
+// unknownQuota returns how many unknown names are kept of each instance.
+func (s *store) unknownQuota() int {
+	return min(maxUnknownEach, max(1, maxUnknown/max(1, len(s.members))))
+}
+
+// makeRoom drops the oldest fact of the fact's instance and kind if there are
+// too many. Keeping the greatest sequences gives the same result in any order.
+// It returns false if the fact itself is the oldest.
+func (s *store) makeRoom(fact savorystep.Fact, quota int) bool {
+	var oldest *entry
+	count := 0
+	for key, e := range s.facts[fact.Kind] {
+		if key.instance != fact.Instance {
+			continue
+		}
+		count++
+		if oldest == nil || e.sequence < oldest.sequence {
+			oldest = e
+		}
+	}
+	if count < quota {
+		return true
+	}
+	if oldest.sequence > fact.Sequence {
+		return false
+	}
+	s.remove(oldest)
+	return true
+}
+
+func (s *store) insert(e *entry) {
+	facts := s.facts[e.key.kind]
+	if facts == nil {
+		facts = make(map[factKey]*entry)
+		s.facts[e.key.kind] = facts
+	}
+	facts[e.key] = e
+	if !isScoped(e.key.kind) {
+		bucket := bucketOf(e.key.instance)
+		s.buckets[bucket][e.key] = e
+		s.digest[bucket] ^= e.checksum()
+	}
+}
+
+func (s *store) remove(e *entry) {
+	if s.facts[e.key.kind][e.key] != e {
+		return
+	}
+	delete(s.facts[e.key.kind], e.key)
+	if !isScoped(e.key.kind) {
+		bucket := bucketOf(e.key.instance)
+		delete(s.buckets[bucket], e.key)
+		s.digest[bucket] ^= e.checksum()
+	}
+}
+
+// get returns the entry of a key or nil.
+func (s *store) get(key factKey) *entry {
+	return s.facts[key.kind][key]
+}
+
+// list returns the facts of a kind in order of instance and subject.
+func (s *store) list(kind savorystep.FactKind) []savorystep.HeardFact {
+	if kind == savorystep.FactRevision {
+		return s.listRevisions()
+	}
+	facts := make([]savorystep.HeardFact, 0, len(s.facts[kind]))
+	for _, e := range s.facts[kind] {
+		facts = append(facts, savorystep.HeardFact{Fact: e.fact(), Heard: e.heard})
+	}
+	slices.SortFunc(facts, func(a, b savorystep.HeardFact) int {
+		return cmp.Or(cmp.Compare(a.Instance, b.Instance), cmp.Compare(a.Subject, b.Subject))
+	})
+	return facts
+}
+
+// listRevisions returns a revision fact of each member that has one.
+func (s *store) listRevisions() []savorystep.HeardFact {
+	facts := make([]savorystep.HeardFact, 0, len(s.members))
+	for id, m := range s.members {
+		if m.revision > 0 {
+			facts = append(facts, revisionFact(id, m))
+		}
+	}
+	slices.SortFunc(facts, func(a, b savorystep.HeardFact) int {
+		return cmp.Compare(a.Instance, b.Instance)
+	})
+	return facts
+}
+
+// revisionFact returns the revision of a member as a fact. Revisions only
+// grow, so the revision serves as the sequence.
+func revisionFact(id savorystep.InstanceID, m *member) savorystep.HeardFact {
+	body, _ := revisionFacts.Encode(savorystep.RevisionFact{Revision: m.revision})
+	return savorystep.HeardFact{
+		Fact:  savorystep.Fact{Instance: id, Sequence: uint64(m.revision), Kind: savorystep.FactRevision, Body: body},
+		Heard: m.heard,
+	}
+}
+
+// alive returns the members that are not lost, in order of their IDs.
+func (s *store) alive(now time.Time) []savorystep.Member {
+	members := make([]savorystep.Member, 0, len(s.members))
+	for id, m := range s.members {
+		if !s.isLost(now, id) {
+			members = append(members, s.member(now, id, m))
+		}
+	}
+	slices.SortFunc(members, func(a, b savorystep.Member) int {
+		return cmp.Compare(a.Instance.ID, b.Instance.ID)
+	})
+	return members
+}
+
+// member returns a member as its users see it. A member that nobody suspects
+// counts as heard now, since one of its monitors would state the suspicion.
+func (s *store) member(now time.Time, id savorystep.InstanceID, m *member) savorystep.Member {
+	status := m.status
+	status.Revision = m.revision
+	heard := now
+	if current := s.suspicions[id]; current != nil && id != s.self {
+		heard = current.since.Add(-s.silence)
+	}
+	return savorystep.Member{StatusFact: status, Heard: heard}
+}
--- /dev/null
+++ b/peer/timeline.go
@@ -0,0 +1,27 @@
+package peer
+
+import (
+	"cmp"
+	"slices"
+
+	"savorystep"
+)
+
+// MergeTimelines merges the events of several instances in causal order and
+// drops duplicates. Events with equal stamps are concurrent and stand in order
+// of their instances.
+func MergeTimelines(lists ...[]savorystep.Event) []savorystep.Event {
+	merged := slices.Concat(lists...)
+	slices.SortStableFunc(merged, func(a, b savorystep.Event) int {
+		return cmp.Or(
+			CompareStamps(a.Stamp, b.Stamp),
+			cmp.Compare(a.Instance, b.Instance),
+			cmp.Compare(a.Kind, b.Kind),
+			cmp.Compare(a.Service, b.Service),
+			cmp.Compare(a.Region, b.Region),
+			cmp.Compare(a.Request, b.Request),
+			cmp.Compare(a.Text, b.Text),
+		)
+	})
+	return slices.Compact(merged)
+}
