--- /dev/null
+++ b/standin/upstream.go
@@ -0,0 +1,218 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"savorystep"
+)
+
+// ErrCrashed is reported by Serve after an embedded crash.
+var ErrCrashed = errors.New("the upstream crashed")
+
+// An Upstream is an HTTP/1.1 server that stands in for one endpoint of an
+// upstream service.
+type Upstream struct {
+	config UpstreamConfig
+	server *http.Server
+	// slots holds a value for each busy slot.
+	slots chan struct{}
+
+	mu       sync.Mutex
+	conns    map[*upstreamConn]bool
+	listener net.Listener
+	crashed  bool
+	drained  time.Time
+	faults   UpstreamFaults
+	history  loadHistory
+	random   *rand.Rand
+	runs     UpstreamRuns
+	waiting  int
+}
+
+// NewUpstream returns an upstream that serves once Serve is called.
+func NewUpstream(config UpstreamConfig) *Upstream {
+	config = config.withDefaults()
+	u := &Upstream{
+		config: config,
+		slots:  make(chan struct{}, config.Slots),
+		conns:  make(map[*upstreamConn]bool),
+		random: rand.New(rand.NewPCG(config.Seed, 1)),
+		runs: UpstreamRuns{
+			Requests: make(map[savorystep.RequestID]int),
+			Keys:     make(map[savorystep.IdempotencyKey]int),
+		},
+	}
+	u.server = &http.Server{
+		Handler:           u.routes(),
+		ReadHeaderTimeout: time.Minute,
+		ConnContext: func(ctx context.Context, conn net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, conn)
+		},
+	}
+	return u
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// Serve answers requests on a listener until ctx is cancelled. It then
+// finishes the requests that run. The channel yields nil after a graceful
+// stop and ErrCrashed after a crash.
+func (u *Upstream) Serve(ctx context.Context, listener net.Listener) <-chan error {
+	u.mu.Lock()
+	u.listener = listener
+	u.mu.Unlock()
+	done := make(chan error, 1)
+	served := make(chan error, 1)
+	go func() { served <- u.server.Serve(&upstreamListener{Listener: listener, owner: u}) }()
+	go func() {
+		ticker := time.NewTicker(sampleInterval)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ticker.C:
+				u.sample()
+			case <-ctx.Done():
+				err := u.server.Shutdown(context.WithoutCancel(ctx))
+				if serveErr := <-served; !errors.Is(serveErr, http.ErrServerClosed) {
+					err = errors.Join(err, serveErr)
+				}
+				done <- err
+				return
+			case err := <-served:
+				if u.hasCrashed() {
+					err = ErrCrashed
+				}
+				done <- err
+				return
+			}
+		}
+	}()
+	return done
+}
+
+// SetFaults replaces the faults.
+func (u *Upstream) SetFaults(faults UpstreamFaults) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if faults.Drain && !u.faults.Drain {
+		u.drained = time.Now()
+	}
+	if faults.Silent {
+		for conn := range u.conns {
+			conn.silent.Store(true)
+		}
+	}
+	u.faults = faults
+}
+
+// Runs returns the counts of what ran.
+func (u *Upstream) Runs() UpstreamRuns {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	runs := u.runs
+	runs.Requests = make(map[savorystep.RequestID]int, len(u.runs.Requests))
+	for id, count := range u.runs.Requests {
+		runs.Requests[id] = count
+	}
+	runs.Keys = make(map[savorystep.IdempotencyKey]int, len(u.runs.Keys))
+	for key, count := range u.runs.Keys {
+		runs.Keys[key] = count
+	}
+	runs.Open = len(u.conns)
+	return runs
+}
+
+// Load returns the true load.
+func (u *Upstream) Load() UpstreamLoad {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.load()
+}
+
+// Crash ends the process or, if the configuration has no Exit, closes the
+// listener and all its connections.
+func (u *Upstream) Crash() {
+	if u.config.Exit != nil {
+		u.config.Exit()
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.crashed = true
+	if u.listener != nil {
+		_ = u.listener.Close()
+	}
+	for conn := range u.conns {
+		if tcp, ok := conn.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = conn.Conn.Close()
+	}
+}
+
+// load returns the true load. The caller holds mu.
+func (u *Upstream) load() UpstreamLoad {
+	return UpstreamLoad{
+		Slots:    u.config.Slots,
+		Busy:     savorystep.Slots(len(u.slots)),
+		Draining: u.faults.Drain,
+		Healthy:  true,
+	}
+}
+
+// sample adds the present load to the history.
+func (u *Upstream) sample() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.history.add(u.load())
+}
+
+// hasCrashed reports whether an embedded crash happened.
+func (u *Upstream) hasCrashed() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.crashed
+}
+
+// admit counts a new connection and reports whether it is within the limit.
+func (u *Upstream) admit(conn *upstreamConn) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.crashed || len(u.conns) >= u.config.Connections {
+		return false
+	}
+	u.conns[conn] = true
+	u.runs.Accepted++
+	return true
+}
+
+// forget removes a closed connection.
+func (u *Upstream) forget(conn *upstreamConn) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.conns, conn)
+}
+
+// serviceTime draws the service time of the next request. The caller holds mu.
+func (u *Upstream) serviceTime() time.Duration {
+	slow := time.Duration(u.faults.SlowMillis) * time.Millisecond
+	if u.config.Mean < 0 {
+		return slow
+	}
+	// exp(mu + sigma^2/2) is the mean of a log-normal distribution.
+	sigma := u.config.Sigma
+	drawn := float64(u.config.Mean) * math.Exp(u.random.NormFloat64()*sigma-sigma*sigma/2)
+	if cold := u.config.ColdRequests; u.runs.Total < cold {
+		left := float64(cold-u.runs.Total) / float64(cold)
+		drawn *= 1 + (u.config.ColdFactor-1)*left
+	}
+	return time.Duration(drawn) + slow
+}
--- /dev/null
+++ b/standin/upstreamanswer.go
@@ -0,0 +1,19 @@
+package standin
+
+import "savorystep"
+
+// An UpstreamAnswer is the first line of the body that an Upstream answers
+// with.
+type UpstreamAnswer struct {
+	Request  savorystep.RequestID  `json:"request"`
+	Service  savorystep.Service    `json:"service"`
+	Endpoint savorystep.EndpointID `json:"endpoint"`
+	// Path and Query are those that the upstream received.
+	Path  string `json:"path"`
+	Query string `json:"query,omitempty"`
+	// SHA256 and Length describe the received body.
+	SHA256 string `json:"sha256"`
+	Length int64  `json:"length"`
+	// Run is how often this endpoint has run this request, this run included.
+	Run int `json:"run"`
+}
--- /dev/null
+++ b/standin/upstreamfaults.go
@@ -0,0 +1,36 @@
+package standin
+
+import "savorystep"
+
+// UpstreamFaults are the faults of an Upstream. Setting them replaces all of
+// them, but for Silent, which acts once on the connections open at that time.
+type UpstreamFaults struct {
+	// Shed refuses all requests.
+	Shed bool `json:"shed,omitempty"`
+	// Drain makes the load page tell that the endpoint drains. Requests still
+	// run and are counted as late.
+	Drain bool `json:"drain,omitempty"`
+	// CrashRequest crashes the endpoint when it runs a request with this ID.
+	CrashRequest savorystep.RequestID `json:"crashRequest,omitempty"`
+	// CrashPath crashes the endpoint when it runs a request with this path.
+	CrashPath string `json:"crashPath,omitempty"`
+	// Silent makes the connections that are open now accept requests and never
+	// answer them.
+	Silent bool `json:"silent,omitempty"`
+	// Truncate ends answers after half of their body.
+	Truncate bool `json:"truncate,omitempty"`
+	// SlowMillis is added to the service time.
+	SlowMillis int `json:"slowMillis,omitempty"`
+	// PageLagMillis is the age of what the load page tells.
+	PageLagMillis int `json:"pageLagMillis,omitempty"`
+	// PageStop makes the load page hang.
+	PageStop bool `json:"pageStop,omitempty"`
+	// PageLie makes the load page tell PageBusy instead of the busy slots.
+	PageLie  bool             `json:"pageLie,omitempty"`
+	PageBusy savorystep.Slots `json:"pageBusy,omitempty"`
+	// PageDrain makes the load page tell that the endpoint drains although it
+	// does not.
+	PageDrain bool `json:"pageDrain,omitempty"`
+	// HealthLie makes the load page tell the opposite of the health.
+	HealthLie bool `json:"healthLie,omitempty"`
+}
--- /dev/null
+++ b/standin/upstreamhandlers.go
@@ -0,0 +1,296 @@
+package standin
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+
+	"savorystep"
+)
+
+// maxAnswer bounds the body of /size/{bytes}.
+const maxAnswer = 1 << 30
+
+var errShed = errors.New("the request was shed")
+
+// routes returns the handler of all paths.
+func (u *Upstream) routes() http.Handler {
+	router := chi.NewRouter()
+	router.Get("/load", u.serveLoad)
+	router.Get("/runs", u.serveRuns)
+	router.Post("/faults", u.serveFaults)
+	router.HandleFunc("/size/{bytes}", func(w http.ResponseWriter, r *http.Request) {
+		size, err := strconv.Atoi(chi.URLParam(r, "bytes"))
+		if err != nil || size < 0 || size > maxAnswer {
+			http.Error(w, "the size is out of range", http.StatusBadRequest)
+			return
+		}
+		u.run(w, r, size, 0)
+	})
+	router.HandleFunc("/slow/{ms}", func(w http.ResponseWriter, r *http.Request) {
+		millis, err := strconv.Atoi(chi.URLParam(r, "ms"))
+		if err != nil || millis < 0 {
+			http.Error(w, "the time is out of range", http.StatusBadRequest)
+			return
+		}
+		u.run(w, r, 0, time.Duration(millis)*time.Millisecond)
+	})
+	router.HandleFunc("/crash", func(_ http.ResponseWriter, r *http.Request) {
+		u.count(r)
+		u.Crash()
+	})
+	router.HandleFunc("/*", func(w http.ResponseWriter, r *http.Request) { u.run(w, r, 0, 0) })
+	return router
+}
+
+// serveLoad answers with the load page.
+func (u *Upstream) serveLoad(w http.ResponseWriter, r *http.Request) {
+	u.mu.Lock()
+	faults := u.faults
+	load := u.history.at(time.Duration(faults.PageLagMillis)*time.Millisecond, u.load())
+	u.mu.Unlock()
+	if faults.PageStop {
+		<-r.Context().Done()
+		return
+	}
+	if faults.PageLie {
+		load.Busy = faults.PageBusy
+	}
+	load.Draining = load.Draining || faults.PageDrain
+	if faults.HealthLie {
+		load.Healthy = !load.Healthy
+	}
+	writeJSON(w, load)
+}
+
+// serveRuns answers with the counts of what ran.
+func (u *Upstream) serveRuns(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, u.Runs())
+}
+
+// serveFaults replaces the faults.
+func (u *Upstream) serveFaults(w http.ResponseWriter, r *http.Request) {
+	var faults UpstreamFaults
+	if err := json.NewDecoder(r.Body).Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	u.SetFaults(faults)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// writeJSON answers with a JSON value.
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(value)
+}
+
+// run runs one request: it takes a slot, reads the body, works and answers. A
+// size of 0 answers with the first line only.
+func (u *Upstream) run(w http.ResponseWriter, r *http.Request, size int, extra time.Duration) {
+	if !u.travelIn(r) {
+		return
+	}
+	ctx, cancel := u.workContext(r)
+	defer cancel()
+	if err := u.takeSlot(ctx, r); err != nil {
+		u.countShed()
+		w.Header().Set(savorystep.HeaderShed, "1")
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	answer, service, ok := u.count(r)
+	if !ok {
+		<-u.slots
+		u.Crash()
+		return
+	}
+	err := u.work(ctx, r, &answer, service+extra)
+	<-u.slots
+	if err != nil {
+		u.countCancelled()
+		http.Error(w, err.Error(), http.StatusGatewayTimeout)
+		return
+	}
+	time.Sleep(u.config.Latency)
+	u.answer(w, answer, size)
+}
+
+// travelIn adds the latency of the way in and reports whether the caller is
+// still there.
+func (u *Upstream) travelIn(r *http.Request) bool {
+	delay := u.config.Latency
+	if conn, ok := r.Context().Value(connKey{}).(*upstreamConn); ok && conn.used.CompareAndSwap(false, true) {
+		delay += u.config.ConnectCost
+	}
+	return sleep(r.Context(), delay) == nil
+}
+
+// sleep waits for a time or the end of ctx.
+func sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// workContext returns the context that ends the work on a request. Requests
+// with a key and methods that are not idempotent are never interrupted once
+// they run.
+func (u *Upstream) workContext(r *http.Request) (context.Context, context.CancelFunc) {
+	ctx := r.Context()
+	if r.Header.Get(savorystep.HeaderKey) != "" || r.Method == http.MethodPost || r.Method == http.MethodPatch {
+		ctx = context.WithoutCancel(ctx)
+	}
+	millis, err := strconv.Atoi(r.Header.Get(savorystep.HeaderDeadline))
+	if err != nil || ctx.Done() == nil {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Duration(millis)*time.Millisecond)
+}
+
+// takeSlot waits for a slot and returns an error if the request is shed.
+func (u *Upstream) takeSlot(ctx context.Context, r *http.Request) error {
+	u.mu.Lock()
+	if u.faults.Shed || r.Header.Get(savorystep.HeaderDeadline) == "0" {
+		u.mu.Unlock()
+		return errShed
+	}
+	select {
+	case u.slots <- struct{}{}:
+		u.mu.Unlock()
+		return nil
+	default:
+	}
+	if u.waiting >= u.config.Queue {
+		u.mu.Unlock()
+		return errShed
+	}
+	u.waiting++
+	u.mu.Unlock()
+	defer func() {
+		u.mu.Lock()
+		u.waiting--
+		u.mu.Unlock()
+	}()
+	select {
+	case u.slots <- struct{}{}:
+		return nil
+	case <-ctx.Done():
+		return errShed
+	case <-r.Context().Done():
+		return errShed
+	}
+}
+
+// count counts a run and draws its service time. It returns false if the
+// request crashes the endpoint.
+func (u *Upstream) count(r *http.Request) (UpstreamAnswer, time.Duration, bool) {
+	id := savorystep.RequestID(r.Header.Get(savorystep.HeaderRequest))
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	service := u.serviceTime()
+	u.runs.Total++
+	u.runs.Requests[id]++
+	if key := savorystep.IdempotencyKey(r.Header.Get(savorystep.HeaderKey)); key != "" {
+		u.runs.Keys[key]++
+	}
+	if u.faults.Drain {
+		u.runs.Late++
+		u.runs.LateMillis = time.Since(u.drained).Milliseconds()
+	}
+	crash := (u.faults.CrashRequest != "" && u.faults.CrashRequest == id) ||
+		(u.faults.CrashPath != "" && u.faults.CrashPath == r.URL.Path)
+	return UpstreamAnswer{
+		Request:  id,
+		Service:  u.config.Service,
+		Endpoint: u.config.ID,
+		Path:     r.URL.Path,
+		Query:    r.URL.RawQuery,
+		Run:      u.runs.Requests[id],
+	}, service, !crash
+}
+
+func (u *Upstream) countShed() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs.Shed++
+}
+
+func (u *Upstream) countCancelled() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.runs.Cancelled++
+}
+
+// work reads the body and spends the service time.
+func (u *Upstream) work(ctx context.Context, r *http.Request, answer *UpstreamAnswer, service time.Duration) error {
+	hash := sha256.New()
+	length, err := io.Copy(hash, r.Body)
+	if err != nil {
+		return fmt.Errorf("read the body: %w", err)
+	}
+	answer.Length = length
+	answer.SHA256 = hex.EncodeToString(hash.Sum(nil))
+	return sleep(ctx, service)
+}
+
+// answer writes the first line of the answer and fills the body up to the
+// size. With the fault Truncate it ends the connection after half of it.
+func (u *Upstream) answer(w http.ResponseWriter, answer UpstreamAnswer, size int) {
+	line, err := json.Marshal(answer)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	line = append(line, '\n')
+	size = max(size, len(line))
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(size))
+	u.mu.Lock()
+	truncate := u.faults.Truncate
+	u.mu.Unlock()
+	sent := size
+	if truncate {
+		sent = size / 2
+	}
+	_, _ = w.Write(line[:min(sent, len(line))])
+	fill(w, string(answer.Request), sent-len(line))
+	if truncate {
+		_ = http.NewResponseController(w).Flush()
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// fill writes n bytes that depend on the request, so that a mix-up of answers
+// shows.
+func fill(w io.Writer, request string, n int) {
+	chunk := make([]byte, 0, 32<<10)
+	for len(chunk) < cap(chunk)-len(request)-1 {
+		chunk = append(chunk, request...)
+		chunk = append(chunk, '.')
+	}
+	for n > 0 {
+		part := chunk[:min(n, len(chunk))]
+		if _, err := w.Write(part); err != nil {
+			return
+		}
+		n -= len(part)
+	}
+}
--- /dev/null
+++ b/upstream/fakes_test.go
@@ -0,0 +1,309 @@
+package upstream_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"savorystep"
+	"savorystep/standin"
+	"savorystep/upstream"
+)
+
+const (
+	testService = savorystep.Service("status")
+	patience    = 20 * time.Second
+)
+
+// A fakeRegistry lists the endpoints that a test gives it.
+type fakeRegistry struct {
+	mu        sync.Mutex
+	endpoints []savorystep.Endpoint
+}
+
+func (r *fakeRegistry) Endpoints(context.Context) ([]savorystep.Endpoint, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]savorystep.Endpoint(nil), r.endpoints...), nil
+}
+
+func (r *fakeRegistry) Instances(context.Context) ([]savorystep.Instance, error) { return nil, nil }
+
+func (r *fakeRegistry) Register(context.Context, savorystep.Instance) error { return nil }
+
+// set adds an endpoint or replaces the one with its ID.
+func (r *fakeRegistry) set(endpoint savorystep.Endpoint) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.endpoints {
+		if r.endpoints[i].ID == endpoint.ID {
+			r.endpoints[i] = endpoint
+			return
+		}
+	}
+	r.endpoints = append(r.endpoints, endpoint)
+}
+
+// A bus carries facts between the fakeFacts of a test without delay.
+type bus struct {
+	mu    sync.Mutex
+	facts []savorystep.HeardFact
+	ends  []*fakeFacts
+}
+
+// A fakeFacts is one instance's end of a bus.
+type fakeFacts struct {
+	bus  *bus
+	self savorystep.InstanceID
+	subs map[savorystep.FactKind][]func(savorystep.HeardFact)
+}
+
+func (b *bus) join(self savorystep.InstanceID) *fakeFacts {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	f := &fakeFacts{bus: b, self: self, subs: make(map[savorystep.FactKind][]func(savorystep.HeardFact))}
+	b.ends = append(b.ends, f)
+	return f
+}
+
+func (f *fakeFacts) Facts(kind savorystep.FactKind) []savorystep.HeardFact {
+	f.bus.mu.Lock()
+	defer f.bus.mu.Unlock()
+	var found []savorystep.HeardFact
+	for _, fact := range f.bus.facts {
+		if fact.Kind == kind {
+			found = append(found, fact)
+		}
+	}
+	return found
+}
+
+func (f *fakeFacts) Publish(kind savorystep.FactKind, subject string, body any) {
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	f.bus.mu.Lock()
+	fact := savorystep.HeardFact{
+		Fact:  savorystep.Fact{Instance: f.self, Kind: kind, Subject: subject, Body: data},
+		Heard: time.Now(),
+	}
+	fact.Sequence = uint64(len(f.bus.facts) + 1)
+	f.bus.facts = append(f.bus.facts, fact)
+	var subs []func(savorystep.HeardFact)
+	for _, end := range f.bus.ends {
+		subs = append(subs, end.subs[kind]...)
+	}
+	f.bus.mu.Unlock()
+	for _, sub := range subs {
+		sub(fact)
+	}
+}
+
+func (f *fakeFacts) Push(_ context.Context, kind savorystep.FactKind, subject string, body any) (acked, missing int) {
+	f.Publish(kind, subject, body)
+	return len(f.bus.ends) - 1, 0
+}
+
+func (f *fakeFacts) Subscribe(kind savorystep.FactKind, sub func(savorystep.HeardFact)) {
+	f.bus.mu.Lock()
+	defer f.bus.mu.Unlock()
+	f.subs[kind] = append(f.subs[kind], sub)
+}
+
+// A fakeBudgets gives out units up to the limits asked for.
+type fakeBudgets struct {
+	mu      sync.Mutex
+	used    map[savorystep.BudgetName]savorystep.Slots
+	most    map[savorystep.BudgetName]savorystep.Slots
+	expired bool
+}
+
+func (b *fakeBudgets) Acquire(_ time.Time, name savorystep.BudgetName, limit savorystep.Slots) (savorystep.Hold, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.used == nil {
+		b.used = make(map[savorystep.BudgetName]savorystep.Slots)
+		b.most = make(map[savorystep.BudgetName]savorystep.Slots)
+	}
+	if b.used[name] >= limit {
+		return nil, savorystep.NewError(savorystep.KindCapReached, "the budget %s is used up", name)
+	}
+	b.used[name]++
+	b.most[name] = max(b.most[name], b.used[name])
+	return &fakeHold{budgets: b, name: name}, nil
+}
+
+func (b *fakeBudgets) inUse(name savorystep.BudgetName) savorystep.Slots {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.used[name]
+}
+
+// A fakeHold is a unit of a fakeBudgets.
+type fakeHold struct {
+	budgets *fakeBudgets
+	name    savorystep.BudgetName
+	once    sync.Once
+}
+
+func (h *fakeHold) Release() {
+	h.once.Do(func() {
+		h.budgets.mu.Lock()
+		defer h.budgets.mu.Unlock()
+		h.budgets.used[h.name]--
+	})
+}
+
+func (h *fakeHold) Valid(time.Time) bool {
+	h.budgets.mu.Lock()
+	defer h.budgets.mu.Unlock()
+	return !h.budgets.expired
+}
+
+// A site is a registry with running stand-ins.
+type site struct {
+	t         *testing.T
+	registry  *fakeRegistry
+	bus       *bus
+	upstreams map[savorystep.EndpointID]*standin.Upstream
+}
+
+func newSite(t *testing.T) *site {
+	t.Helper()
+	return &site{
+		t: t, registry: &fakeRegistry{}, bus: &bus{},
+		upstreams: make(map[savorystep.EndpointID]*standin.Upstream),
+	}
+}
+
+// add starts a stand-in in a region.
+func (s *site) add(id savorystep.EndpointID, region savorystep.Region, config standin.UpstreamConfig) *standin.Upstream {
+	s.t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(s.t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	config.ID, config.Service = id, testService
+	if config.Mean == 0 {
+		config.Mean = -1
+	}
+	if config.Slots == 0 {
+		config.Slots = 3
+	}
+	u := standin.NewUpstream(config)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := u.Serve(ctx, listener)
+	s.t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil && !errors.Is(err, standin.ErrCrashed) {
+			s.t.Errorf("the stand-in %s ended: %v", id, err)
+		}
+	})
+	s.upstreams[id] = u
+	s.registry.set(savorystep.Endpoint{
+		ID: id, Service: testService, Place: savorystep.Place{Region: region, Zone: savorystep.Zone(region + "-a")},
+		State: savorystep.StateLive, Address: savorystep.Address(listener.Addr().String()),
+		Slots: config.Slots, Connections: 330,
+	})
+	return u
+}
+
+// pool starts a pool that sees the whole site.
+func (s *site) pool(change func(*upstream.Config)) *upstream.Pool {
+	s.t.Helper()
+	config := upstream.Config{
+		Registry: s.registry,
+		Self:     savorystep.Instance{ID: "entry-1", Place: savorystep.Place{Region: "natal", Zone: "natal-a"}},
+		Limits:   upstream.Limits{Poll: 20 * time.Millisecond, Tick: 5 * time.Millisecond, Page: 50 * time.Millisecond},
+	}
+	if change != nil {
+		change(&config)
+	}
+	if config.Facts == nil {
+		config.Facts = s.bus.join(config.Self.ID)
+	}
+	p := upstream.New(config)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := p.Start(ctx)
+	// Registered after the stand-ins' cleanups, so it runs before them.
+	s.t.Cleanup(func() {
+		cancel()
+		if err := <-done; !errors.Is(err, context.Canceled) {
+			s.t.Errorf("the pool ended: %v", err)
+		}
+	})
+	want := len(s.registry.endpoints)
+	s.eventually("all endpoints are known", func() bool {
+		known := 0
+		for _, load := range p.Regions(testService, time.Now()) {
+			known += load.Endpoints
+		}
+		return known == want
+	})
+	return p
+}
+
+// eventually waits until a condition holds. The wait is bounded only to end a
+// hanging test.
+func (s *site) eventually(what string, holds func() bool) {
+	s.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if holds() {
+			return
+		}
+	}
+	s.t.Fatalf("not reached: %s", what)
+}
+
+// runs sums the runs of a request over all stand-ins.
+func (s *site) runs(id savorystep.RequestID) int {
+	sum := 0
+	for _, u := range s.upstreams {
+		sum += u.Runs().Requests[id]
+	}
+	return sum
+}
+
+// record returns a record that spreads over regions with equal weights.
+func record(regions ...savorystep.Region) *savorystep.Record {
+	r := &savorystep.Record{Service: testService}
+	for _, region := range regions {
+		r.Shares = append(r.Shares, savorystep.Share{Region: region, Weight: 1})
+	}
+	return r
+}
+
+// get returns an idempotent request.
+func get(id savorystep.RequestID, path string) *savorystep.Request {
+	return &savorystep.Request{
+		ID: id, Service: testService, Record: record("natal"), Method: "GET", Path: path,
+		Idempotent: true, Home: "natal", Deadline: time.Now().Add(patience), Fingerprint: 7,
+	}
+}
+
+// post returns a request that may run at most once.
+func post(id savorystep.RequestID, path string) *savorystep.Request {
+	request := get(id, path)
+	request.Method, request.Idempotent = "POST", false
+	return request
+}
+
+// readAll reads and closes a response.
+func readAll(t *testing.T, response *savorystep.Response) string {
+	t.Helper()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatalf("read the answer: %v", err)
+	}
+	if err := response.Body.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return string(data)
+}
--- /dev/null
+++ b/upstream/headers.go
@@ -0,0 +1,69 @@
+package upstream
+
+import (
+	"net/http"
+	"net/textproto"
+	"strings"
+
+	"savorystep"
+)
+
+// The lower-case forms keep net/http from finding an idempotency key and
+// sending the request again by itself. HTTP header names have no case.
+const (
+	plainKey  = "idempotency-key"
+	plainKeyX = "x-idempotency-key"
+)
+
+// hopHeaders concern one connection and are not passed on.
+var hopHeaders = []string{
+	"Connection", "Expect", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Proxy-Connection", "Te",
+	"Trailer", "Transfer-Encoding", "Upgrade",
+}
+
+// stripHops removes the headers that concern one connection.
+func stripHops(header http.Header) {
+	for _, value := range header["Connection"] {
+		for name := range strings.SplitSeq(value, ",") {
+			if name = textproto.TrimString(name); name != "" {
+				header.Del(name)
+			}
+		}
+	}
+	for _, name := range hopHeaders {
+		delete(header, name)
+	}
+}
+
+// outgoingHeader returns the header that goes to the endpoint.
+func outgoingHeader(request *savorystep.Request) http.Header {
+	header := make(http.Header, len(request.Header)+3)
+	for name, values := range request.Header {
+		header[name] = values
+	}
+	stripHops(header)
+	delete(header, "Content-Length")
+	delete(header, "Host")
+	if values, ok := header["X-Idempotency-Key"]; ok {
+		delete(header, "X-Idempotency-Key")
+		header[plainKeyX] = values
+	}
+	delete(header, savorystep.HeaderKey)
+	if request.Key != "" {
+		header[plainKey] = []string{string(request.Key)}
+	}
+	if request.ID != "" {
+		header[savorystep.HeaderRequest] = []string{string(request.ID)}
+	}
+	if _, ok := header["User-Agent"]; !ok {
+		// An empty value keeps net/http from adding its own.
+		header["User-Agent"] = []string{""}
+	}
+	return header
+}
+
+// incomingHeader returns the header that goes to the caller.
+func incomingHeader(header http.Header) http.Header {
+	stripHops(header)
+	return header
+}
--- /dev/null
+++ b/upstream/health.go
@@ -0,0 +1,180 @@
+package upstream
+
+import (
+	"math"
+	"time"
+
+	"savorystep"
+)
+
+// driftGain is the weight of one load page in the correction of the counts in
+// flight. Pages lag by more than requests last, so that a single page says
+// little; over ten of them a lasting difference shows.
+const driftGain = 0.1
+
+// A Health is the state of one endpoint as this instance sees it. It is pure:
+// it gets the time and never reads a clock.
+type Health struct {
+	limits HealthLimits
+
+	failures     int
+	level        int
+	ejectedUntil time.Time
+	returned     time.Time
+	succeeded    time.Time
+	failed       time.Time
+
+	sheds     int
+	shedUntil time.Time
+
+	state        savorystep.State
+	peerDraining time.Time
+	page         Page
+	pageAt       time.Time
+	drift        float64
+}
+
+// NewHealth returns the health of an endpoint that is live and has had no
+// request.
+func NewHealth(limits HealthLimits) *Health {
+	return &Health{limits: limits.withDefaults(), state: savorystep.StateLive}
+}
+
+// Succeed takes note of a whole answer.
+func (h *Health) Succeed(now time.Time) {
+	h.failures = 0
+	h.sheds = 0
+	h.succeeded = now
+	if h.level > 0 && !h.returned.IsZero() && now.Sub(h.returned) >= h.limits.SlowStart {
+		h.level = 0
+	}
+}
+
+// Fail takes note of a failure of the endpoint or the connection to it. It
+// reports whether the endpoint was ejected. With mayEject false, failures are
+// counted but do not eject.
+func (h *Health) Fail(now time.Time, mayEject bool) bool {
+	h.failures++
+	h.failed = now
+	// After an ejection a single failure ejects again, as nothing has yet
+	// shown that the endpoint recovered.
+	needed := h.limits.Failures
+	if h.level > 0 && !h.succeeded.After(h.ejectedUntil) {
+		needed = 1
+	}
+	if h.failures < needed || !mayEject || h.Ejected(now) {
+		return false
+	}
+	length := h.limits.EjectMax
+	if h.level < 16 {
+		length = min(length, h.limits.Eject<<h.level)
+	}
+	h.level++
+	h.ejectedUntil = now.Add(length)
+	h.returned = h.ejectedUntil
+	return true
+}
+
+// Shed takes note of a request that the endpoint shed. Shedding is not a
+// failure: it pauses new work for a short time.
+func (h *Health) Shed(now time.Time) {
+	pause := min(h.limits.ShedMax, h.limits.Shed<<min(h.sheds, 10))
+	h.sheds++
+	h.shedUntil = now.Add(pause)
+}
+
+// List takes note of the state in the platform's list.
+func (h *Health) List(state savorystep.State) {
+	h.state = state
+}
+
+// PeerDraining takes note that a peer says the endpoint drains.
+func (h *Health) PeerDraining(now time.Time) {
+	h.peerDraining = now
+}
+
+// ReadPage takes note of a load page and the slots that this instance and its
+// peers counted in use when it was read.
+func (h *Health) ReadPage(now time.Time, page Page, counted savorystep.Slots) {
+	h.page = page
+	h.pageAt = now
+	h.drift += driftGain * (float64(page.Busy-counted) - h.drift)
+}
+
+// Ejected reports whether the endpoint is ejected.
+func (h *Health) Ejected(now time.Time) bool {
+	return now.Before(h.ejectedUntil)
+}
+
+// Draining reports whether the endpoint drains. The list is always believed,
+// page and peers only if believePages is true.
+func (h *Health) Draining(now time.Time, believePages bool) bool {
+	return h.state != savorystep.StateLive || believePages && h.claimsDraining(now)
+}
+
+// claimsDraining reports whether the page or a peer says that the endpoint
+// drains.
+func (h *Health) claimsDraining(now time.Time) bool {
+	return h.pageFresh(now) && h.page.Draining || h.peerClaim(now)
+}
+
+// peerClaim reports whether a peer said lately that the endpoint drains and no
+// newer page of the endpoint denies it.
+func (h *Health) peerClaim(now time.Time) bool {
+	if h.peerDraining.IsZero() || now.Sub(h.peerDraining) > h.limits.DrainAge {
+		return false
+	}
+	return h.page.Draining || !h.pageAt.After(h.peerDraining)
+}
+
+// claimsUnhealthy reports whether the page says that the endpoint is not
+// healthy and no recent success speaks against it.
+func (h *Health) claimsUnhealthy(now time.Time) bool {
+	return h.pageFresh(now) && !h.page.Healthy && !h.recentSuccess(now)
+}
+
+// pageFresh reports whether the page is recent enough to hold.
+func (h *Health) pageFresh(now time.Time) bool {
+	return !h.pageAt.IsZero() && now.Sub(h.pageAt) <= h.limits.PageAge
+}
+
+// recentSuccess reports whether the last own outcome is a recent success.
+func (h *Health) recentSuccess(now time.Time) bool {
+	return !h.succeeded.IsZero() && h.succeeded.After(h.failed) && now.Sub(h.succeeded) <= h.limits.Trust
+}
+
+// Usable reports whether the endpoint takes new requests at all.
+func (h *Health) Usable(now time.Time, believePages bool) bool {
+	if h.Ejected(now) || h.Draining(now, believePages) {
+		return false
+	}
+	return !believePages || !h.claimsUnhealthy(now)
+}
+
+// Paused reports whether the endpoint shed a request a moment ago.
+func (h *Health) Paused(now time.Time) bool {
+	return now.Before(h.shedUntil)
+}
+
+// Capacity returns how many requests the endpoint takes at once: its slots,
+// fewer during slow start, at least 1.
+func (h *Health) Capacity(now time.Time, slots savorystep.Slots) savorystep.Slots {
+	if h.returned.IsZero() || now.Before(h.returned) {
+		return slots
+	}
+	part := float64(now.Sub(h.returned)) / float64(h.limits.SlowStart)
+	if part >= 1 {
+		return slots
+	}
+	return max(1, savorystep.Slots(part*float64(slots)))
+}
+
+// Drift returns by how many slots the endpoint is fuller than the counts say.
+// It is never negative, so that a page cannot make an endpoint look emptier
+// than own counts, and leaves one slot, so that a page cannot close one.
+func (h *Health) Drift(now time.Time, slots savorystep.Slots) savorystep.Slots {
+	if !h.pageFresh(now) {
+		return 0
+	}
+	return min(max(0, savorystep.Slots(math.Round(h.drift))), max(0, slots-1))
+}
--- /dev/null
+++ b/upstream/keyed.go
@@ -0,0 +1,135 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"savorystep"
+)
+
+var _ savorystep.Forwarder = &Keyed{}
+
+// A KeyedConfig configures a Keyed. Zero values take the defaults given with
+// the fields.
+type KeyedConfig struct {
+	Keys savorystep.Keys
+	// Answer bounds the bytes of a stored answer; 4 MiB by default. A longer
+	// answer reaches the caller that waits for it but cannot be given again.
+	Answer int
+	// Settle bounds the time for storing an answer or releasing a key; 30 s
+	// by default.
+	Settle time.Duration
+}
+
+// A Keyed runs requests with an idempotency key at most once and gives the
+// stored answer to those that are sent again.
+type Keyed struct {
+	next       savorystep.Forwarder
+	config     KeyedConfig
+	background sync.WaitGroup
+}
+
+// NewKeyed returns a Keyed in front of another forwarder.
+func NewKeyed(next savorystep.Forwarder, config KeyedConfig) *Keyed {
+	setDefault(&config.Answer, 4<<20)
+	setDefault(&config.Settle, 30*time.Second)
+	return &Keyed{next: next, config: config}
+}
+
+// Wait waits until no run goes on in the background.
+func (k *Keyed) Wait() {
+	k.background.Wait()
+}
+
+// Forward runs a request. A request with a key runs on when ctx ends, so that
+// its answer is stored.
+func (k *Keyed) Forward(ctx context.Context, request *savorystep.Request) (*savorystep.Response, error) {
+	if request.Key == "" {
+		return k.next.Forward(ctx, request)
+	}
+	callerCtx, cancel := withDeadline(ctx, request.Deadline)
+	defer cancel()
+	attempt, err := k.config.Keys.Begin(callerCtx, request.Service, request.Key, request.Fingerprint)
+	if err != nil {
+		return nil, err
+	}
+	if answer := attempt.Answer(); answer != nil {
+		return stored(answer), nil
+	}
+	result := make(chan outcome, 1)
+	k.background.Go(func() { result <- k.run(context.WithoutCancel(ctx), callerCtx, request, attempt) })
+	select {
+	case o := <-result:
+		return o.unpack()
+	case <-callerCtx.Done():
+	}
+	k.background.Go(func() {
+		if o := <-result; o.response != nil {
+			_ = o.response.Body.Close()
+		}
+	})
+	return nil, savorystep.WrapError(savorystep.KindDeadlineExceeded, callerCtx.Err(), "the request with a key runs on")
+}
+
+// stored returns a stored answer as a response.
+func stored(answer *savorystep.Answer) *savorystep.Response {
+	return &savorystep.Response{
+		Status: answer.Status,
+		Header: answer.Header.Clone(),
+		Body:   io.NopCloser(bytes.NewReader(answer.Body)),
+		Length: int64(len(answer.Body)),
+	}
+}
+
+// run runs a request for which permission was given and settles its key.
+func (k *Keyed) run(ctx, callerCtx context.Context, request *savorystep.Request, attempt savorystep.Attempt) outcome {
+	if callerCtx.Err() != nil {
+		k.release(ctx, request, attempt)
+		return outcome{err: savorystep.WrapError(savorystep.KindOverloaded, callerCtx.Err(), "the request ended before it was sent")}
+	}
+	response, err := k.next.Forward(ctx, request)
+	if err != nil {
+		if ranOf(err) == savorystep.RanNo {
+			k.release(ctx, request, attempt)
+		}
+		return outcome{err: err}
+	}
+	body, err := io.ReadAll(io.LimitReader(response.Body, int64(k.config.Answer)+1))
+	if err != nil {
+		_ = response.Body.Close()
+		return outcome{err: savorystep.WrapError(savorystep.KindOutcomeUnknown, err, "the answer ended early")}
+	}
+	if len(body) > k.config.Answer {
+		rest := response.Body
+		response.Body = &joinedBody{Reader: io.MultiReader(bytes.NewReader(body), rest), Closer: rest}
+		log.Warningf("the answer to request %s is too large to be stored", request.ID)
+		return outcome{response: response}
+	}
+	_ = response.Body.Close()
+	answer := savorystep.Answer{Status: response.Status, Header: response.Header, Body: body}
+	settleCtx, cancel := context.WithTimeout(ctx, k.config.Settle)
+	defer cancel()
+	if err := attempt.Complete(settleCtx, answer); err != nil {
+		log.Warningf("the answer to request %s may not be stored: %v", request.ID, err)
+	}
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	return outcome{response: response}
+}
+
+// release gives the permission back for a request that did not run.
+func (k *Keyed) release(ctx context.Context, request *savorystep.Request, attempt savorystep.Attempt) {
+	ctx, cancel := context.WithTimeout(ctx, k.config.Settle)
+	defer cancel()
+	if err := attempt.Release(ctx); err != nil {
+		log.Warningf("the key of request %s is not released: %v", request.ID, err)
+	}
+}
+
+// A joinedBody reads from one source and closes another.
+type joinedBody struct {
+	io.Reader
+	io.Closer
+}
--- /dev/null
+++ b/upstream/link.go
@@ -0,0 +1,89 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"savorystep"
+)
+
+// maxResponseHeader bounds the header of an upstream's answer.
+const maxResponseHeader = 256 << 10
+
+// A link is one generation of connections to an endpoint. Retiring it closes
+// its idle connections and those in use once their requests have ended.
+type link struct {
+	address savorystep.Address
+	// kept reuses connections, fresh makes a new one for each request.
+	kept    *http.Transport
+	fresh   *http.Transport
+	retired atomic.Bool
+}
+
+// newLink returns a link that has made no connection.
+func newLink(base *timebase, limits *Limits, info savorystep.Endpoint) *link {
+	dialer := &net.Dialer{
+		Timeout: limits.Dial,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: 5 * time.Second, Interval: time.Second, Count: 3,
+		},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return setUserTimeout(raw, limits.Unacknowledged)
+		},
+	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		raw, err := dialer.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		made := &conn{Conn: raw, base: base, born: base.now()}
+		made.activity.Store(made.born)
+		return made, nil
+	}
+	kept := &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		IdleConnTimeout:        30 * time.Second,
+		MaxIdleConnsPerHost:    max(1, int(info.Slots)),
+		MaxResponseHeaderBytes: maxResponseHeader,
+	}
+	fresh := &http.Transport{
+		DialContext:            dial,
+		DisableCompression:     true,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxResponseHeader,
+	}
+	return &link{address: info.Address, kept: kept, fresh: fresh}
+}
+
+// setUserTimeout limits how long sent data may stay unacknowledged.
+func setUserTimeout(raw syscall.RawConn, limit time.Duration) error {
+	var err error
+	controlErr := raw.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	})
+	if controlErr != nil {
+		return controlErr
+	}
+	return err
+}
+
+// transport returns the transport for a request.
+func (l *link) transport(fresh bool) *http.Transport {
+	if fresh {
+		return l.fresh
+	}
+	return l.kept
+}
+
+// retire closes idle connections now and others when their requests end.
+func (l *link) retire() {
+	l.retired.Store(true)
+	l.kept.CloseIdleConnections()
+}
--- /dev/null
+++ b/upstream/list.go
@@ -0,0 +1,100 @@
+package upstream
+
+import (
+	"context"
+	"time"
+
+	"savorystep"
+)
+
+// followList reads the platform's list until ctx is cancelled.
+func (p *Pool) followList(ctx context.Context) {
+	ticker := time.NewTicker(p.limits.Poll)
+	defer ticker.Stop()
+	failing := false
+	for {
+		// A hanging platform must not stop the poll forever.
+		readCtx, cancel := context.WithTimeout(ctx, 5*p.limits.Poll)
+		list, err := p.config.Registry.Endpoints(readCtx)
+		cancel()
+		switch {
+		case err == nil:
+			p.applyList(list)
+			failing = false
+		case !failing && ctx.Err() == nil:
+			log.Warningf("the list of endpoints cannot be read, the last one stays in use: %v", err)
+			failing = true
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// groupKey names a group.
+type groupKey struct {
+	service savorystep.Service
+	region  savorystep.Region
+}
+
+// applyList replaces the endpoints. An endpoint that is listed as ended or no
+// longer listed gets no new requests. An empty list is ignored: it says more
+// about the platform than about all upstreams at once.
+func (p *Pool) applyList(list []savorystep.Endpoint) {
+	parts := make(map[groupKey][]savorystep.Endpoint)
+	for _, info := range list {
+		if info.State == savorystep.StateEnded || info.Slots <= 0 {
+			continue
+		}
+		key := groupKey{info.Service, info.Place.Region}
+		parts[key] = append(parts[key], info)
+	}
+	if len(parts) == 0 {
+		return
+	}
+	now := p.clock.Now()
+	known := p.mergeGroups(parts)
+	var dropped []*link
+	for key, g := range known {
+		g.mu.Lock()
+		dropped = append(dropped, g.update(parts[key], p.base, now)...)
+		g.mu.Unlock()
+	}
+	for _, l := range dropped {
+		l.retire()
+	}
+}
+
+// mergeGroups adds groups for new services and regions and indexes the
+// endpoints. It returns all groups.
+func (p *Pool) mergeGroups(parts map[groupKey][]savorystep.Endpoint) map[groupKey]*group {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	known := make(map[groupKey]*group)
+	for service, groups := range p.groups {
+		for _, g := range groups {
+			known[groupKey{service, g.region}] = g
+		}
+	}
+	byID := make(map[savorystep.EndpointID]*group)
+	for key, infos := range parts {
+		g := known[key]
+		if g == nil {
+			g = &group{
+				service: key.service, region: key.region, zone: p.config.Self.Place.Zone,
+				limits: &p.limits, clock: p.clock,
+			}
+			known[key] = g
+			// Readers hold the old slice, so it is not appended to in place.
+			old := p.groups[key.service]
+			p.groups[key.service] = append(old[:len(old):len(old)], g)
+		}
+		for _, info := range infos {
+			byID[info.ID] = g
+		}
+	}
+	p.byID = byID
+	return known
+}
--- /dev/null
+++ b/upstream/quarantine.go
@@ -0,0 +1,158 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"savorystep"
+)
+
+var _ savorystep.Forwarder = &Quarantine{}
+
+// quarantineStrikes is how many strikes quarantine a fingerprint.
+const quarantineStrikes = 2
+
+// A QuarantineConfig configures a Quarantine. Recorder may be nil.
+type QuarantineConfig struct {
+	Facts    savorystep.Facts
+	Recorder savorystep.Recorder
+	// Clock is savorystep.SystemClock by default.
+	Clock savorystep.Clock
+	Self  savorystep.InstanceID
+	// Push bounds the wait for the peers' acknowledgements of a strike;
+	// 200 ms by default.
+	Push time.Duration
+}
+
+// A Quarantine keeps a request that kills the upstreams that run it from being
+// sent to more than two of them. Strikes are pushed to peers before the
+// request is answered or sent again.
+type Quarantine struct {
+	next    savorystep.Forwarder
+	config  QuarantineConfig
+	strikes *strikes
+	singles *singles
+}
+
+// NewQuarantine returns a quarantine in front of another forwarder, which must
+// pass its context on to a Pool.
+func NewQuarantine(next savorystep.Forwarder, config QuarantineConfig) *Quarantine {
+	if config.Clock == nil {
+		config.Clock = savorystep.SystemClock{}
+	}
+	setDefault(&config.Push, 200*time.Millisecond)
+	q := &Quarantine{next: next, config: config, strikes: newStrikes(), singles: newSingles()}
+	config.Facts.Subscribe(savorystep.FactStrike, q.hear)
+	for _, fact := range config.Facts.Facts(savorystep.FactStrike) {
+		q.hear(fact)
+	}
+	return q
+}
+
+// hear takes note of a peer's strikes.
+func (q *Quarantine) hear(fact savorystep.HeardFact) {
+	if fact.Instance == q.config.Self {
+		return
+	}
+	key, err := strconv.ParseUint(fact.Subject, 16, 64)
+	var body savorystep.StrikeFact
+	if err != nil || cbor.Unmarshal(fact.Body, &body) != nil {
+		return
+	}
+	q.strikes.hear(savorystep.Fingerprint(key), fact.Instance, body.Strikes, fact.Heard)
+}
+
+// Forward runs a request unless its fingerprint is quarantined. A request
+// whose fingerprint has a strike runs alone.
+func (q *Quarantine) Forward(ctx context.Context, request *savorystep.Request) (*savorystep.Response, error) {
+	t := &turn{quarantine: q, request: request}
+	waitCtx, cancel := withDeadline(ctx, request.Deadline)
+	defer cancel()
+	if err := t.enter(waitCtx); err != nil {
+		return nil, err
+	}
+	r := routeOf(ctx)
+	r.died = t.died
+	r.again = t.enter
+	response, err := q.next.Forward(r.with(ctx), request)
+	if err != nil {
+		t.end()
+		return nil, err
+	}
+	response.Body = &closingBody{ReadCloser: response.Body, closed: t.end}
+	return response, nil
+}
+
+// A turn is one request's way through the quarantine.
+type turn struct {
+	quarantine *Quarantine
+	request    *savorystep.Request
+	mu         sync.Mutex
+	unlock     func()
+}
+
+// enter returns an error if the fingerprint is quarantined. With one strike it
+// waits until no other request with the fingerprint runs. It is called before
+// each attempt after the first as well.
+func (t *turn) enter(ctx context.Context) error {
+	q, key := t.quarantine, t.request.Fingerprint
+	total := q.strikes.total(key, q.config.Clock.Now())
+	if total == 0 {
+		return nil
+	}
+	if total < quarantineStrikes && !t.alone() {
+		unlock, err := q.singles.lock(ctx, key)
+		if err != nil {
+			return savorystep.WrapError(savorystep.KindOverloaded, err, "a request like this one still runs alone after the death of an upstream")
+		}
+		t.mu.Lock()
+		t.unlock = unlock
+		t.mu.Unlock()
+		total = q.strikes.total(key, q.config.Clock.Now())
+	}
+	if total >= quarantineStrikes {
+		t.end()
+		return savorystep.NewError(savorystep.KindQuarantined, "upstreams died while they ran requests like this one")
+	}
+	return nil
+}
+
+// alone reports whether the request holds its fingerprint's lock.
+func (t *turn) alone() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.unlock != nil
+}
+
+// end lets the next request with the fingerprint run.
+func (t *turn) end() {
+	t.mu.Lock()
+	unlock := t.unlock
+	t.unlock = nil
+	t.mu.Unlock()
+	if unlock != nil {
+		unlock()
+	}
+}
+
+// died counts a strike and tells the peers, at most for the time of a push.
+func (t *turn) died(endpoint savorystep.EndpointID) {
+	q, key := t.quarantine, t.request.Fingerprint
+	own := q.strikes.add(key, q.config.Self, q.config.Clock.Now())
+	ctx, cancel := context.WithTimeout(context.Background(), q.config.Push)
+	defer cancel()
+	subject := strconv.FormatUint(uint64(key), 16)
+	acked, missing := q.config.Facts.Push(ctx, savorystep.FactStrike, subject, savorystep.StrikeFact{Strikes: own})
+	log.Warningf("endpoint %s died while it ran request %s", endpoint, t.request.ID)
+	if q.config.Recorder != nil {
+		q.config.Recorder.Record(savorystep.Event{
+			Kind: savorystep.EventQuarantine, Service: t.request.Service, Request: t.request.ID,
+			Text: fmt.Sprintf("endpoint %s died while it ran fingerprint %s, %d peers know it and %d do not", endpoint, subject, acked, missing),
+		})
+	}
+}
--- /dev/null
+++ b/upstream/retrier.go
@@ -0,0 +1,106 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net/http"
+
+	"savorystep"
+)
+
+var _ savorystep.Forwarder = &Retrier{}
+
+// A Retrier forwards a request again if it did not run or is idempotent: on
+// another endpoint, on a new connection and within a budget.
+type Retrier struct {
+	next   savorystep.Forwarder
+	config RetrierConfig
+	budget *retryBudget
+}
+
+// NewRetrier returns a retrier in front of another forwarder, which must be a
+// Pool or pass its context on to one.
+func NewRetrier(next savorystep.Forwarder, config RetrierConfig) *Retrier {
+	config = config.withDefaults()
+	return &Retrier{next: next, config: config, budget: newRetryBudget(config.Percent, config.Burst)}
+}
+
+// Forward runs a request. If no attempt is answered, the error is the one that
+// says most about whether the request ran.
+func (t *Retrier) Forward(ctx context.Context, request *savorystep.Request) (*savorystep.Response, error) {
+	t.budget.fill()
+	copied := *request
+	var body *replay
+	if copied.Body != nil && copied.Body != http.NoBody && copied.Length != 0 {
+		body = newReplay(copied.Body, t.config.Replay)
+		copied.Body = body
+	}
+	var worst error
+	sent := 0
+	for attempt := 1; ; attempt++ {
+		response, err := t.next.Forward(ctx, &copied)
+		if err == nil {
+			response.Attempts += sent
+			return response, nil
+		}
+		worst = moreRun(worst, err)
+		var failure *AttemptError
+		if !errors.As(err, &failure) {
+			return nil, worst
+		}
+		if failure.Sent {
+			sent++
+		}
+		if attempt >= t.config.Attempts || !t.mayRetry(ctx, request, failure, body) {
+			return nil, worst
+		}
+		t.record(request, failure)
+		ctx = WithAvoid(ctx, failure.Endpoint)
+	}
+}
+
+// moreRun returns the error of two attempts that is true for both: once one
+// attempt may have run the request, no later one makes it a request that did
+// not run.
+func moreRun(first, second error) error {
+	if first == nil || ranOf(first) < ranOf(second) {
+		return second
+	}
+	if ranOf(first) > ranOf(second) {
+		return first
+	}
+	return second
+}
+
+// ranOf says whether the request that ended in an error ran.
+func ranOf(err error) savorystep.Ran {
+	return savorystep.KindOf(err).Answer().Ran
+}
+
+// mayRetry reports whether a request may be sent again after a failure. It
+// takes a token of the budget if so.
+func (t *Retrier) mayRetry(ctx context.Context, request *savorystep.Request, failure *AttemptError, body *replay) bool {
+	if ctx.Err() != nil || body != nil && body.isOver() {
+		return false
+	}
+	once := request.Key != "" || !request.Idempotent
+	if once && failure.Ran() != savorystep.RanNo {
+		return false
+	}
+	if !t.budget.take() {
+		return false
+	}
+	again := routeOf(ctx).again
+	return again == nil || again(ctx) == nil
+}
+
+// record keeps the event of a retry.
+func (t *Retrier) record(request *savorystep.Request, failure *AttemptError) {
+	if t.config.Recorder == nil {
+		return
+	}
+	t.config.Recorder.Record(savorystep.Event{
+		Kind: savorystep.EventRetry, Service: request.Service, Request: request.ID,
+		Text: "sent again after " + failure.Error(),
+	})
+}
--- /dev/null
+++ b/upstream/route.go
@@ -0,0 +1,57 @@
+package upstream
+
+import (
+	"context"
+
+	"savorystep"
+)
+
+// A route carries what the wrappers of one request tell the Pool.
+type route struct {
+	// avoid lists endpoints that must not be used.
+	avoid []savorystep.EndpointID
+	// fresh asks for a new connection.
+	fresh bool
+	// died is called when an endpoint ended while it ran the request, before
+	// the error is returned. It is nil without a Quarantine.
+	died func(endpoint savorystep.EndpointID)
+	// again is asked before a retry. It returns an error if the request must
+	// not be sent again. It is nil without a Quarantine.
+	again func(ctx context.Context) error
+}
+
+// routeKey is the context key of a route.
+type routeKey struct{}
+
+// routeOf returns the route in a context, or an empty one.
+func routeOf(ctx context.Context) route {
+	r, ok := ctx.Value(routeKey{}).(*route)
+	if !ok {
+		return route{}
+	}
+	return *r
+}
+
+// with returns a context that carries the route.
+func (r route) with(ctx context.Context) context.Context {
+	return context.WithValue(ctx, routeKey{}, &r)
+}
+
+// avoids reports whether an endpoint must not be used.
+func (r *route) avoids(id savorystep.EndpointID) bool {
+	for _, avoided := range r.avoid {
+		if avoided == id {
+			return true
+		}
+	}
+	return false
+}
+
+// WithAvoid returns a context in which a Pool does not use the given endpoints
+// and makes a new connection.
+func WithAvoid(ctx context.Context, endpoints ...savorystep.EndpointID) context.Context {
+	r := routeOf(ctx)
+	r.avoid = append(r.avoid[:len(r.avoid):len(r.avoid)], endpoints...)
+	r.fresh = true
+	return r.with(ctx)
+}
--- /dev/null
+++ b/upstream/send.go
@@ -0,0 +1,364 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"savorystep"
+)
+
+// maxTrips bounds how often a request is handed to a transport because the
+// kept connection was closed before a byte was sent.
+const maxTrips = 3
+
+// deathDial bounds the check whether an endpoint that closed a connection
+// still accepts new ones.
+const deathDial = 500 * time.Millisecond
+
+// errUnframed is the failure of an answer whose end cannot be told from a lost
+// connection.
+var errUnframed = errors.New("the answer has neither a length nor chunks")
+
+// An outcome is the end of an attempt.
+type outcome struct {
+	response *savorystep.Response
+	err      error
+}
+
+// send sends a request on a lease. A request that may run at most once is not
+// cancelled after its first byte: with a key, send then waits for its answer
+// even if ctx ends; without one, send returns and the attempt runs on in the
+// background.
+func (p *Pool) send(ctx context.Context, request *savorystep.Request, leased *lease, r route) (*savorystep.Response, error) {
+	callerCtx, endCaller := withDeadline(ctx, request.Deadline)
+	a := &attempt{
+		lease: leased, request: request, route: r, began: p.clock.Now(),
+		once: request.Key != "" || !request.Idempotent,
+	}
+	tripCtx, cancel := callerCtx, endCaller
+	if a.once {
+		tripCtx, cancel = context.WithTimeout(context.WithoutCancel(ctx), p.limits.Background)
+	}
+	a.cancel = cancel
+	a.stop = context.AfterFunc(callerCtx, a.leave)
+	a.endCaller = endCaller
+	p.enter(a)
+	if !a.once || request.Key != "" {
+		return p.run(tripCtx, callerCtx, a).unpack()
+	}
+	result := make(chan outcome, 1)
+	p.background.Go(func() { result <- p.run(tripCtx, callerCtx, a) })
+	select {
+	case o := <-result:
+		return o.unpack()
+	case <-callerCtx.Done():
+	}
+	a.leave()
+	if !a.state.Load().wasSent() {
+		return (<-result).unpack()
+	}
+	p.background.Go(func() {
+		if o := <-result; o.response != nil {
+			_ = o.response.Body.Close()
+		}
+	})
+	err := &AttemptError{Endpoint: leased.info.ID, Sent: true, Err: callerCtx.Err()}
+	return nil, savorystep.WrapError(savorystep.KindDeadlineExceeded, err, "the request was sent and runs on")
+}
+
+// unpack returns the fields of the outcome.
+func (o outcome) unpack() (*savorystep.Response, error) {
+	return o.response, o.err
+}
+
+// withDeadline adds a deadline to a context unless it is zero.
+func withDeadline(ctx context.Context, deadline time.Time) (context.Context, context.CancelFunc) {
+	if deadline.IsZero() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+// enter lists an attempt for the watch.
+func (p *Pool) enter(a *attempt) {
+	g := a.lease.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.lease.endpoint.attempts[a] = struct{}{}
+}
+
+// run hands a request to transports until one took it or it must not be tried
+// again.
+func (p *Pool) run(tripCtx, callerCtx context.Context, a *attempt) outcome {
+	source := a.request.Body
+	if source == nil || a.request.Length == 0 {
+		source = http.NoBody
+	}
+	body := newReplay(source, p.limits.Replay)
+	fresh := a.route.fresh
+	for trip := 1; ; trip++ {
+		response, err := p.trip(tripCtx, callerCtx, a, body, fresh)
+		if err == nil {
+			return p.answer(a, response)
+		}
+		a.waiting.Store(0)
+		s := a.state.Load()
+		sent := s != nil && s.seal()
+		stale := !sent && a.reused.Load() && s.gateError() == nil
+		if stale && trip < maxTrips && tripCtx.Err() == nil && callerCtx.Err() == nil && !body.isOver() {
+			fresh = true
+			continue
+		}
+		return outcome{err: p.giveUp(callerCtx, a, err, sent)}
+	}
+}
+
+// trip hands a request to a transport once.
+func (p *Pool) trip(tripCtx, callerCtx context.Context, a *attempt, body *replay, fresh bool) (*http.Response, error) {
+	s := &sending{gate: func() error {
+		if callerCtx.Err() != nil {
+			return errLate
+		}
+		return a.lease.valid(p.clock.Now())
+	}}
+	a.state.Store(s)
+	a.conn.Store(nil)
+	a.reused.Store(false)
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		c, ok := info.Conn.(*conn)
+		if !ok {
+			return
+		}
+		a.reused.Store(info.Reused)
+		c.activity.Store(p.base.now())
+		c.user.Store(s)
+		a.conn.Store(c)
+	}}
+	request, err := p.outgoing(httptrace.WithClientTrace(tripCtx, trace), a, body)
+	if err != nil {
+		return nil, err
+	}
+	a.sentAt.Store(p.base.now())
+	a.waiting.Store(p.base.now())
+	return a.lease.link.transport(fresh).RoundTrip(request)
+}
+
+// outgoing returns the HTTP request that goes to the endpoint.
+func (p *Pool) outgoing(ctx context.Context, a *attempt, body *replay) (*http.Request, error) {
+	reader, ok := body.open()
+	if !ok {
+		return nil, errStaleBody
+	}
+	path := a.request.Path
+	if !strings.HasPrefix(path, "/") {
+		path = "/" + path
+	}
+	request, err := http.NewRequestWithContext(ctx, a.request.Method, "http://"+string(a.lease.info.Address)+path, nil)
+	if err != nil {
+		return nil, savorystep.WrapError(savorystep.KindBadRequest, err, "the path or method is not valid")
+	}
+	a.body.Store(reader)
+	request.ContentLength = a.request.Length
+	request.Body = reader
+	if a.request.Length == 0 && !replayedByTransport(a.request.Method) {
+		request.Body = http.NoBody
+	}
+	request.Header = outgoingHeader(a.request)
+	if !a.request.Deadline.IsZero() {
+		left := max(0, a.request.Deadline.Sub(p.clock.Now()).Milliseconds())
+		request.Header.Set(savorystep.HeaderDeadline, strconv.FormatInt(left, 10))
+	}
+	return request, nil
+}
+
+// replayedByTransport reports whether net/http sends a request with this
+// method again by itself if it has no body and its connection fails. Such
+// requests get an empty body of an unknown type, which keeps it from doing so:
+// retries are the Retrier's decision.
+func replayedByTransport(method string) bool {
+	switch method {
+	case http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodTrace, "":
+		return true
+	}
+	return false
+}
+
+// giveUp ends an attempt without an answer and returns its error.
+func (p *Pool) giveUp(callerCtx context.Context, a *attempt, cause error, sent bool) error {
+	held := time.Duration(0)
+	if sent {
+		held = p.clock.Now().Sub(a.began)
+	}
+	var own *savorystep.Error
+	failure := &AttemptError{Endpoint: a.lease.info.ID, Sent: sent, Err: cause}
+	if s := a.state.Load(); s != nil && s.gateError() != nil {
+		p.end(a, held, verdictNone)
+		if errors.Is(s.gateError(), errHoldExpired) {
+			return savorystep.WrapError(savorystep.KindCapReached, failure, "the budget unit expired before the request was sent")
+		}
+		return savorystep.WrapError(savorystep.KindOverloaded, failure, "the deadline passed before the request was sent")
+	}
+	switch {
+	case !sent && errors.As(cause, &own):
+		p.end(a, held, verdictNone)
+		return own
+	case !sent && callerCtx.Err() != nil:
+		p.end(a, held, verdictNone)
+		return savorystep.WrapError(savorystep.KindOverloaded, failure, "the request ended before it was sent")
+	case !sent:
+		p.end(a, held, verdictFailed)
+		return savorystep.WrapError(savorystep.KindNoUpstream, failure, "no connection to the endpoint")
+	case callerCtx.Err() != nil && !a.silent.Load():
+		p.end(a, held, p.lateVerdict(a))
+		return savorystep.WrapError(savorystep.KindDeadlineExceeded, failure, "no answer before the deadline")
+	}
+	if a.silent.Load() {
+		failure.Err = errSilent
+	}
+	failure.Died = p.checkDeath(a, cause)
+	p.end(a, held, verdictFailed)
+	kind := savorystep.KindUpstreamFailed
+	if a.once {
+		kind = savorystep.KindOutcomeUnknown
+	}
+	return savorystep.WrapError(kind, failure, "the connection to the endpoint failed")
+}
+
+// lateVerdict judges an attempt that its caller left. The endpoint failed if
+// the answer was late far beyond its usual time.
+func (p *Pool) lateVerdict(a *attempt) verdict {
+	g := a.lease.group
+	g.mu.Lock()
+	usual := a.lease.endpoint.usual
+	g.mu.Unlock()
+	if p.clock.Now().Sub(a.began) >= max(p.limits.Proven/4, unusualFactor*usual) {
+		return verdictFailed
+	}
+	return verdictNone
+}
+
+// checkDeath reports whether an endpoint ended while it ran a request, and
+// tells the quarantine. A closed connection alone is no death: the endpoint
+// must also refuse a new one.
+func (p *Pool) checkDeath(a *attempt, cause error) bool {
+	if a.silent.Load() || !closedByPeer(cause) {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), deathDial)
+	defer cancel()
+	var dialer net.Dialer
+	made, err := dialer.DialContext(ctx, "tcp", string(a.lease.info.Address))
+	if err == nil {
+		_ = made.Close()
+		return false
+	}
+	if a.route.died != nil {
+		a.route.died(a.lease.info.ID)
+	}
+	return true
+}
+
+// closedByPeer reports whether the other side ended the connection.
+func closedByPeer(err error) bool {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) ||
+		errors.Is(err, syscall.EPIPE) {
+		return true
+	}
+	// net/http hides the cause in these errors.
+	text := err.Error()
+	return strings.Contains(text, "server closed idle connection") || strings.Contains(text, "connection broken") ||
+		strings.Contains(text, "readLoopPeekFailLocked")
+}
+
+// answer turns an HTTP response into an answer.
+func (p *Pool) answer(a *attempt, response *http.Response) outcome {
+	a.waiting.Store(0)
+	a.answered.Store(true)
+	p.proveConnection(a)
+	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(savorystep.HeaderShed) == "1" {
+		_, _ = io.CopyN(io.Discard, response.Body, maxPage)
+		_ = response.Body.Close()
+		p.end(a, 0, verdictShed)
+		failure := &AttemptError{Endpoint: a.lease.info.ID, Sent: true, Shed: true, Err: errShedByEndpoint}
+		return outcome{err: savorystep.WrapError(savorystep.KindOverloaded, failure, "the endpoint shed the request")}
+	}
+	if !framed(response) {
+		a.cancel()
+		p.end(a, p.clock.Now().Sub(a.began), verdictFailed)
+		failure := &AttemptError{Endpoint: a.lease.info.ID, Sent: true, Err: errUnframed}
+		return outcome{err: savorystep.WrapError(savorystep.KindUpstreamFailed, failure, "the answer cannot be checked")}
+	}
+	result := &savorystep.Response{
+		Status: response.StatusCode, Header: incomingHeader(response.Header), Length: response.ContentLength,
+		Endpoint: a.lease.info.ID, Region: a.lease.decision.Region, Attempts: 1,
+	}
+	wrapped := &answerBody{pool: p, attempt: a, body: response.Body}
+	if response.Body == http.NoBody {
+		wrapped.finish(verdictGood)
+	}
+	result.Body = wrapped
+	return outcome{response: result}
+}
+
+var errShedByEndpoint = errors.New("status 503 with " + savorystep.HeaderShed)
+
+// framed reports whether the end of an answer's body can be told from the end
+// of its connection.
+func framed(response *http.Response) bool {
+	if response.Body == http.NoBody || response.ContentLength >= 0 {
+		return true
+	}
+	return len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
+}
+
+// proveConnection takes note that the attempt's connection answered.
+func (p *Pool) proveConnection(a *attempt) {
+	g := a.lease.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	a.lease.endpoint.prove(a.conn.Load(), p.base.now())
+}
+
+// end ends an attempt: it gives the slot and units back and tells the health.
+// Only the first call counts.
+func (p *Pool) end(a *attempt, held time.Duration, v verdict) {
+	a.done.Do(func() {
+		a.stop()
+		a.cancel()
+		a.endCaller()
+		now := p.clock.Now()
+		hasPeers := p.hasPeers(now)
+		g, e := a.lease.group, a.lease.endpoint
+		g.mu.Lock()
+		delete(e.attempts, a)
+		ejected := false
+		switch v {
+		case verdictGood:
+			e.health.Succeed(now)
+		case verdictShed:
+			e.health.Shed(now)
+		case verdictFailed:
+			// The watch has already counted a silent connection.
+			if !a.silent.Load() {
+				ejected = g.fail(e, now, hasPeers)
+			}
+		case verdictNone:
+		}
+		g.mu.Unlock()
+		if ejected {
+			p.recordEject(g, e)
+		}
+		if a.silent.Load() {
+			held = 0
+		}
+		a.lease.free(held)
+	})
+}
--- /dev/null
+++ b/upstream/sending.go
@@ -0,0 +1,71 @@
+package upstream
+
+import (
+	"errors"
+	"sync"
+)
+
+var (
+	errHoldExpired = errors.New("the permission to send expired before the first byte")
+	errLate        = errors.New("the deadline passed before the first byte")
+	errSealed      = errors.New("the attempt ended before the first byte")
+)
+
+// A sending decides exactly whether a byte of a request was sent. The first
+// write and the end of a sending without a write exclude each other. Each call
+// of a transport has its own.
+type sending struct {
+	mu     sync.Mutex
+	sealed bool
+	sent   bool
+	// gate is asked once, just before the first byte.
+	gate  func() error
+	gated error
+}
+
+// beforeWrite is called before each write to the connection. The first one
+// passes the gate and marks the request as sent.
+func (s *sending) beforeWrite() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sent {
+		return nil
+	}
+	if s.sealed {
+		return errSealed
+	}
+	if err := s.gate(); err != nil {
+		s.gated = err
+		return err
+	}
+	s.sent = true
+	return nil
+}
+
+// seal keeps a request that was not sent from being sent later. It reports
+// whether a byte was sent before.
+func (s *sending) seal() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.sent {
+		s.sealed = true
+	}
+	return s.sent
+}
+
+// gateError returns the error that kept the first byte back, or nil.
+func (s *sending) gateError() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.gated
+}
+
+// wasSent reports whether a byte was sent. A nil sending sent nothing.
+func (s *sending) wasSent() bool {
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.sent
+}
--- /dev/null
+++ b/upstream/singles.go
@@ -0,0 +1,57 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+
+	"savorystep"
+)
+
+// singles lets one request with a fingerprint run at a time.
+type singles struct {
+	mu    sync.Mutex
+	locks map[savorystep.Fingerprint]*single
+}
+
+// A single is the lock of one fingerprint with the count of its users.
+type single struct {
+	token chan struct{}
+	users int
+}
+
+func newSingles() *singles {
+	return &singles{locks: make(map[savorystep.Fingerprint]*single)}
+}
+
+// lock waits until no other request with the fingerprint runs. The returned
+// function ends the turn; only its first call counts.
+func (s *singles) lock(ctx context.Context, key savorystep.Fingerprint) (func(), error) {
+	s.mu.Lock()
+	l := s.locks[key]
+	if l == nil {
+		l = &single{token: make(chan struct{}, 1)}
+		s.locks[key] = l
+	}
+	l.users++
+	s.mu.Unlock()
+	select {
+	case l.token <- struct{}{}:
+		return sync.OnceFunc(func() {
+			<-l.token
+			s.leave(key, l)
+		}), nil
+	case <-ctx.Done():
+		s.leave(key, l)
+		return nil, ctx.Err()
+	}
+}
+
+// leave forgets a lock without users.
+func (s *singles) leave(key savorystep.Fingerprint, l *single) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l.users--
+	if l.users == 0 {
+		delete(s.locks, key)
+	}
+}
