--- a/operator/fileerror.go
+++ b/operator/fileerror.go
@@ -1,7 +1,9 @@
 package operator
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"strings"
 
 	"savorystep"
@@ -60,10 +62,12 @@
 	return ok
 }
 
-// err returns the faults as an error, nil if there are none.
+// err returns the faults in order of their lines as an error, nil if there are
+// none.
 func (e FileErrors) err() error {
 	if len(e) == 0 {
 		return nil
 	}
+	slices.SortStableFunc(e, func(a, b FileError) int { return cmp.Compare(a.Line, b.Line) })
 	return e
 }
--- a/operator/loadsettings.go
+++ b/operator/loadsettings.go
@@ -25,7 +25,7 @@
 func ParseSettings(file string, data []byte) (*Settings, error) {
 	f := readINI(file, data)
 	if len(f.faults) > 0 {
-		return nil, f.faults
+		return nil, f.faults.err()
 	}
 	keys := SettingsKeys()
 	settings := &Settings{}
--- a/operator/steering.go
+++ b/operator/steering.go
@@ -291,16 +291,25 @@
 	return nil
 }
 
-// warnings compares what shifts move with what their targets have free now.
+// warnings tells what is allowed but may not be meant: limits of regions that
+// get no traffic, and shifts of more than what their targets have free now.
 func (s *steering) warnings(record *savorystep.Record, now time.Time) []string {
-	if record == nil || s.endpoints == nil || len(record.Shifts) == 0 {
+	if record == nil {
 		return nil
 	}
+	var texts []string
+	for _, region := range slices.Sorted(maps.Keys(record.Limits)) {
+		if !hasShare(record, region) && !isTarget(record, region) {
+			texts = append(texts, fmt.Sprintf("the limit of region %s has no effect; no share or shift leads there", region))
+		}
+	}
+	if s.endpoints == nil || len(record.Shifts) == 0 {
+		return texts
+	}
 	loads := map[savorystep.Region]savorystep.RegionLoad{}
 	for _, load := range s.endpoints.Regions(record.Service, now) {
 		loads[load.Region] = load
 	}
-	var texts []string
 	for _, shift := range record.Shifts {
 		moving := int(loads[shift.From].Used) * shift.Percent / maxPercent
 		if shift.Cap > 0 {
