--- a/standin/platformroutes.go
+++ b/standin/platformroutes.go
@@ -92,9 +92,9 @@
 	writeJSON(w, p.Faults())
 }
 
-// postFaults changes the faults that the body names and keeps the others.
+// postFaults replaces the faults by those that the body names.
 func (p *Platform) postFaults(w http.ResponseWriter, r *http.Request) {
-	faults := p.Faults()
+	var faults PlatformFaults
 	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest))
 	decoder.DisallowUnknownFields()
 	if err := decoder.Decode(&faults); err != nil {
