--- a/cmd/processes_test.go
+++ b/cmd/processes_test.go
@@ -29,7 +29,7 @@
 		return "", err
 	}
 	binary := filepath.Join(dir, "savorystep")
-	build := exec.Command("go", "build", "-o", binary, "savorystep/cmd/savorystep")
+	build := exec.CommandContext(context.Background(), "go", "build", "-o", binary, "savorystep/cmd/savorystep")
 	if out, err := build.CombinedOutput(); err != nil {
 		return "", fmt.Errorf("%w: %s", err, out)
 	}
@@ -69,7 +69,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	p := &process{cmd: exec.Command(binary, args...), out: &lockedBuffer{}, ended: make(chan error, 1)}
+	p := &process{cmd: exec.CommandContext(context.WithoutCancel(t.Context()), binary, args...), out: &lockedBuffer{}, ended: make(chan error, 1)}
 	p.cmd.Stdout = p.out
 	p.cmd.Stderr = p.out
 	if err := p.cmd.Start(); err != nil {
