--- /dev/null
+++ b/cmd/changeflags.go
@@ -0,0 +1,155 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"savorystep"
+	"savorystep/operator"
+)
+
+// changeFlags are the flags of all commands that change records.
+type changeFlags struct {
+	clientFlags
+
+	author string
+	dry    bool
+	note   string
+	wait   bool
+}
+
+// add declares the flags.
+func (f *changeFlags) add(cmd *cobra.Command) {
+	f.clientFlags.add(cmd)
+	flags := cmd.Flags()
+	flags.StringVar(&f.author, "author", os.Getenv("USER"), "who makes the change, for the history")
+	flags.BoolVar(&f.dry, "dry-run", false, "show what would change, but change nothing")
+	flags.StringVar(&f.note, "note", "", "why the change is made, for the history")
+	flags.BoolVar(&f.wait, "wait", true, "wait until all instances have the change in force")
+}
+
+// info returns what goes with each change.
+func (f *changeFlags) info() operator.ChangeInfo {
+	return operator.ChangeInfo{ID: operator.NewChangeID(), Author: f.author, Note: f.note}
+}
+
+// changes returns what makes the changes: the client or its dry run.
+func (f *changeFlags) changes(client *operator.Client) operator.Changes {
+	if f.dry {
+		return client.DryRun()
+	}
+	return client
+}
+
+// A changeReport is what a command that changes records prints.
+type changeReport struct {
+	Outcomes []operator.Outcome `json:"outcomes"`
+	// Progress is absent if the command did not wait.
+	Progress *operator.Progress `json:"progress,omitempty"`
+}
+
+// finish waits until the changes are in force and prints what became of them.
+func (f *changeFlags) finish(ctx context.Context, cmd *cobra.Command, client *operator.Client, outcomes ...operator.Outcome) error {
+	report := changeReport{Outcomes: outcomes}
+	var newest savorystep.Revision
+	for _, outcome := range outcomes {
+		newest = max(newest, outcome.Revision)
+	}
+	if f.output == outputTable {
+		// The change is shown before the wait, which may take seconds.
+		printOutcomes(cmd.OutOrStdout(), outcomes)
+	}
+	start := time.Now()
+	if f.wait && !f.dry && newest > 0 {
+		deadline, _ := ctx.Deadline()
+		progress, err := client.Wait(ctx, newest, time.Until(deadline)-time.Second)
+		if err != nil {
+			return &partialError{fmt.Errorf("revision %d is accepted, but the instances cannot be asked for it: %w", newest, err)}
+		}
+		report.Progress = progress
+	}
+	if f.output == outputJSON {
+		if err := printJSON(cmd, report); err != nil {
+			return err
+		}
+	} else if report.Progress != nil {
+		printProgress(cmd.OutOrStdout(), report.Progress, time.Since(start))
+	}
+	return report.err(newest)
+}
+
+// err tells what was not done.
+func (r *changeReport) err(newest savorystep.Revision) error {
+	var failed []string
+	for _, outcome := range r.Outcomes {
+		if outcome.Error != "" {
+			failed = append(failed, string(outcome.Service))
+		}
+	}
+	switch {
+	case len(failed) == len(r.Outcomes) && len(r.Outcomes) > 0:
+		return savorystep.NewError(savorystep.KindInternal, "no service was changed")
+	case len(failed) > 0:
+		return &partialError{fmt.Errorf("not changed: %s", strings.Join(failed, ", "))}
+	case r.Progress != nil && !r.Progress.Done:
+		return &partialError{fmt.Errorf("revision %d is accepted, but not yet in force everywhere", newest)}
+	}
+	return nil
+}
+
+func printOutcomes(w io.Writer, outcomes []operator.Outcome) {
+	for _, outcome := range outcomes {
+		switch {
+		case outcome.Error != "":
+			printf(w, "%s: not changed: %s\n", outcome.Service, outcome.Error)
+		case outcome.Unchanged:
+			printf(w, "%s: nothing to change, version %d says so already\n", outcome.Service, outcome.Base)
+		case outcome.Dry:
+			printf(w, "%s: would change version %d (dry run)\n", outcome.Service, outcome.Base)
+		case outcome.Base == 0:
+			printf(w, "%s: new, version %d\n", outcome.Service, outcome.Revision)
+		default:
+			printf(w, "%s: version %d replaces %d\n", outcome.Service, outcome.Revision, outcome.Base)
+		}
+		for line := range strings.Lines(outcome.Diff) {
+			printf(w, "  %s", line)
+		}
+		for _, warning := range outcome.Warnings {
+			printf(w, "  warning: %s\n", warning)
+		}
+	}
+}
+
+// printProgress tells by region where a revision is in force.
+func printProgress(w io.Writer, p *operator.Progress, took time.Duration) {
+	printf(w, "revision %d is in force on %d of %d instances after %.1f s\n", p.Revision, p.InForce(), len(p.Members), took.Seconds())
+	var regions []savorystep.Region
+	all, have := map[savorystep.Region]int{}, map[savorystep.Region]int{}
+	for _, m := range p.Members {
+		if all[m.Place.Region] == 0 {
+			regions = append(regions, m.Place.Region)
+		}
+		all[m.Place.Region]++
+		if m.Revision >= p.Revision {
+			have[m.Place.Region]++
+		}
+	}
+	for _, region := range regions {
+		printf(w, "  %s: %d of %d\n", region, have[region], all[region])
+	}
+	for _, m := range p.Members {
+		switch {
+		case m.Revision >= p.Revision:
+		case m.Leaving:
+			printf(w, "  %s is leaving with revision %d\n", m.ID, m.Revision)
+		default:
+			printf(w, "  %s is behind with revision %d\n", m.ID, m.Revision)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/clientflags.go
@@ -0,0 +1,183 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"savorystep"
+	"savorystep/operator"
+)
+
+// The environment variables that stand in for flags of the operators'
+// commands.
+const (
+	envServers   = "SAVORYSTEP_SERVER"
+	envTokenFile = "SAVORYSTEP_TOKENFILE"
+)
+
+const (
+	outputJSON  = "json"
+	outputTable = "table"
+)
+
+// attemptTimeout bounds one attempt at one server, so that a dead server
+// leaves time for the next one.
+const attemptTimeout = 5 * time.Second
+
+// clientFlags are the flags of all commands that ask a server.
+type clientFlags struct {
+	servers   []string
+	token     string
+	tokenFile string
+	cert      string
+	key       string
+	authority string
+	output    string
+	timeout   time.Duration
+}
+
+// add declares the flags.
+func (f *clientFlags) add(cmd *cobra.Command) {
+	servers := splitServers(os.Getenv(envServers))
+	if len(servers) == 0 {
+		servers = []string{"127.0.0.1:7003"}
+	}
+	flags := cmd.Flags()
+	flags.StringSliceVar(&f.servers, "server", servers, "operators' address of an instance; repeat it to name further ones to try (env "+envServers+")")
+	flags.StringVar(&f.token, "token", "", "bearer token")
+	flags.StringVar(&f.tokenFile, "token-file", os.Getenv(envTokenFile), "file that holds the bearer token (env "+envTokenFile+")")
+	flags.StringVar(&f.cert, "cert", "", "PEM file of the client certificate, for mutual TLS")
+	flags.StringVar(&f.key, "key", "", "PEM file of the certificate's private key")
+	flags.StringVar(&f.authority, "authority", "", "PEM file of the authority that signed the servers' certificates; turns on TLS")
+	flags.DurationVar(&f.timeout, "timeout", 30*time.Second, "longest time that the command takes")
+	addOutput(cmd, &f.output)
+}
+
+func addOutput(cmd *cobra.Command, output *string) {
+	cmd.Flags().StringVarP(output, "output", "o", outputTable, "form of the output: table or json")
+	_ = cmd.RegisterFlagCompletionFunc("output", cobra.FixedCompletions([]string{outputTable, outputJSON}, cobra.ShellCompDirectiveNoFileComp))
+}
+
+func splitServers(text string) []string {
+	return strings.FieldsFunc(text, func(r rune) bool { return r == ',' || r == ' ' })
+}
+
+// client returns the client that the flags describe.
+func (f *clientFlags) client() (*operator.Client, error) {
+	if err := checkOutput(f.output); err != nil {
+		return nil, err
+	}
+	config := operator.ClientConfig{Servers: f.servers, Token: f.token, Timeout: min(attemptTimeout, f.timeout)}
+	// The file may come from the environment, so the flag for the token goes
+	// first.
+	if f.token == "" && f.tokenFile != "" {
+		data, err := os.ReadFile(f.tokenFile)
+		if err != nil {
+			return nil, savorystep.WrapError(savorystep.KindBadRequest, err, "read the token")
+		}
+		config.Token = strings.TrimSpace(string(data))
+	}
+	if f.cert != "" || f.key != "" || f.authority != "" {
+		tls, err := operator.ClientTLS(f.cert, f.key, f.authority)
+		if err != nil {
+			return nil, err
+		}
+		config.TLS = tls
+	}
+	return operator.NewClient(config), nil
+}
+
+func checkOutput(output string) error {
+	if output != outputTable && output != outputJSON {
+		return savorystep.NewError(savorystep.KindBadRequest, "output %q is unknown; allowed: table, json", output)
+	}
+	return nil
+}
+
+// context bounds a command by its timeout.
+func (f *clientFlags) context(cmd *cobra.Command) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(cmd.Context(), f.timeout)
+}
+
+// printJSON writes a value as indented JSON.
+func printJSON(cmd *cobra.Command, value any) error {
+	encoder := json.NewEncoder(cmd.OutOrStdout())
+	encoder.SetIndent("", "  ")
+	encoder.SetEscapeHTML(false)
+	return encoder.Encode(value)
+}
+
+// print writes a value as JSON or as a table, as the flags say.
+func (f *clientFlags) print(cmd *cobra.Command, value any, table func(w io.Writer)) error {
+	if f.output == outputJSON {
+		return printJSON(cmd, value)
+	}
+	return printTable(cmd, table)
+}
+
+// printTable aligns the tab-separated columns that a function writes.
+func printTable(cmd *cobra.Command, table func(w io.Writer)) error {
+	w := tabwriter.NewWriter(&trimWriter{w: cmd.OutOrStdout()}, 0, 0, 2, ' ', 0)
+	table(w)
+	return w.Flush()
+}
+
+// A trimWriter removes the spaces at the end of lines, which the tabwriter
+// leaves after empty cells. It holds spaces back until it sees what follows.
+type trimWriter struct {
+	w      io.Writer
+	spaces int
+}
+
+// Write implements io.Writer.
+func (t *trimWriter) Write(p []byte) (int, error) {
+	var out []byte
+	for _, b := range p {
+		if b == ' ' {
+			t.spaces++
+			continue
+		}
+		if b != '\n' {
+			out = append(out, strings.Repeat(" ", t.spaces)...)
+		}
+		t.spaces = 0
+		out = append(out, b)
+	}
+	if _, err := t.w.Write(out); err != nil {
+		return 0, err
+	}
+	return len(p), nil
+}
+
+// completeServices completes the names of services for the first argument of a
+// command, and nothing for the others.
+func (f *clientFlags) completeServices(position int) cobra.CompletionFunc {
+	return func(cmd *cobra.Command, args []string, _ string) ([]string, cobra.ShellCompDirective) {
+		if len(args) != position {
+			return nil, cobra.ShellCompDirectiveNoFileComp
+		}
+		client, err := f.client()
+		if err != nil {
+			return nil, cobra.ShellCompDirectiveError
+		}
+		// A shell waits for the completion, so it gets little time.
+		ctx, cancel := context.WithTimeout(cmd.Context(), 2*time.Second)
+		defer cancel()
+		records, err := client.Records(ctx)
+		if err != nil {
+			return nil, cobra.ShellCompDirectiveError
+		}
+		names := make([]string, len(records))
+		for i, record := range records {
+			names[i] = string(record.Service)
+		}
+		return names, cobra.ShellCompDirectiveNoFileComp
+	}
+}
--- a/cmd/exitcode.go
+++ b/cmd/exitcode.go
@@ -1,6 +1,10 @@
 package cmd
 
-import "savorystep"
+import (
+	"errors"
+
+	"savorystep"
+)
 
 // The exit codes of all commands.
 const (
@@ -9,10 +13,28 @@
 	exitUsage    = 2
 	exitConflict = 3
 	exitDown     = 4
+	exitPartial  = 5
 )
 
+// exitCodes describes the exit codes in the help texts and the reference.
+var exitCodes = []struct {
+	code    int
+	meaning string
+}{
+	{exitOK, "done"},
+	{exitFailed, "failed"},
+	{exitUsage, "wrong use, a faulty file, or an unknown name"},
+	{exitConflict, "another operator changed the record first"},
+	{exitDown, "no server could be reached, or the platform is down"},
+	{exitPartial, "done in part: not in force everywhere in time, or some services or instances are missing"},
+}
+
 // exitCode returns the exit code for an error.
 func exitCode(err error) int {
+	var partial *partialError
+	if errors.As(err, &partial) {
+		return exitPartial
+	}
 	switch savorystep.KindOf(err) {
 	case savorystep.KindNone:
 		return exitOK
--- /dev/null
+++ b/cmd/explaincmd.go
@@ -0,0 +1,89 @@
+package cmd
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/spf13/cobra"
+)
+
+// explainOptions are the options of the explain command.
+type explainOptions struct {
+	clientFlags
+
+	from string
+}
+
+func newExplainCmd() *cobra.Command {
+	o := &explainOptions{}
+	cmd := &cobra.Command{
+		Use:   "explain NAME",
+		Short: "Tell how a lookup is decided",
+		Long: `Tell how a lookup of a name from a place is decided: which service it leads to,
+which region and entries are chosen, and why.`,
+		Example: `  savorystep explain statsu --from natal
+  savorystep explain orders --from 10.3.0.7 --output json`,
+		RunE: func(cmd *cobra.Command, args []string) error { return runExplainCmd(cmd, o, args[0]) },
+	}
+	o.add(cmd)
+	cmd.Flags().StringVar(&o.from, "from", "", "region or IP number of the caller")
+	return withArgs(cmd, cobra.ExactArgs(1))
+}
+
+func runExplainCmd(cmd *cobra.Command, o *explainOptions, name string) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := o.context(cmd)
+	defer cancel()
+	answer, err := client.Explain(ctx, name, o.from)
+	if err != nil {
+		return err
+	}
+	if o.output == outputJSON {
+		return printJSON(cmd, answer)
+	}
+	return printTable(cmd, func(w io.Writer) { printTree(w, answer, 0) })
+}
+
+// printTree writes JSON as indented lines of names and values, in the order in
+// which the server gave them.
+func printTree(w io.Writer, data json.RawMessage, depth int) {
+	indent := strings.Repeat("  ", depth)
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	open, err := decoder.Token()
+	if err != nil {
+		return
+	}
+	isObject := open == json.Delim('{')
+	if !isObject && open != json.Delim('[') {
+		printf(w, "%s%v\n", indent, open)
+		return
+	}
+	for decoder.More() {
+		label := "-"
+		if isObject {
+			key, err := decoder.Token()
+			if err != nil {
+				return
+			}
+			label = fmt.Sprint(key)
+		}
+		var value json.RawMessage
+		if decoder.Decode(&value) != nil {
+			return
+		}
+		if strings.IndexByte("{[", value[0]) >= 0 {
+			printf(w, "%s%s\n", indent, label)
+			printTree(w, value, depth+1)
+			continue
+		}
+		var scalar any
+		_ = json.Unmarshal(value, &scalar) // The decoder has accepted it already.
+		printf(w, "%s%s\t%v\n", indent, label, scalar)
+	}
+}
--- /dev/null
+++ b/cmd/getcmd.go
@@ -0,0 +1,58 @@
+package cmd
+
+import (
+	"github.com/spf13/cobra"
+
+	"savorystep"
+	"savorystep/operator"
+)
+
+// getOptions are the options of the get command.
+type getOptions struct {
+	clientFlags
+
+	schema int
+}
+
+func newGetCmd() *cobra.Command {
+	o := &getOptions{}
+	cmd := &cobra.Command{
+		Use:   "get SERVICE",
+		Short: "Show the record of a service",
+		Long:  "Show the record of a service in the form that apply reads.",
+		Example: `  savorystep get status
+  savorystep get status > status.ini
+  savorystep get status --schema 1`,
+		RunE:              func(cmd *cobra.Command, args []string) error { return runGetCmd(cmd, o, args[0]) },
+		ValidArgsFunction: o.completeServices(0),
+	}
+	o.add(cmd)
+	cmd.Flags().IntVar(&o.schema, "schema", 0, "schema to write the record in, 1 or 2; 0 for its own")
+	return withArgs(cmd, cobra.ExactArgs(1))
+}
+
+func runGetCmd(cmd *cobra.Command, o *getOptions, service string) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := o.context(cmd)
+	defer cancel()
+	status, err := client.Record(ctx, savorystep.Service(service))
+	if err != nil {
+		return err
+	}
+	if o.output == outputJSON {
+		return printJSON(cmd, status)
+	}
+	schema := o.schema
+	if schema == 0 {
+		schema = status.Record.Schema
+	}
+	data, err := operator.FormatRecord(status.Record, schema)
+	if err != nil {
+		return err
+	}
+	printf(cmd.OutOrStdout(), "# version %d\n%s", status.Version, data)
+	return nil
+}
--- /dev/null
+++ b/cmd/listcmd.go
@@ -0,0 +1,68 @@
+package cmd
+
+import (
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"savorystep"
+)
+
+func newListCmd() *cobra.Command {
+	o := &clientFlags{}
+	cmd := &cobra.Command{
+		Use:   "list",
+		Short: "List all records",
+		Example: `  savorystep list
+  savorystep list --output json`,
+		RunE: func(cmd *cobra.Command, _ []string) error { return runListCmd(cmd, o) },
+	}
+	o.add(cmd)
+	return withArgs(cmd, cobra.NoArgs)
+}
+
+func runListCmd(cmd *cobra.Command, o *clientFlags) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := o.context(cmd)
+	defer cancel()
+	records, err := client.Records(ctx)
+	if err != nil {
+		return err
+	}
+	return o.print(cmd, records, func(w io.Writer) {
+		printf(w, "%s\n", "SERVICE\tVERSION\tSCHEMA\tNAMES\tSHARES\tSHIFTS")
+		for _, r := range records {
+			printf(w, "%s\t%d\t%d\t%d\t%s\t%s\n", r.Service, r.Version, r.Record.Schema, len(r.Record.Names), shareText(r.Record), shiftText(r.Record))
+		}
+	})
+}
+
+// shareText returns the weights of a record by region.
+func shareText(record *savorystep.Record) string {
+	var regions []savorystep.Region
+	sums := map[savorystep.Region]int{}
+	for _, share := range record.Shares {
+		if _, ok := sums[share.Region]; !ok {
+			regions = append(regions, share.Region)
+		}
+		sums[share.Region] += share.Weight
+	}
+	texts := make([]string, len(regions))
+	for i, region := range regions {
+		texts[i] = fmt.Sprintf("%s %d", region, sums[region])
+	}
+	return strings.Join(texts, ", ")
+}
+
+func shiftText(record *savorystep.Record) string {
+	texts := make([]string, len(record.Shifts))
+	for i, shift := range record.Shifts {
+		texts[i] = fmt.Sprintf("%s to %s %d%%", shift.From, shift.To, shift.Percent)
+	}
+	return strings.Join(texts, ", ")
+}
--- /dev/null
+++ b/cmd/operatorcmds.go
@@ -0,0 +1,46 @@
+package cmd
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/spf13/cobra"
+)
+
+// operatorCmds returns the commands of operators.
+func operatorCmds() []*cobra.Command {
+	cmds := []*cobra.Command{
+		newApplyCmd(),
+		newCheckCmd(),
+		newCorrectCmd(),
+		newDiffCmd(),
+		newDrainCmd(),
+		newExplainCmd(),
+		newGetCmd(),
+		newHistoryCmd(),
+		newListCmd(),
+		newSettingsCmd(),
+		newShiftCmd(),
+		newStatusCmd(),
+		newTimelineCmd(),
+		newUndoCmd(),
+		newUnknownCmd(),
+	}
+	for _, cmd := range cmds {
+		if cmd.Long == "" {
+			cmd.Long = cmd.Short + "."
+		}
+		cmd.Long += "\n\n" + exitCodeText()
+	}
+	return cmds
+}
+
+// exitCodeText lists the exit codes for the help texts.
+func exitCodeText() string {
+	var b strings.Builder
+	b.WriteString("Exit codes:")
+	for _, e := range exitCodes {
+		fmt.Fprintf(&b, "\n  %d  %s", e.code, e.meaning)
+	}
+	return b.String()
+}
--- /dev/null
+++ b/cmd/operatorcmds_test.go
@@ -0,0 +1,209 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"savorystep"
+)
+
+// TestOperatorCmds runs each command as an operator would. It guards against
+// changed output, wrong exit codes and changes that get lost.
+func TestOperatorCmds(t *testing.T) {
+	datadriven.Walk(t, "testdata/operators", func(t *testing.T, path string) {
+		path, err := filepath.Abs(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Chdir(t.TempDir())
+		t.Setenv("USER", "mara")
+		t.Setenv(envServers, "")
+		t.Setenv(envTokenFile, "")
+		s := newFakeSystem(t)
+		datadriven.RunTest(t, path, s.script)
+	})
+}
+
+// script runs one directive of a script.
+func (s *fakeSystem) script(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	switch d.Cmd {
+	case "run":
+		return s.run(t, d)
+	case "http":
+		return s.http(t, d)
+	case "file":
+		if err := os.WriteFile(d.CmdArgs[0].Key, []byte(d.Input+"\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	case "show":
+		data, err := os.ReadFile(d.CmdArgs[0].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(data)
+	case "race":
+		s.config.races = scanNumber(t, d.CmdArgs[0].Key)
+	case "lost":
+		s.config.lost = scanNumber(t, d.CmdArgs[0].Key)
+	case "down":
+		s.config.down = d.CmdArgs[0].Key == "platform"
+		if server := s.servers[savorystep.InstanceID(d.CmdArgs[0].Key)]; server != nil {
+			server.Close()
+		}
+	case "lag":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.lag[savorystep.InstanceID(d.CmdArgs[0].Key)] = savorystep.Revision(scanNumber(t, d.CmdArgs[1].Key))
+	case "leaving":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		for i := range s.members {
+			s.members[i].Leaving = string(s.members[i].Instance.ID) == d.CmdArgs[0].Key
+		}
+	case "unknown":
+		for line := range strings.Lines(d.Input) {
+			parts := strings.Split(strings.TrimSpace(line), "|")
+			s.facts.count(t, savorystep.InstanceID(parts[0]), parts[1], uint64(scanNumber(t, parts[2])))
+		}
+	case "events":
+		for line := range strings.Lines(d.Input) {
+			s.event(t, strings.TrimSpace(line))
+		}
+	default:
+		t.Fatalf("unknown directive %s", d.Cmd)
+	}
+	return ""
+}
+
+// event records an event: instance|millisecond|logical|kind|service|region|request|text.
+func (s *fakeSystem) event(t *testing.T, line string) {
+	t.Helper()
+	p := strings.Split(line, "|")
+	wall := fakeNow.Add(time.Duration(scanNumber(t, p[1])) * time.Millisecond).UnixNano()
+	s.recorders[savorystep.InstanceID(p[0])].Record(savorystep.Event{
+		Stamp: savorystep.Stamp{Wall: wall, Logical: uint32(scanNumber(t, p[2]))}, Kind: savorystep.EventKind(p[3]),
+		Service: savorystep.Service(p[4]), Region: savorystep.Region(p[5]), Request: savorystep.RequestID(p[6]), Text: p[7],
+	})
+}
+
+// run runs a command line against hobart-1, or the servers of the argument
+// "servers".
+func (s *fakeSystem) run(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	servers := "hobart-1"
+	if d.HasArg("servers") {
+		servers = d.CmdArgs[0].Vals[0]
+	}
+	args := words(d.Input)[1:]
+	if !d.HasArg("offline") {
+		for server := range strings.SplitSeq(servers, "+") {
+			args = append(args, "--server", s.servers[savorystep.InstanceID(server)].URL)
+		}
+		if !strings.Contains(d.Input, "--token") {
+			args = append(args, "--token", testToken)
+		}
+	}
+	return s.clean(runCommand(t, args))
+}
+
+// runCommand returns what a command line prints, and its exit code unless it
+// is 0.
+func runCommand(t *testing.T, args []string) string {
+	t.Helper()
+	var out bytes.Buffer
+	root := newRootCmd()
+	root.SetArgs(args)
+	root.SetOut(&out)
+	root.SetErr(&out)
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+	defer cancel()
+	if err := root.ExecuteContext(ctx); err != nil {
+		fmt.Fprintf(&out, "savorystep: %v\nexit code %d\n", err, exitCode(err))
+	}
+	return out.String()
+}
+
+// http makes a raw request: method, path, and the body from the input.
+func (s *fakeSystem) http(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	method, path := d.CmdArgs[0].Key, d.CmdArgs[1].String()
+	request, err := http.NewRequestWithContext(t.Context(), method, s.servers["hobart-1"].URL+path, strings.NewReader(d.Input))
+	if err != nil {
+		t.Fatal(err)
+	}
+	token := testToken
+	if d.HasArg("token") {
+		d.ScanArgs(t, "token", &token)
+	}
+	if token != "none" {
+		request.Header.Set("Authorization", "Bearer "+token)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var b strings.Builder
+	fmt.Fprintln(&b, response.Status)
+	for _, name := range []string{savorystep.HeaderKind, savorystep.HeaderRan, "Retry-After", "WWW-Authenticate"} {
+		if value := response.Header.Get(name); value != "" {
+			fmt.Fprintf(&b, "%s: %s\n", name, value)
+		}
+	}
+	b.Write(body)
+	return s.clean(b.String())
+}
+
+var (
+	tookPattern = regexp.MustCompile(`after \d+\.\d s`)
+	idPattern   = regexp.MustCompile(`"[A-Z2-7]{26}"`)
+	dialPattern = regexp.MustCompile(`(dial tcp|read tcp) [^"\n]*`)
+)
+
+// clean replaces what differs from run to run.
+func (s *fakeSystem) clean(text string) string {
+	for id, server := range s.servers {
+		text = strings.ReplaceAll(text, strings.TrimPrefix(server.URL, "http://"), string(id))
+	}
+	text = idPattern.ReplaceAllString(text, `"ID"`)
+	text = dialPattern.ReplaceAllString(text, "$1 ...")
+	return tookPattern.ReplaceAllString(text, "after N s")
+}
+
+var wordPattern = regexp.MustCompile(`'[^']*'|\S+`)
+
+// words splits a command line; single quotes hold words together.
+func words(line string) []string {
+	list := wordPattern.FindAllString(line, -1)
+	for i := range list {
+		list[i] = strings.Trim(list[i], "'")
+	}
+	return list
+}
+
+func scanNumber(t *testing.T, text string) int {
+	t.Helper()
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
--- /dev/null
+++ b/cmd/operatorfakes_test.go
@@ -0,0 +1,271 @@
+package cmd
+
+import (
+	"context"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"savorystep"
+	"savorystep/operator"
+)
+
+const testToken = "token-of-the-tests"
+
+// fakeNow is the time of the fake clock.
+var fakeNow = time.Date(2026, 12, 4, 5, 0, 0, 0, time.UTC)
+
+// A fakeClock stands still.
+type fakeClock struct{}
+
+func (fakeClock) Now() time.Time { return fakeNow }
+
+// A fakeConfig is a configuration in memory.
+type fakeConfig struct {
+	mu      sync.Mutex
+	changes []savorystep.Change
+	// races counts the coming changes that another operator is faster with.
+	races int
+	// lost counts the coming changes that take effect with a lost answer.
+	lost int
+	down bool
+}
+
+func (c *fakeConfig) View() *savorystep.View {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.view()
+}
+
+func (c *fakeConfig) view() *savorystep.View {
+	view := &savorystep.View{
+		Records: map[savorystep.Service]*savorystep.Record{}, Versions: map[savorystep.Service]savorystep.Revision{},
+		Services: map[savorystep.Name]savorystep.Service{},
+	}
+	for _, change := range c.changes {
+		view.Revision = change.Revision
+		view.Versions[change.Service] = change.Revision
+		view.Records[change.Service] = change.Record
+		if change.Record == nil {
+			delete(view.Records, change.Service)
+			delete(view.Versions, change.Service)
+		}
+	}
+	for service, record := range view.Records {
+		view.Services[savorystep.Name(service)] = service
+		for _, name := range record.Names {
+			view.Services[name] = service
+		}
+	}
+	return view
+}
+
+func (c *fakeConfig) Apply(_ context.Context, change savorystep.Change) (savorystep.Revision, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, old := range c.changes {
+		if old.ID == change.ID {
+			return old.Revision, nil
+		}
+	}
+	if c.down {
+		return 0, savorystep.NewError(savorystep.KindPlatformDown, "the table does not answer")
+	}
+	if c.races > 0 {
+		c.races--
+		other := *c.view().Records[change.Service]
+		other.Names = append(slices.Clone(other.Names), savorystep.Name(strings.Repeat("z", c.races+3)))
+		c.add(savorystep.Change{ID: savorystep.ChangeID("race" + strings.Repeat("z", c.races)), Author: "rival", Service: change.Service, Base: c.view().Versions[change.Service], Record: &other})
+	}
+	if version := c.view().Versions[change.Service]; version != change.Base {
+		return 0, savorystep.NewError(savorystep.KindVersionConflict, "record %s is at version %d", change.Service, version)
+	}
+	revision := c.add(change)
+	if c.lost > 0 {
+		c.lost--
+		return 0, savorystep.NewError(savorystep.KindPlatformDown, "the answer was lost")
+	}
+	return revision, nil
+}
+
+func (c *fakeConfig) add(change savorystep.Change) savorystep.Revision {
+	change.Revision = savorystep.Revision(len(c.changes) + 1)
+	if change.Time.IsZero() {
+		change.Time = fakeNow
+	}
+	c.changes = append(c.changes, change)
+	return change.Revision
+}
+
+func (c *fakeConfig) History(_ context.Context, service savorystep.Service, limit int) ([]savorystep.Change, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var found []savorystep.Change
+	for _, change := range slices.Backward(c.changes) {
+		if (service == "" || change.Service == service) && len(found) < limit {
+			found = append(found, change)
+		}
+	}
+	return found, nil
+}
+
+// A fakeFacts holds facts in memory.
+type fakeFacts struct {
+	mu    sync.Mutex
+	facts []savorystep.HeardFact
+}
+
+func (f *fakeFacts) Facts(kind savorystep.FactKind) []savorystep.HeardFact {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var found []savorystep.HeardFact
+	for _, fact := range f.facts {
+		if fact.Kind == kind {
+			found = append(found, fact)
+		}
+	}
+	return found
+}
+
+// count sets how often an instance has seen an unknown name.
+func (f *fakeFacts) count(t *testing.T, id savorystep.InstanceID, name string, count uint64) {
+	t.Helper()
+	body, err := cbor.Marshal(savorystep.UnknownFact{Count: count})
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.facts = append(f.facts, savorystep.HeardFact{Heard: fakeNow, Fact: savorystep.Fact{
+		Instance: id, Kind: savorystep.FactUnknown, Subject: name, Body: body,
+	}})
+}
+
+func (*fakeFacts) Publish(savorystep.FactKind, string, any) {}
+
+func (*fakeFacts) Push(context.Context, savorystep.FactKind, string, any) (acked, missing int) {
+	return 0, 0
+}
+
+func (*fakeFacts) Subscribe(savorystep.FactKind, func(savorystep.HeardFact)) {}
+
+// A fakeRecorder holds events in memory.
+type fakeRecorder struct {
+	mu     sync.Mutex
+	self   savorystep.InstanceID
+	events []savorystep.Event
+}
+
+func (r *fakeRecorder) Events() []savorystep.Event {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.events)
+}
+
+func (r *fakeRecorder) Record(event savorystep.Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	event.Instance = r.self
+	r.events = append(r.events, event)
+}
+
+// fakeEndpoints has the same load for all services.
+type fakeEndpoints struct{}
+
+func (fakeEndpoints) Regions(savorystep.Service, time.Time) []savorystep.RegionLoad {
+	return []savorystep.RegionLoad{
+		{Region: "hobart", Slots: 36, Used: 20, Queued: 2, Usable: 12, Endpoints: 12},
+		{Region: "launceston", Slots: 36, Used: 30, Usable: 12, Endpoints: 12},
+		{Region: "burnie", Slots: 12, Used: 9, Usable: 4, Endpoints: 5},
+	}
+}
+
+// A fakeSystem is three instances that share their configuration.
+type fakeSystem struct {
+	config    *fakeConfig
+	facts     *fakeFacts
+	recorders map[savorystep.InstanceID]*fakeRecorder
+	servers   map[savorystep.InstanceID]*httptest.Server
+	stopping  chan struct{}
+
+	mu      sync.Mutex
+	members []savorystep.Member
+	// lag is how many revisions an instance is behind.
+	lag map[savorystep.InstanceID]savorystep.Revision
+	// ready is the reason why the instances are not ready.
+	ready error
+}
+
+// newFakeSystem starts the operators' listeners of hobart-1, launceston-1 and
+// burnie-1.
+func newFakeSystem(t *testing.T) *fakeSystem {
+	t.Helper()
+	s := &fakeSystem{
+		config: &fakeConfig{}, facts: &fakeFacts{}, stopping: make(chan struct{}),
+		recorders: map[savorystep.InstanceID]*fakeRecorder{}, servers: map[savorystep.InstanceID]*httptest.Server{},
+		lag: map[savorystep.InstanceID]savorystep.Revision{},
+	}
+	for _, region := range []savorystep.Region{"burnie", "hobart", "launceston"} {
+		id := savorystep.InstanceID(region + "-1")
+		self := savorystep.Instance{ID: id, State: savorystep.StateLive, Place: savorystep.Place{Region: region, Zone: savorystep.Zone(region + "-a")}}
+		server := httptest.NewUnstartedServer(nil)
+		self.Operator = savorystep.Address(server.Listener.Addr().String())
+		s.recorders[id] = &fakeRecorder{self: id}
+		registry := prometheus.NewRegistry()
+		server.Config.Handler = operator.NewServer(operator.ServerConfig{
+			Clock: fakeClock{}, Config: s.config, Endpoints: fakeEndpoints{}, Facts: s.facts,
+			Members: fakeMembers{s, self}, Recorder: s.recorders[id], Self: self, Token: testToken,
+			Gatherer: registry, Registerer: registry, Stopping: s.stopping,
+			Ready: func() error { return s.ready }, Explain: fakeExplain,
+		})
+		server.Start()
+		t.Cleanup(server.Close)
+		s.servers[id] = server
+		s.members = append(s.members, savorystep.Member{Heard: fakeNow.Add(-120 * time.Millisecond), StatusFact: savorystep.StatusFact{Instance: self, Ready: true, Rate: 41.5}})
+	}
+	t.Cleanup(func() { close(s.stopping) })
+	return s
+}
+
+// fakeExplain stands in for the decision of a lookup.
+func fakeExplain(name, from string) (any, error) {
+	if name != "orders" {
+		return nil, savorystep.NewError(savorystep.KindUnknownName, "no service has the name %q", name)
+	}
+	return struct {
+		Service string   `json:"service"`
+		From    string   `json:"from"`
+		Region  string   `json:"region"`
+		Reason  string   `json:"reason"`
+		Entries []string `json:"entries"`
+		Shift   struct {
+			To      string `json:"to"`
+			Percent int    `json:"percent"`
+		} `json:"shift"`
+	}{Service: "orders", From: from, Region: "hobart", Reason: "Callers stay in their own region.", Entries: []string{"hobart-1", "hobart-2"}}, nil
+}
+
+// fakeMembers is the membership seen by one instance.
+type fakeMembers struct {
+	system *fakeSystem
+	self   savorystep.Instance
+}
+
+func (m fakeMembers) Self() savorystep.Instance { return m.self }
+
+func (m fakeMembers) Members(time.Time) []savorystep.Member {
+	revision := m.system.config.View().Revision
+	m.system.mu.Lock()
+	defer m.system.mu.Unlock()
+	members := slices.Clone(m.system.members)
+	for i := range members {
+		members[i].Revision = revision - min(revision, m.system.lag[members[i].Instance.ID])
+	}
+	return members
+}
--- a/cmd/rootcmd.go
+++ b/cmd/rootcmd.go
@@ -11,5 +11,6 @@
 		SilenceUsage:  true,
 	}
 	root.AddCommand(newServeCmd(), newStandinCmd())
+	root.AddCommand(operatorCmds()...)
 	return root
 }
--- /dev/null
+++ b/cmd/statuscmd.go
@@ -0,0 +1,70 @@
+package cmd
+
+import (
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"savorystep/operator"
+)
+
+func newStatusCmd() *cobra.Command {
+	o := &clientFlags{}
+	cmd := &cobra.Command{
+		Use:   "status",
+		Short: "Show instances, revisions and load as one instance sees them",
+		Example: `  savorystep status
+  savorystep status --server 10.1.0.1:7003 --output json`,
+		RunE: func(cmd *cobra.Command, _ []string) error { return runStatusCmd(cmd, o) },
+	}
+	o.add(cmd)
+	return withArgs(cmd, cobra.NoArgs)
+}
+
+func runStatusCmd(cmd *cobra.Command, o *clientFlags) error {
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := o.context(cmd)
+	defer cancel()
+	status, err := client.Status(ctx)
+	if err != nil {
+		return err
+	}
+	return o.print(cmd, status, func(w io.Writer) { printStatus(w, status) })
+}
+
+func printStatus(w io.Writer, status *operator.Status) {
+	state := "ready"
+	if !status.Ready {
+		state = "not ready: " + status.Reason
+	}
+	printf(w, "%s in %s is %s, revision %d in force\n\n", status.Self.ID, status.Self.Place.Zone, state, status.Revision)
+	printf(w, "%s\n", "INSTANCE\tREGION\tZONE\tSTATE\tREVISION\tRATE\tHEARTBEAT")
+	for _, m := range status.Members {
+		printf(w, "%s\t%s\t%s\t%s\t%d\t%.1f/s\t%d ms ago\n", m.ID, m.Place.Region, m.Place.Zone, memberState(m), m.Revision, m.Rate, m.Age)
+	}
+	printf(w, "%s\n", "\nSERVICE\tVERSION\tREGION\tUSED\tSLOTS\tQUEUED\tENDPOINTS")
+	for _, service := range status.Services {
+		for _, r := range service.Regions {
+			printf(w, "%s\t%d\t%s\t%d\t%d\t%d\t%d of %d\n", service.Service, service.Version, r.Region, r.Used, r.Slots, r.Queued, r.Usable, r.Endpoints)
+		}
+		if len(service.Regions) == 0 {
+			printf(w, "%s\t%d\t-\n", service.Service, service.Version)
+		}
+	}
+}
+
+func memberState(m operator.MemberStatus) string {
+	switch {
+	case m.Leaving:
+		return "leaving"
+	case m.Suspect:
+		return "suspects its link"
+	case m.Ready:
+		return "ready"
+	default:
+		return "not ready"
+	}
+}
--- /dev/null
+++ b/cmd/timelinecmd.go
@@ -0,0 +1,147 @@
+package cmd
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"savorystep"
+	"savorystep/operator"
+)
+
+// timelineOptions are the options of the timeline command.
+type timelineOptions struct {
+	clientFlags
+
+	filter operator.EventFilter
+	follow bool
+	html   string
+}
+
+func newTimelineCmd() *cobra.Command {
+	o := &timelineOptions{}
+	cmd := &cobra.Command{
+		Use:   "timeline",
+		Short: "Show what happened on all instances, in causal order",
+		Long: `Show the events that the instances keep, in causal order. The list of instances
+comes from one server; instances that do not answer are named. Times are UTC
+readings of the hybrid logical clock: an event that caused another one comes
+first, even if the clocks of the instances differ.`,
+		Example: `  savorystep timeline --service status
+  savorystep timeline --request 7f3c21 --html request.html
+  savorystep timeline --follow --kind drain`,
+		RunE: func(cmd *cobra.Command, _ []string) error { return runTimelineCmd(cmd, o) },
+	}
+	o.add(cmd)
+	flags := cmd.Flags()
+	flags.StringVar((*string)(&o.filter.Kind), "kind", "", "show only events of a kind, for example drain")
+	flags.StringVar((*string)(&o.filter.Region), "region", "", "show only events that concern a region")
+	flags.StringVar((*string)(&o.filter.Request), "request", "", "show only events of a request id")
+	flags.StringVar((*string)(&o.filter.Service), "service", "", "show only events that concern a service")
+	flags.BoolVarP(&o.follow, "follow", "f", false, "keep on and show new events as they come")
+	flags.StringVar(&o.html, "html", "", "write a page with a drawing to this file instead")
+	_ = cmd.RegisterFlagCompletionFunc("kind", cobra.FixedCompletions(kindNames(), cobra.ShellCompDirectiveNoFileComp))
+	return withArgs(cmd, cobra.NoArgs)
+}
+
+func runTimelineCmd(cmd *cobra.Command, o *timelineOptions) error {
+	if o.follow && o.html != "" {
+		return usageError(cmd, errors.New("--follow and --html exclude each other"))
+	}
+	if kinds := kindNames(); o.filter.Kind != "" && !slices.Contains(kinds, string(o.filter.Kind)) {
+		return usageError(cmd, fmt.Errorf("kind %q is unknown; allowed: %s", o.filter.Kind, strings.Join(kinds, ", ")))
+	}
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	if o.follow {
+		return client.Follow(cmd.Context(), o.filter, func(update operator.FollowUpdate) { printUpdate(cmd, o, update) })
+	}
+	ctx, cancel := o.context(cmd)
+	defer cancel()
+	timeline, err := client.Timeline(ctx, o.filter)
+	if err != nil {
+		return err
+	}
+	if o.html != "" {
+		err = writeTimelinePage(o, timeline)
+	} else {
+		err = o.print(cmd, timeline, func(w io.Writer) {
+			for _, event := range timeline.Events {
+				printf(w, "%s\n", eventText(event, "\t"))
+			}
+		})
+	}
+	if err != nil {
+		return err
+	}
+	for _, missing := range timeline.Missing {
+		printf(cmd.ErrOrStderr(), "%s\n", missingText(missing))
+	}
+	if len(timeline.Missing) > 0 {
+		return &partialError{fmt.Errorf("the events of %d of %d instances are missing", len(timeline.Missing), len(timeline.Missing)+len(timeline.Instances))}
+	}
+	return nil
+}
+
+func writeTimelinePage(o *timelineOptions, timeline *operator.Timeline) error {
+	file, err := os.Create(o.html)
+	if err != nil {
+		return savorystep.WrapError(savorystep.KindBadRequest, err, "write the page")
+	}
+	if err := timeline.WriteHTML(file, "savorystep timeline"); err != nil {
+		_ = file.Close()
+		return err
+	}
+	return file.Close()
+}
+
+// printUpdate prints what a followed timeline brings.
+func printUpdate(cmd *cobra.Command, o *timelineOptions, update operator.FollowUpdate) {
+	switch {
+	case o.output == outputJSON:
+		_ = json.NewEncoder(cmd.OutOrStdout()).Encode(update)
+	case update.Event != nil:
+		printf(cmd.OutOrStdout(), "%s\n", eventText(*update.Event, "  "))
+	case update.Missing != nil:
+		printf(cmd.ErrOrStderr(), "%s\n", missingText(*update.Missing))
+	}
+}
+
+func missingText(missing operator.MissingInstance) string {
+	return fmt.Sprintf("missing: %s in %s: %s", missing.Instance.ID, missing.Instance.Place.Zone, missing.Reason)
+}
+
+// eventText returns an event on one line.
+func eventText(event savorystep.Event, separator string) string {
+	parts := []string{
+		time.Unix(0, event.Stamp.Wall).UTC().Format("2006-01-02 15:04:05.000"),
+		string(event.Instance), string(event.Kind), event.Text,
+	}
+	for _, about := range []struct{ name, value string }{
+		{"service", string(event.Service)}, {"region", string(event.Region)}, {"request", string(event.Request)},
+	} {
+		if about.value != "" {
+			parts = append(parts, about.name+"="+about.value)
+		}
+	}
+	const columns = 4
+	return strings.Join(parts[:columns], separator) + strings.Join(append([]string{""}, parts[columns:]...), " ")
+}
+
+func kindNames() []string {
+	kinds := operator.EventKinds()
+	names := make([]string, len(kinds))
+	for i, kind := range kinds {
+		names[i] = string(kind)
+	}
+	return names
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -317,6 +317,11 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
+		// The URL stands in the message already.
+		var failed *url.Error
+		if errors.As(err, &failed) {
+			err = failed.Err
+		}
 		return nil, savorystep.WrapError(savorystep.KindNotReady, err, "server %s cannot be reached", server)
 	}
 	if response.StatusCode == http.StatusOK {
@@ -329,6 +334,9 @@
 		return nil, savorystep.NewError(savorystep.KindInternal, "server %s answered with status %s", server, response.Status)
 	}
 	e := savorystep.NewError(kind, "%s", fault.Detail)
+	if len(fault.Suggestions) > 0 {
+		e.Detail += "; similar: " + joinTexts(fault.Suggestions)
+	}
 	e.Suggestions = fault.Suggestions
 	e.Delay = time.Duration(fault.Delay) * time.Millisecond
 	return nil, e
--- a/operator/distance.go
+++ b/operator/distance.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"savorystep"
 )
@@ -37,11 +38,12 @@
 }
 
 // Nearest returns the services whose names are near an unknown one, the
-// nearest first. A service counts with its nearest known name.
+// nearest first. A service counts with its nearest known name; upper and lower
+// case are the same.
 func Nearest(name savorystep.Name, view *savorystep.View) []savorystep.Service {
 	best := map[savorystep.Service]int{}
 	for known, service := range view.Services {
-		d := Distance(string(name), string(known))
+		d := Distance(strings.ToLower(string(name)), strings.ToLower(string(known)))
 		// A third of the letters may differ; more has nothing to do with a
 		// misspelling.
 		if d > max(2, len([]rune(string(name)))/3) || d >= len([]rune(string(known))) {
--- a/operator/edit.go
+++ b/operator/edit.go
@@ -64,6 +64,11 @@
 	return regionWeight(record, region) > 0 || isTarget(record, region)
 }
 
+// isSource reports whether a shift leads out of a region.
+func isSource(record *savorystep.Record, region savorystep.Region) bool {
+	return slices.ContainsFunc(record.Shifts, func(s savorystep.Shift) bool { return s.From == region })
+}
+
 // regionWeight sums the weights of a region's shares.
 func regionWeight(record *savorystep.Record, region savorystep.Region) int {
 	sum := 0
@@ -75,37 +80,102 @@
 	return sum
 }
 
+// A drain says how the traffic of a region moves away.
+type drain struct {
+	region savorystep.Region
+	// to are the regions that take it, those with shares if empty.
+	to     []savorystep.Region
+	limit  savorystep.Slots
+	growth int
+}
+
 // withDrain returns a copy of a record that moves all traffic of a region
-// away. Without targets it goes to the other regions with shares, in
-// proportion to their weights. Shifts into the region end.
-func withDrain(record *savorystep.Record, region savorystep.Region, to []savorystep.Region, limit savorystep.Slots, growth int) (*savorystep.Record, error) {
+// away. Without targets it goes to the other regions with shares that are not
+// drained themselves, in proportion to their weights. What shifts move into
+// the region goes to the same targets instead, so that an earlier drain of
+// another region stays complete.
+func withDrain(record *savorystep.Record, d drain) (*savorystep.Record, error) {
 	c := asSchemaTwo(record)
-	c.Shifts = slices.DeleteFunc(c.Shifts, func(s savorystep.Shift) bool { return s.From == region || s.To == region })
-	if regionWeight(record, region) == 0 {
-		return c, nil
+	c.Shifts = nil
+	for _, shift := range record.Shifts {
+		if shift.From != d.region && shift.To != d.region {
+			c.Shifts = append(c.Shifts, shift)
+		}
 	}
-	weights := make([]int, 0, len(to))
-	if len(to) == 0 {
-		for _, other := range shareRegions(record) {
-			if w := regionWeight(record, other); other != region && w > 0 {
-				to = append(to, other)
-				weights = append(weights, w)
+	for _, shift := range record.Shifts {
+		if shift.To == d.region {
+			if err := spread(c, d, record, shift); err != nil {
+				return nil, err
 			}
 		}
-	} else {
-		for _, target := range to {
-			weights = append(weights, max(regionWeight(record, target), 1))
+	}
+	if regionWeight(record, d.region) == 0 {
+		return c, nil
+	}
+	own := savorystep.Shift{From: d.region, Percent: maxPercent, Cap: d.limit, Growth: d.growth}
+	return c, spread(c, d, record, own)
+}
+
+// spread divides a shift over the targets of a drain and adds the parts to a
+// record.
+func spread(c *savorystep.Record, d drain, record *savorystep.Record, shift savorystep.Shift) error {
+	targets, weights := d.targets(record, shift.From)
+	if len(targets) == 0 {
+		return savorystep.NewError(savorystep.KindBadRequest, "service %s has no other region that could take the traffic of %s; name a target", record.Service, shift.From)
+	}
+	for i, percent := range divide(shift.Percent, weights) {
+		if percent == 0 {
+			continue
+		}
+		part := shift
+		part.To, part.Percent = targets[i], percent
+		same := func(s savorystep.Shift) bool { return s.From == part.From && s.To == part.To }
+		if j := slices.IndexFunc(c.Shifts, same); j >= 0 {
+			c.Shifts[j].Percent += percent
+			continue
 		}
+		c.Shifts = append(c.Shifts, part)
 	}
-	if len(to) == 0 {
-		return nil, savorystep.NewError(savorystep.KindBadRequest, "service %s has no other region with a share; name a target", record.Service)
+	return nil
+}
+
+// targets returns the regions that may take the traffic of a region, with
+// their weights.
+func (d drain) targets(record *savorystep.Record, from savorystep.Region) (regions []savorystep.Region, weights []int) {
+	candidates := d.to
+	if len(candidates) == 0 {
+		for _, region := range shareRegions(record) {
+			if regionWeight(record, region) > 0 && !isDrained(record, region) {
+				candidates = append(candidates, region)
+			}
+		}
+	}
+	for _, region := range candidates {
+		if region != from && region != d.region {
+			regions = append(regions, region)
+			// A target that is named may have no share of its own.
+			weights = append(weights, max(regionWeight(record, region), 1))
+		}
 	}
-	for i, percent := range divide(maxPercent, weights) {
-		if percent > 0 {
-			c.Shifts = append(c.Shifts, savorystep.Shift{From: region, To: to[i], Percent: percent, Cap: limit, Growth: growth})
+	return regions, weights
+}
+
+// isDrained reports whether shifts move all traffic of a region away.
+func isDrained(record *savorystep.Record, region savorystep.Region) bool {
+	sum := 0
+	for _, shift := range record.Shifts {
+		if shift.From == region {
+			sum += shift.Percent
 		}
 	}
-	return c, nil
+	return sum >= maxPercent
+}
+
+// withoutDrain returns a copy of a record without the shifts out of a region.
+func withoutDrain(record *savorystep.Record, region savorystep.Region) *savorystep.Record {
+	c := cloneRecord(record)
+	c.Shifts = slices.DeleteFunc(c.Shifts, func(s savorystep.Shift) bool { return s.From == region })
+	return c
 }
 
 // divide splits a total in proportion to positive weights. The parts are whole
--- a/operator/formatrecord.go
+++ b/operator/formatrecord.go
@@ -27,11 +27,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "schema = %d\nservice = %s\n", schema, record.Service)
 	if len(record.Names) > 0 {
-		names := make([]string, len(record.Names))
-		for i, name := range record.Names {
-			names[i] = string(name)
-		}
-		fmt.Fprintf(&b, "names = %s\n", strings.Join(names, ", "))
+		fmt.Fprintf(&b, "names = %s\n", joinTexts(record.Names))
 	}
 	if record.Prefer != "" && schema == schemaTwo {
 		fmt.Fprintf(&b, "prefer = %s\n", record.Prefer)
@@ -94,10 +90,11 @@
 	return faults
 }
 
-func joinRegions(regions []savorystep.Region) string {
-	texts := make([]string, len(regions))
-	for i, region := range regions {
-		texts[i] = string(region)
+// joinTexts lists texts of any named type.
+func joinTexts[T ~string](list []T) string {
+	texts := make([]string, len(list))
+	for i, item := range list {
+		texts[i] = string(item)
 	}
 	return strings.Join(texts, ", ")
 }
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -49,6 +49,8 @@
 	Services []savorystep.Service `json:"services,omitempty"`
 	Cap      savorystep.Slots     `json:"cap,omitempty"`
 	Growth   int                  `json:"growth,omitempty"`
+	// End ends the shifts out of the region instead.
+	End bool `json:"end,omitempty"`
 }
 
 // A CorrectRequest makes a misspelling lead to a service.
--- a/operator/steering.go
+++ b/operator/steering.go
@@ -123,6 +123,31 @@
 // service whose change fails has the reason in its outcome; the others are
 // drained all the same.
 func (s *steering) Drain(ctx context.Context, request DrainRequest) ([]Outcome, error) {
+	services, err := s.drained(request)
+	if err != nil {
+		return nil, err
+	}
+	outcomes := make([]Outcome, 0, len(services))
+	for _, service := range services {
+		info := request.ChangeInfo
+		// Each service is a change of its own and needs an ID of its own.
+		info.ID += savorystep.ChangeID("/" + service)
+		outcome, err := s.edit(ctx, info, service, func(record *savorystep.Record) (*savorystep.Record, error) {
+			if request.End {
+				return withoutDrain(record, request.Region), nil
+			}
+			return withDrain(record, drain{region: request.Region, to: request.To, limit: request.Cap, growth: request.Growth})
+		})
+		if err != nil {
+			outcome = &Outcome{Service: service, Error: err.Error()}
+		}
+		outcomes = append(outcomes, *outcome)
+	}
+	return outcomes, nil
+}
+
+// drained returns the services that a drain changes.
+func (s *steering) drained(request DrainRequest) ([]savorystep.Service, error) {
 	if err := s.knownRegions(append([]savorystep.Region{request.Region}, request.To...)...); err != nil {
 		return nil, err
 	}
@@ -133,28 +158,18 @@
 	services := request.Services
 	if len(services) == 0 {
 		for _, service := range slices.Sorted(maps.Keys(view.Records)) {
-			if uses(view.Records[service], request.Region) {
+			if uses(view.Records[service], request.Region) && (!request.End || isSource(view.Records[service], request.Region)) {
 				services = append(services, service)
 			}
 		}
 	}
 	if len(services) == 0 {
-		return nil, savorystep.NewError(savorystep.KindNotFound, "no service sends traffic to region %s", request.Region)
-	}
-	outcomes := make([]Outcome, 0, len(services))
-	for _, service := range services {
-		info := request.ChangeInfo
-		// Each service is a change of its own and needs an ID of its own.
-		info.ID += savorystep.ChangeID("/" + service)
-		outcome, err := s.edit(ctx, info, service, func(record *savorystep.Record) (*savorystep.Record, error) {
-			return withDrain(record, request.Region, request.To, request.Cap, request.Growth)
-		})
-		if err != nil {
-			outcome = &Outcome{Service: service, Error: err.Error()}
+		if request.End {
+			return nil, savorystep.NewError(savorystep.KindNotFound, "no service has a shift out of region %s", request.Region)
 		}
-		outcomes = append(outcomes, *outcome)
+		return nil, savorystep.NewError(savorystep.KindNotFound, "no service sends traffic to region %s", request.Region)
 	}
-	return outcomes, nil
+	return services, nil
 }
 
 // Correct makes a misspelling lead to a service.
@@ -229,14 +244,12 @@
 		}
 	}
 	now := s.clock.Now()
-	outcome := &Outcome{Service: service, Base: base, Dry: s.dry}
 	if view.Versions[service] == base && sameRecord(current, record) {
-		outcome.Unchanged = true
-		outcome.Revision = base
-		return outcome, nil
+		return s.unchanged(ctx, info, service, base)
 	}
+	outcome := &Outcome{Service: service, Base: base, Dry: s.dry}
 	record = withStarts(record, current, now)
-	diff, err := DiffRecords(current, record, versionName(service, view.Versions[service]), versionName(service, 0))
+	diff, err := DiffRecords(current, record, versionName(service, view.Versions[service]), newName(service, record))
 	if err != nil {
 		return nil, err
 	}
@@ -252,14 +265,46 @@
 	return outcome, nil
 }
 
-// versionName names a version in diffs, 0 for the proposed one.
+// unchanged returns the outcome for a record that says already what it should.
+// If the change itself made it so, because its first answer was lost, the
+// outcome is that of the change.
+func (s *steering) unchanged(ctx context.Context, info ChangeInfo, service savorystep.Service, version savorystep.Revision) (*Outcome, error) {
+	outcome := &Outcome{Service: service, Base: version, Revision: version, Unchanged: true, Dry: s.dry}
+	changes, err := s.config.History(ctx, service, 2)
+	if err != nil {
+		// Without the history the answer is still true, only less exact.
+		log.Debugf("history of %s: %v", service, err)
+		changes = nil
+	}
+	if len(changes) == 0 || changes[0].ID != info.ID {
+		return outcome, nil
+	}
+	made := changes[0]
+	outcome.Unchanged, outcome.Base, outcome.Revision = false, made.Base, made.Revision
+	var before *savorystep.Record
+	if len(changes) > 1 {
+		before = changes[1].Record
+	}
+	outcome.Diff, err = DiffRecords(before, made.Record, versionName(service, made.Base), newName(service, made.Record))
+	return outcome, err
+}
+
+// versionName names a version in diffs.
 func versionName(service savorystep.Service, version savorystep.Revision) string {
 	if version == 0 {
-		return string(service) + " (new)"
+		return string(service) + " (none)"
 	}
 	return fmt.Sprintf("%s (version %d)", service, version)
 }
 
+// newName names a proposed record in diffs.
+func newName(service savorystep.Service, record *savorystep.Record) string {
+	if record == nil {
+		return string(service) + " (removed)"
+	}
+	return string(service) + " (new)"
+}
+
 // checkOtherServices refuses a record whose names lead to another service.
 func checkOtherServices(view *savorystep.View, record *savorystep.Record) error {
 	names := append([]savorystep.Name{savorystep.Name(record.Service)}, record.Names...)
@@ -285,7 +330,7 @@
 	}
 	for _, region := range regions {
 		if !known[region] {
-			return savorystep.NewError(savorystep.KindBadRequest, "region %q is unknown; allowed: %s", region, joinRegions(slices.Sorted(maps.Keys(known))))
+			return savorystep.NewError(savorystep.KindBadRequest, "region %q is unknown; allowed: %s", region, joinTexts(slices.Sorted(maps.Keys(known))))
 		}
 	}
 	return nil
@@ -310,14 +355,17 @@
 	for _, load := range s.endpoints.Regions(record.Service, now) {
 		loads[load.Region] = load
 	}
+	moving := map[savorystep.Region]int{}
 	for _, shift := range record.Shifts {
-		moving := int(loads[shift.From].Used) * shift.Percent / maxPercent
+		n := int(loads[shift.From].Used) * shift.Percent / maxPercent
 		if shift.Cap > 0 {
-			moving = min(moving, int(shift.Cap))
+			n = min(n, int(shift.Cap))
 		}
-		free := max(int(loads[shift.To].Slots-loads[shift.To].Used), 0)
-		if moving > free {
-			texts = append(texts, fmt.Sprintf("shift %s to %s would move about %d requests now, but %s has %d free slots; the rest will be refused", shift.From, shift.To, moving, shift.To, free))
+		moving[shift.To] += n
+	}
+	for _, to := range slices.Sorted(maps.Keys(moving)) {
+		if free := max(int(loads[to].Slots-loads[to].Used), 0); moving[to] > free {
+			texts = append(texts, fmt.Sprintf("the shifts would move about %d requests in flight to %s now, which has %d free slots; the rest would be refused", moving[to], to, free))
 		}
 	}
 	return texts
