--- a/cmd/operatorcmds_test.go
+++ b/cmd/operatorcmds_test.go
@@ -206,4 +206,3 @@
 	}
 	return n
 }
-
--- /dev/null
+++ b/cmd/timelinecmd_test.go
@@ -0,0 +1,217 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"encoding/xml"
+	"errors"
+	"io"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"savorystep/operator"
+)
+
+// timelineEvents are events of all instances, in causal order.
+var timelineEvents = []string{
+	"hobart-1|0|0|start||||Started.",
+	"launceston-1|1|0|eject|stock|launceston||Endpoint <s-1> & \"s-2\" ejected.",
+	"hobart-1|2|0|drain|orders|hobart|r7|Endpoint o-3 drains.",
+	"burnie-1|2|1|retry|orders|burnie|r7|Sent to another endpoint.",
+	"burnie-1|3|0|member||||</title><script>alert(1)</script>",
+}
+
+// TestTimelinePage guards against a page that is not well-formed, that needs
+// other files, or that lets the text of an event become markup.
+func TestTimelinePage(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		events []string
+		marks  int
+	}{
+		{name: "empty"},
+		{name: "one", events: timelineEvents[:1], marks: 1},
+		{name: "several", events: timelineEvents, marks: 5},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			s := newFakeSystem(t)
+			for _, line := range test.events {
+				s.event(t, line)
+			}
+			s.servers["launceston-1"].Close()
+			page := filepath.Join(t.TempDir(), "page.html")
+			runCommand(t, []string{"timeline", "--html", page, "--server", s.servers["hobart-1"].URL, "--token", testToken})
+			data, err := os.ReadFile(page)
+			if err != nil {
+				t.Fatal(err)
+			}
+			marks := test.marks
+			if marks == 5 {
+				marks-- // launceston-1 is down.
+			}
+			checkPage(t, data, marks)
+			if !strings.Contains(string(data), "Missing: launceston-1") {
+				t.Error("the page does not name the missing instance")
+			}
+		})
+	}
+}
+
+// checkPage reads a page as strict XML, which is stricter than HTML.
+func checkPage(t *testing.T, data []byte, marks int) {
+	t.Helper()
+	decoder := xml.NewDecoder(bytes.NewReader(data))
+	titles := 0
+	for {
+		token, err := decoder.Token()
+		if errors.Is(err, io.EOF) {
+			break
+		}
+		if err != nil {
+			t.Fatalf("not well-formed: %v", err)
+		}
+		element, ok := token.(xml.StartElement)
+		if !ok {
+			continue
+		}
+		switch element.Name.Local {
+		case "script", "link", "img", "iframe", "object":
+			t.Errorf("element %s", element.Name.Local)
+		case "title":
+			titles++
+		}
+		for _, attribute := range element.Attr {
+			name := attribute.Name.Local
+			if name == "src" || name == "href" && !strings.HasPrefix(attribute.Value, "#") || strings.Contains(attribute.Value, "//") {
+				t.Errorf("reference %s=%q", name, attribute.Value)
+			}
+		}
+	}
+	if titles != marks+1 {
+		t.Errorf("%d hover texts, want %d", titles-1, marks)
+	}
+	for _, part := range []string{"url(", "@import"} {
+		if bytes.Contains(data, []byte(part)) {
+			t.Errorf("the page holds %q", part)
+		}
+	}
+}
+
+// A lineCatcher passes on each line that is written to it.
+type lineCatcher struct {
+	mu    sync.Mutex
+	lines chan string
+	part  string
+}
+
+// Write implements io.Writer.
+func (l *lineCatcher) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.part += string(p)
+	for {
+		line, rest, found := strings.Cut(l.part, "\n")
+		if !found {
+			return len(p), nil
+		}
+		l.lines <- line
+		l.part = rest
+	}
+}
+
+// follow runs a command in the background and returns its lines, and a
+// function that interrupts it and returns its error.
+func follow(t *testing.T, args ...string) (lines <-chan string, stop func() error) {
+	t.Helper()
+	catcher := &lineCatcher{lines: make(chan string, 100)}
+	root := newRootCmd()
+	root.SetArgs(append(args, "--token", testToken))
+	root.SetOut(catcher)
+	root.SetErr(catcher)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- root.ExecuteContext(ctx) }()
+	return catcher.lines, func() error {
+		cancel()
+		return <-ended
+	}
+}
+
+func expectLine(t *testing.T, lines <-chan string, part string) {
+	t.Helper()
+	select {
+	case line := <-lines:
+		if !strings.Contains(line, part) {
+			t.Errorf("line %q, want %q", line, part)
+		}
+	case <-time.After(10 * time.Second):
+		t.Fatalf("no line with %q", part)
+	}
+}
+
+// TestTimelineFollow guards against a followed timeline that is out of causal
+// order, repeats events, or is silent about an instance that went away.
+func TestTimelineFollow(t *testing.T) {
+	s := newFakeSystem(t)
+	for _, i := range []int{1, 0, 2, 4, 3} {
+		if i != 4 {
+			s.event(t, timelineEvents[i])
+		}
+	}
+	lines, stop := follow(t, "timeline", "--follow", "--server", s.servers["hobart-1"].URL)
+	for _, part := range []string{"Started", "ejected", "o-3 drains", "another endpoint"} {
+		expectLine(t, lines, part)
+	}
+	s.event(t, timelineEvents[4])
+	expectLine(t, lines, "alert")
+	s.servers["burnie-1"].CloseClientConnections()
+	expectLine(t, lines, "missing: burnie-1")
+	s.event(t, "hobart-1|9|0|stop||||Stops.")
+	expectLine(t, lines, "Stops.")
+	// The stream to burnie-1 is opened again and must not repeat its events.
+	time.Sleep(6 * time.Second)
+	s.event(t, "burnie-1|10|0|stop||||Stops too.")
+	expectLine(t, lines, "Stops too.")
+	if err := stop(); err != nil {
+		t.Errorf("end: %v", err)
+	}
+}
+
+// TestUnknownFollow guards against a new misspelling that is not shown, or is
+// shown again with each look.
+func TestUnknownFollow(t *testing.T) {
+	s := newFakeSystem(t)
+	s.facts.count(t, "hobart-1", "ordres", 2)
+	lines, stop := follow(t, "unknown", "--follow", "--server", s.servers["hobart-1"].URL)
+	expectLine(t, lines, "ordres (2)")
+	s.facts.count(t, "burnie-1", "stcok", 1)
+	expectLine(t, lines, "stcok (1)")
+	if err := stop(); err != nil {
+		t.Errorf("end: %v", err)
+	}
+}
+
+// TestStoppingEndsStreams guards against a stream that holds up the stop of an
+// instance.
+func TestStoppingEndsStreams(t *testing.T) {
+	s := newFakeSystem(t)
+	client := operator.NewClient(operator.ClientConfig{Servers: []string{s.servers["hobart-1"].URL}, Token: testToken})
+	if _, err := client.Status(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	lines, stop := follow(t, "timeline", "--follow", "--server", s.servers["hobart-1"].URL)
+	s.event(t, timelineEvents[0])
+	expectLine(t, lines, "Started")
+	close(s.stopping)
+	s.stopping = make(chan struct{})
+	for range s.servers {
+		expectLine(t, lines, "the instance ended the stream")
+	}
+	if err := stop(); err != nil {
+		t.Errorf("end: %v", err)
+	}
+}
