Keep the cap and growth of a shift that are not given

Leaving a flag out must not lift a cap, so the request's cap and growth are optional now and 0 says none explicitly. explain printed a block's number as a float; numbers stay as they are written.

--- a/cmd/draincmd.go
+++ b/cmd/draincmd.go
@@ -1,8 +1,6 @@
 package cmd
 
 import (
-	"fmt"
-
 	"github.com/spf13/cobra"
 
 	"savorystep"
@@ -12,10 +10,9 @@
 // drainOptions are the options of the drain command.
 type drainOptions struct {
 	changeFlags
+	shiftFlags
 
 	end      bool
-	growth   int
-	limit    int
 	services []string
 	to       []string
 }
@@ -36,11 +33,10 @@
   savorystep drain hobart --end`,
 		RunE: func(cmd *cobra.Command, args []string) error { return runDrainCmd(cmd, o, args[0]) },
 	}
-	o.add(cmd)
+	o.changeFlags.add(cmd)
+	o.shiftFlags.add(cmd)
 	flags := cmd.Flags()
-	flags.IntVar(&o.limit, "cap", 0, "cap of each shift in requests in flight; 0 for no cap of its own")
 	flags.BoolVar(&o.end, "end", false, "end the drain: remove the shifts out of the region")
-	flags.IntVar(&o.growth, "growth", 0, fmt.Sprintf("most percent points by which each shift grows per second; 0 for %d", savorystep.DefaultGrowth))
 	flags.StringSliceVar(&o.services, "service", nil, "service to drain, repeatable; all if none is given")
 	flags.StringSliceVar(&o.to, "to", nil, "region that takes the traffic, repeatable")
 	return withArgs(cmd, cobra.ExactArgs(1))
@@ -53,10 +49,8 @@
 	}
 	ctx, cancel := o.context(cmd)
 	defer cancel()
-	request := operator.DrainRequest{
-		ChangeInfo: o.info(), Region: savorystep.Region(region),
-		Cap: savorystep.Slots(o.limit), Growth: o.growth, End: o.end,
-	}
+	request := operator.DrainRequest{ChangeInfo: o.info(), Region: savorystep.Region(region), End: o.end}
+	request.Cap, request.Growth = o.limits(cmd)
 	for _, to := range o.to {
 		request.To = append(request.To, savorystep.Region(to))
 	}
--- a/cmd/explaincmd.go
+++ b/cmd/explaincmd.go
@@ -55,6 +55,8 @@
 func printTree(w io.Writer, data json.RawMessage, depth int) {
 	indent := strings.Repeat("  ", depth)
 	decoder := json.NewDecoder(bytes.NewReader(data))
+	// Numbers stay as they are written; a block's number is no float.
+	decoder.UseNumber()
 	open, err := decoder.Token()
 	if err != nil {
 		return
@@ -82,8 +84,10 @@
 			printTree(w, value, depth+1)
 			continue
 		}
-		var scalar any
-		_ = json.Unmarshal(value, &scalar) // The decoder has accepted it already.
-		printf(w, "%s%s\t%v\n", indent, label, scalar)
+		text := string(value)
+		if value[0] == '"' {
+			_ = json.Unmarshal(value, &text) // The decoder has accepted it already.
+		}
+		printf(w, "%s%s\t%s\n", indent, label, text)
 	}
 }
--- a/operator/edit.go
+++ b/operator/edit.go
@@ -80,13 +80,30 @@
 	return sum
 }
 
+// withLimits returns a shift with a cap and a growth. Those that are nil stay
+// as they are in the record, so that no cap is lost by leaving it out.
+func withLimits(record *savorystep.Record, shift savorystep.Shift, limit *savorystep.Slots, growth *int) savorystep.Shift {
+	for _, old := range record.Shifts {
+		if old.From == shift.From && old.To == shift.To {
+			shift.Cap, shift.Growth = old.Cap, old.Growth
+		}
+	}
+	if limit != nil {
+		shift.Cap = *limit
+	}
+	if growth != nil {
+		shift.Growth = *growth
+	}
+	return shift
+}
+
 // A drain says how the traffic of a region moves away.
 type drain struct {
 	region savorystep.Region
 	// to are the regions that take it, those with shares if empty.
 	to     []savorystep.Region
-	limit  savorystep.Slots
-	growth int
+	limit  *savorystep.Slots
+	growth *int
 }
 
 // withDrain returns a copy of a record that moves all traffic of a region
@@ -112,8 +129,14 @@
 	if regionWeight(record, d.region) == 0 {
 		return c, nil
 	}
-	own := savorystep.Shift{From: d.region, Percent: maxPercent, Cap: d.limit, Growth: d.growth}
-	return c, spread(c, d, record, own)
+	first := len(c.Shifts)
+	if err := spread(c, d, record, savorystep.Shift{From: d.region, Percent: maxPercent}); err != nil {
+		return nil, err
+	}
+	for i := first; i < len(c.Shifts); i++ {
+		c.Shifts[i] = withLimits(record, c.Shifts[i], d.limit, d.growth)
+	}
+	return c, nil
 }
 
 // spread divides a shift over the targets of a drain and adds the parts to a
@@ -213,7 +236,8 @@
 	}
 	for i := range c.Shifts {
 		shift := &c.Shifts[i]
-		shift.Start = now
+		// Milliseconds are enough, and keep the file readable.
+		shift.Start = now.UTC().Truncate(time.Millisecond)
 		if current == nil {
 			continue
 		}
@@ -226,10 +250,8 @@
 				continue
 			}
 			grown := time.Duration(movedPercent(old, now) * float64(time.Second) / float64(growthOf(*shift)))
-			shift.Start = now.Add(-grown)
+			shift.Start = now.UTC().Add(-grown).Truncate(time.Millisecond)
 		}
-		// The record is stored as JSON, which has no monotonic reading.
-		shift.Start = shift.Start.Round(0).UTC()
 	}
 	return c
 }
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -35,7 +35,13 @@
 type ShiftRequest struct {
 	ChangeInfo
 	Service savorystep.Service `json:"service"`
-	Shift   savorystep.Shift   `json:"shift"`
+	From    savorystep.Region  `json:"from"`
+	To      savorystep.Region  `json:"to"`
+	Percent int                `json:"percent"`
+	// Cap and Growth stay as they are if they are nil. 0 means no cap of its
+	// own and savorystep.DefaultGrowth.
+	Cap    *savorystep.Slots `json:"cap,omitempty"`
+	Growth *int              `json:"growth,omitempty"`
 }
 
 // A DrainRequest moves the traffic of a region elsewhere.
@@ -47,8 +53,10 @@
 	To []savorystep.Region `json:"to,omitempty"`
 	// Services are the services to drain, all if empty.
 	Services []savorystep.Service `json:"services,omitempty"`
-	Cap      savorystep.Slots     `json:"cap,omitempty"`
-	Growth   int                  `json:"growth,omitempty"`
+	// Cap and Growth are for each shift. If they are nil, a shift that is there
+	// already keeps its own, and a new one has neither.
+	Cap    *savorystep.Slots `json:"cap,omitempty"`
+	Growth *int              `json:"growth,omitempty"`
 	// End ends the shifts out of the region instead.
 	End bool `json:"end,omitempty"`
 }
--- a/operator/steering.go
+++ b/operator/steering.go
@@ -111,11 +111,12 @@
 
 // Shift sets a shift.
 func (s *steering) Shift(ctx context.Context, request ShiftRequest) (*Outcome, error) {
-	if err := s.knownRegions(request.Shift.From, request.Shift.To); err != nil {
+	if err := s.knownRegions(request.From, request.To); err != nil {
 		return nil, err
 	}
 	return s.edit(ctx, request.ChangeInfo, request.Service, func(record *savorystep.Record) (*savorystep.Record, error) {
-		return withShift(record, request.Shift), nil
+		shift := withLimits(record, savorystep.Shift{From: request.From, To: request.To, Percent: request.Percent}, request.Cap, request.Growth)
+		return withShift(record, shift), nil
 	})
 }
 
