--- /dev/null
+++ b/cmd/shiftcmd.go
@@ -0,0 +1,60 @@
+package cmd
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+
+	"savorystep"
+	"savorystep/operator"
+)
+
+// shiftOptions are the options of the shift command.
+type shiftOptions struct {
+	changeFlags
+	shiftFlags
+}
+
+func newShiftCmd() *cobra.Command {
+	o := &shiftOptions{}
+	cmd := &cobra.Command{
+		Use:   "shift SERVICE FROM TO PERCENT",
+		Short: "Move a part of a service's traffic to another region",
+		Long: `Move a part of the traffic that one region would receive to another. The part
+grows from where it is now; 0 percent ends the shift. A cap and a growth that
+are not given stay as they are.`,
+		Example: `  savorystep shift status recife natal 20 --cap 30 --dry-run
+  savorystep shift status recife natal 20 --cap 30 --growth 2
+  savorystep shift status recife natal 0`,
+		RunE:              func(cmd *cobra.Command, args []string) error { return runShiftCmd(cmd, o, args) },
+		ValidArgsFunction: o.completeServices(0),
+	}
+	o.changeFlags.add(cmd)
+	o.shiftFlags.add(cmd)
+	return withArgs(cmd, cobra.ExactArgs(4))
+}
+
+func runShiftCmd(cmd *cobra.Command, o *shiftOptions, args []string) error {
+	percent, err := strconv.Atoi(strings.TrimSuffix(args[3], "%"))
+	if err != nil {
+		return usageError(cmd, fmt.Errorf("%q is not a percentage", args[3]))
+	}
+	client, err := o.client()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := o.context(cmd)
+	defer cancel()
+	request := operator.ShiftRequest{
+		ChangeInfo: o.info(), Service: savorystep.Service(args[0]),
+		From: savorystep.Region(args[1]), To: savorystep.Region(args[2]), Percent: percent,
+	}
+	request.Cap, request.Growth = o.limits(cmd)
+	outcome, err := o.changes(client).Shift(ctx, request)
+	if err != nil {
+		return err
+	}
+	return o.finish(ctx, cmd, client, *outcome)
+}
