Give the processes of tests loopback numbers of their own

Cause: a port that the kernel had picked and freed was taken by another process of the same test before the entry listened on it, so the entry exited and the test failed with revision 0 not in force. Ruled out the configuration log.

--- a/cmd/processes_test.go
+++ b/cmd/processes_test.go
@@ -6,13 +6,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -102,18 +103,24 @@
 	addresses map[savorystep.EndpointID]savorystep.Address
 }
 
-// freeAddresses returns addresses on loopback that were free a moment ago.
-func freeAddresses(t *testing.T, count int) []savorystep.Address {
+// addressCount counts the addresses that were given out.
+var addressCount atomic.Uint32
+
+// newAddresses returns addresses on loopback numbers of their own. Ports picked
+// by the kernel on 127.0.0.1 could be taken by an outgoing connection before a
+// process listens on them.
+func newAddresses(t *testing.T, count int) []savorystep.Address {
 	t.Helper()
+	const port = 7001
+	pid := os.Getpid()
 	addresses := make([]savorystep.Address, 0, count)
-	var config net.ListenConfig
 	for range count {
-		listener, err := config.Listen(t.Context(), "tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
+		n := addressCount.Add(1)
+		if n > 254 {
+			t.Fatal("no loopback number is left")
 		}
-		defer func() { _ = listener.Close() }()
-		addresses = append(addresses, savorystep.Address(listener.Addr().String()))
+		number := netip.AddrFrom4([4]byte{127, byte(64 + pid>>8&0x7f), byte(pid), byte(n)})
+		addresses = append(addresses, savorystep.Address(netip.AddrPortFrom(number, port).String()))
 	}
 	return addresses
 }
@@ -122,7 +129,7 @@
 // the given services, and waits until all entries are ready.
 func startProcesses(t *testing.T, entries int, services []savorystep.Service, perService int) *processes {
 	t.Helper()
-	free := freeAddresses(t, 1)
+	free := newAddresses(t, 1)
 	p := &processes{
 		t:         t,
 		address:   free[0],
@@ -148,7 +155,7 @@
 // startUpstream starts one endpoint.
 func (p *processes) startUpstream(id savorystep.EndpointID, service savorystep.Service, region savorystep.Region) {
 	p.t.Helper()
-	address := freeAddresses(p.t, 1)[0]
+	address := newAddresses(p.t, 1)[0]
 	p.addresses[id] = address
 	p.upstreams[id] = startProcess(p.t, "standin", "upstream",
 		"--listen", string(address), "--platform", string(p.address), "--id", string(id),
@@ -158,7 +165,7 @@
 // startEntry starts one entry instance.
 func (p *processes) startEntry(region savorystep.Region) {
 	p.t.Helper()
-	free := freeAddresses(p.t, 3)
+	free := newAddresses(p.t, 3)
 	settings := operator.InstanceSettings{
 		Region: region, Zone: savorystep.Zone(region) + "-a", Caller: free[0], Operator: free[1], Peer: free[2],
 	}
