Refuse look-ups that would name no entry

Such a look-up is NotReady now, and the status is stated as soon as a revision is in force instead of up to 250 ms later. Registration no longer delays the status when the platform is slow.

Two faults of the entry client came up in the same runs: it went back to an entry that refuses connections, and it reported the last attempt's 'did not run' although an earlier attempt may have run. Both are mended.

--- a/caller/steering.go
+++ b/caller/steering.go
@@ -115,6 +115,10 @@
 		return savorystep.Lookup{}, decision, err
 	}
 	entries := s.roster.Entries(record.Service, decision.Region, slotsIn(loads, decision.Region), origin.Block, now)
+	if len(entries) == 0 {
+		// An empty answer would be cached for the lifetime of look-ups.
+		return savorystep.Lookup{}, decision, savorystep.NewError(savorystep.KindNotReady, "no entry is known to be ready")
+	}
 	return savorystep.Lookup{
 		Service:  record.Service,
 		Revision: view.Revision,
--- a/cmd/instance.go
+++ b/cmd/instance.go
@@ -177,25 +177,56 @@
 func (i *instance) Start(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		registered := false
-		ticker := time.NewTicker(statusInterval)
-		defer ticker.Stop()
-		for {
-			if !registered && !i.leaving.Load() {
-				registered = i.register(ctx, i.self)
-			}
-			i.stateStatus()
-			select {
-			case <-ctx.Done():
-				done <- nil
-				return
-			case <-ticker.C:
-			}
-		}
+		var group errgroup.Group
+		group.Go(func() error { return i.runRegistration(ctx) })
+		group.Go(func() error { return i.runStatus(ctx) })
+		group.Go(func() error { return i.runRevisions(ctx) })
+		done <- group.Wait()
 	}()
 	return done
 }
 
+// runRegistration registers the instance, again until the platform takes it.
+// It is apart from the status, which must not wait for a slow platform.
+func (i *instance) runRegistration(ctx context.Context) error {
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	for !i.leaving.Load() && !i.register(ctx, i.self) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+// runStatus states the status at intervals.
+func (i *instance) runStatus(ctx context.Context) error {
+	ticker := time.NewTicker(statusInterval)
+	defer ticker.Stop()
+	for {
+		i.stateStatus()
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.C:
+		}
+	}
+}
+
+// runRevisions states the status as soon as a new revision is in force, since
+// peers leave an instance out of look-ups while they think it is behind.
+func (i *instance) runRevisions(ctx context.Context) error {
+	for {
+		next := i.log.View().Revision + 1
+		if err := i.log.Wait(ctx, next); err != nil {
+			return ignoreCancelled(ctx.Err())
+		}
+		i.stateStatus()
+	}
+}
+
 // register tells the platform about this instance and reports success.
 func (i *instance) register(ctx context.Context, self savorystep.Instance) bool {
 	limited, cancel := context.WithTimeout(ctx, registerTimeout)
--- a/cmd/process_test.go
+++ b/cmd/process_test.go
@@ -92,7 +92,9 @@
 	mu       sync.Mutex
 	answered int
 	refused  map[savorystep.Kind]int
-	wrong    []error
+	// last is the last refusal, for the log of a failed test.
+	last  error
+	wrong []error
 }
 
 // add counts one request.
@@ -101,6 +103,7 @@
 	defer o.mu.Unlock()
 	if err != nil {
 		o.refused[savorystep.KindOf(err)]++
+		o.last = err
 		return
 	}
 	o.answered++
@@ -154,7 +157,7 @@
 	counted := sendMany(p, 500, 13*time.Millisecond)
 	cancel()
 	switching.Wait()
-	t.Logf("%d answered, refused: %v", counted.answered, counted.refused)
+	t.Logf("%d answered, refused: %v, last: %v", counted.answered, counted.refused, counted.last)
 	for _, err := range counted.wrong {
 		t.Error(err)
 	}
@@ -194,7 +197,7 @@
 		}
 	}()
 	counted := sendMany(p, 300, 6*time.Millisecond)
-	t.Logf("%d answered, refused: %v", counted.answered, counted.refused)
+	t.Logf("%d answered, refused: %v, last: %v", counted.answered, counted.refused, counted.last)
 	for _, err := range counted.wrong {
 		t.Error(err)
 	}
--- a/entry/client.go
+++ b/entry/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -36,6 +37,8 @@
 	revision savorystep.Revision
 	cache    map[savorystep.Name]cachedLookup
 	known    []savorystep.Address
+	// avoided holds the entries that can't be reached, each until a time.
+	avoided map[savorystep.Address]time.Time
 }
 
 // A cachedLookup is an answer to a look-up with the time until which it holds.
@@ -68,10 +71,11 @@
 		DisableCompression:  true,
 	}
 	return &Client{
-		config: config,
-		http:   &http.Client{Transport: transport},
-		cache:  make(map[savorystep.Name]cachedLookup),
-		known:  append([]savorystep.Address(nil), config.Seeds...),
+		config:  config,
+		http:    &http.Client{Transport: transport},
+		avoided: make(map[savorystep.Address]time.Time),
+		cache:   make(map[savorystep.Name]cachedLookup),
+		known:   append([]savorystep.Address(nil), config.Seeds...),
 	}
 }
 
@@ -85,7 +89,7 @@
 	now := c.config.Clock.Now()
 	c.mu.Lock()
 	cached, ok := c.cache[name]
-	known := append([]savorystep.Address(nil), c.known...)
+	known := c.reachableFirst(now)
 	c.mu.Unlock()
 	if ok && now.Before(cached.until) {
 		return cached.Lookup, nil
@@ -112,6 +116,9 @@
 			return lookup, nil
 		}
 		last = err
+		if isUnreachable(err) {
+			c.avoid(address)
+		}
 		if savorystep.KindOf(err) == savorystep.KindUnknownName || ctx.Err() != nil {
 			break
 		}
@@ -135,7 +142,7 @@
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
-		return savorystep.Lookup{}, savorystep.WrapError(savorystep.KindNotReady, err, "entry %s does not answer", address)
+		return savorystep.Lookup{}, savorystep.WrapError(savorystep.KindNotReady, errors.Join(errUnreachable, err), "entry %s does not answer", address)
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxLookup))
--- a/entry/send.go
+++ b/entry/send.go
@@ -24,27 +24,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	var last error
+	var failed failure
 	for attempt := range max(1, c.config.Attempts) {
 		lookup, err := c.Lookup(ctx, request.Name)
 		if err != nil {
-			return nil, err
+			return nil, failed.with(err)
 		}
-		if len(lookup.Entries) == 0 {
-			return nil, savorystep.NewError(savorystep.KindNotReady, "no entry serves %s", request.Name)
+		entry, ok := c.pick(lookup.Entries, attempt)
+		if !ok {
+			return nil, failed.with(savorystep.NewError(savorystep.KindNotReady, "no entry serves %s", request.Name))
 		}
-		entry := lookup.Entries[attempt%len(lookup.Entries)]
 		response, err := c.sendTo(ctx, entry, &request)
 		if err == nil {
 			response.Attempts = attempt + 1
 			return response, nil
 		}
-		last = err
+		failed.add(err)
+		if isUnreachable(err) {
+			c.avoid(entry.Address)
+		}
 		if !c.mayRepeat(&request, err) || !wait(ctx, delayOf(err)) {
 			break
 		}
 	}
-	return nil, last
+	return nil, failed.err()
 }
 
 // mayRepeat reports whether the request may be sent again after an error.
@@ -125,7 +128,7 @@
 // sendError returns the error for an attempt that got no whole answer.
 func sendError(ctx context.Context, err error, entry savorystep.Entry, sent bool) error {
 	if !sent {
-		return savorystep.WrapError(savorystep.KindNotReady, err, "entry %s can't be reached", entry.Address)
+		return savorystep.WrapError(savorystep.KindNotReady, errors.Join(errUnreachable, err), "entry %s can't be reached", entry.Address)
 	}
 	if ctx.Err() != nil {
 		return savorystep.WrapError(savorystep.KindDeadlineExceeded, err, "entry %s did not answer in time", entry.Address)
