Send scoped facts through brokers and revisions as vectors

Cause: in-flight facts of all instances and a revision fact per instance do not fit into 5 KB/s at fleet size. Scoped facts go to the brokers of their group and from there to the instances that state facts of the group. The revision in force is one bit per instance, with groups of at least 8 members.

Ruled out: a connection to every instance that uses the same endpoint, since an instance does not know them without a broker.

--- a/peer/antientropy.go
+++ b/peer/antientropy.go
@@ -8,6 +8,12 @@
 const (
 	// maxDiffering bounds the buckets compared after one digest.
 	maxDiffering = 4
+	// maxMissing is the number of facts after which no further missing bucket
+	// is sent in answer to one digest. A new instance asks several peers, and
+	// each shall send another part.
+	maxMissing = 32
+	// digestSize is the size of a digest in bytes.
+	digestSize = 4 * (bucketCount + 1)
 	// entrySize is the usual size of a summary's entry in bytes.
 	entrySize = 9
 )
@@ -16,9 +22,24 @@
 	return len(s.Buckets)*2 + len(s.Entries)*entrySize + 8
 }
 
+// digestBytes returns the checksums of the buckets and of the revisions.
+func (s *store) digestBytes() []byte {
+	data := make([]byte, 0, digestSize)
+	for _, sum := range s.digest {
+		data = binary.BigEndian.AppendUint32(data, sum)
+	}
+	return binary.BigEndian.AppendUint32(data, s.revisions.checksum())
+}
+
+// sameRevisions reports whether a peer's digest has the same revisions.
+func (s *store) sameRevisions(digest []byte) bool {
+	return binary.BigEndian.Uint32(digest[4*bucketCount:]) == s.revisions.checksum()
+}
+
 // compare returns some buckets in which a peer's digest differs: those for
 // which the peer has no facts, and those to compare by summary.
 func (s *store) compare(digest []byte) (missing, differing []uint8) {
+	count := 0
 	start := rand.IntN(bucketCount) //nolint:gosec // The choice needs no secrecy.
 	for i := range bucketCount {
 		index := (start + i) % bucketCount
@@ -26,7 +47,10 @@
 		switch {
 		case theirs == s.digest[index]:
 		case theirs == 0:
-			missing = append(missing, uint8(index))
+			if count < maxMissing {
+				missing = append(missing, uint8(index))
+				count += len(s.buckets[index])
+			}
 		case len(differing) < maxDiffering:
 			differing = append(differing, uint8(index))
 		}
--- a/peer/config.go
+++ b/peer/config.go
@@ -51,8 +51,9 @@
 	// Silence is the time without a frame after which a connection is given up
 	// and its peer suspected, default three heartbeats.
 	Silence time.Duration
-	// Connections is the greatest number of connections, default 32. If all
-	// instances fit, this instance connects to all.
+	// Connections is the greatest number of connections, default 32. If there
+	// are at most three quarters as many other instances, this instance
+	// connects to all.
 	Connections int
 	// Poll is the time between reads of the registry, default 2 s.
 	Poll time.Duration
@@ -101,3 +102,10 @@
 		*value = fallback
 	}
 }
+
+// mesh returns the greatest number of other instances to which an instance
+// connects to all. The rest of the connections is left for those that choose
+// this instance.
+func (c Config) mesh() int {
+	return c.Connections * 3 / 4
+}
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -14,6 +14,9 @@
 	"savorystep"
 )
 
+// firstDigests is the number of connections on which a digest is sent at once.
+const firstDigests = 2
+
 // Path is the path of the WebSocket.
 const Path = "/peer"
 
@@ -189,17 +192,19 @@
 func (e *Exchange) newLink(conn *websocket.Conn, instance savorystep.Instance, dialed bool) *link {
 	now := e.config.Clock.Now()
 	return &link{
-		exchange: e,
-		peer:     instance,
-		dialed:   dialed,
-		conn:     conn,
-		wake:     make(chan struct{}, 1),
-		end:      make(chan struct{}),
-		opened:   now,
-		needed:   now,
-		heard:    now,
-		pending:  make(map[factKey]struct{}),
-		names:    make(map[string]uint64),
+		exchange:  e,
+		interests: make(map[string]bool),
+		sharing:   make(map[string]bool),
+		peer:      instance,
+		dialed:    dialed,
+		conn:      conn,
+		wake:      make(chan struct{}, 1),
+		end:       make(chan struct{}),
+		opened:    now,
+		needed:    now,
+		heard:     now,
+		pending:   make(map[factKey]struct{}),
+		names:     make(map[string]uint64),
 	}
 }
 
@@ -239,7 +244,7 @@
 		}
 		old.close(closeDuplicate, "replaced")
 	}
-	if e.group == nil {
+	if e.tasks == nil {
 		return false
 	}
 	e.links[id] = l
@@ -254,12 +259,15 @@
 	}
 	for _, facts := range e.store.facts {
 		for key := range facts {
-			if key.instance == e.config.Self.ID {
+			if key.instance == e.config.Self.ID && !isScoped(key.kind) {
 				l.add(key)
 			}
 		}
 	}
-	l.due, l.urgent, l.digest = true, true, true
+	e.keepGroups(now)
+	l.due, l.urgent = true, true
+	// The first connections bring the facts; on further ones the rounds do.
+	l.digest = len(e.links) <= firstDigests
 	l.signal()
 	e.record(savorystep.EventMember, fmt.Sprintf("connected to instance %s", id))
 	return true
--- a/peer/entry.go
+++ b/peer/entry.go
@@ -31,6 +31,22 @@
 	// is never later than the true time by more than the time on the way.
 	born  time.Time
 	heard time.Time
+	// idle is true if the fact says the same as none.
+	idle bool
+}
+
+// isIdle reports whether a scoped fact says the same as no fact.
+func isIdle(fact savorystep.Fact) bool {
+	switch fact.Kind {
+	case savorystep.FactInFlight:
+		body, err := inFlightFacts.Decode(fact.Body)
+		return err != nil || body.Count == 0
+	case savorystep.FactHealth:
+		body, err := healthFacts.Decode(fact.Body)
+		return err != nil || !body.Ejected
+	default:
+		return false
+	}
 }
 
 // checksum identifies the fact and its sequence in a digest.
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -38,6 +38,7 @@
 	// watches hold when each instance to monitor was last heard.
 	watches     map[savorystep.InstanceID]*watch
 	dials       map[savorystep.Address]*dial
+	groups      map[string]*group
 	listed      []savorystep.Instance
 	source      savorystep.ChangeSource
 	status      savorystep.StatusFact
@@ -49,10 +50,15 @@
 	requests    uint64
 	stats       Stats
 	snapshot    snapshot
-	alone       time.Time
-	started     bool
-	// group runs the goroutines. It is nil before Start and after the end.
-	group *errgroup.Group
+	// alone is when the last connection ended.
+	alone time.Time
+	// vectorNext is the earliest time of the next full vector.
+	vectorNext time.Time
+	// fresh counts the facts learned since the last digest.
+	fresh   int
+	started bool
+	// tasks runs the goroutines. It is nil before Start and after the end.
+	tasks *errgroup.Group
 
 	noticed chan struct{}
 	wake    chan struct{}
@@ -82,6 +88,7 @@
 		links:       make(map[savorystep.InstanceID]*link),
 		watches:     make(map[savorystep.InstanceID]*watch),
 		dials:       make(map[savorystep.Address]*dial),
+		groups:      make(map[string]*group),
 		source:      config.Source,
 		status:      savorystep.StatusFact{Instance: config.Self},
 		subscribers: make(map[savorystep.FactKind][]func(savorystep.HeardFact)),
@@ -133,7 +140,7 @@
 		return done
 	}
 	e.started = true
-	e.group = group
+	e.tasks = group
 	e.alone = e.config.Clock.Now()
 	e.mu.Unlock()
 	group.Go(func() error { return e.runRounds(ctx) })
@@ -154,7 +161,7 @@
 func (e *Exchange) closeAll() {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.group = nil
+	e.tasks = nil
 	for _, l := range e.links {
 		l.close(closeStopping, "instance stops")
 	}
@@ -165,10 +172,10 @@
 func (e *Exchange) spawn(f func() error) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.group == nil {
+	if e.tasks == nil {
 		return false
 	}
-	e.group.Go(f)
+	e.tasks.Go(f)
 	return true
 }
 
@@ -226,15 +233,18 @@
 
 // raiseRevision notes the revision in force here.
 func (e *Exchange) raiseRevision(revision savorystep.Revision) {
-	if m := e.store.members[e.config.Self.ID]; m != nil && e.store.revisions.raise(m, revision) {
-		e.dueAll()
+	top := e.store.revisions.top
+	if m := e.store.members[e.config.Self.ID]; m != nil {
+		e.store.revisions.raise(m, revision)
+	}
+	if e.store.revisions.top > top {
+		e.announce()
 	}
 }
 
-// dueAll makes all links send what they have.
-func (e *Exchange) dueAll() {
+// announce wakes all links, which then send the new top revision.
+func (e *Exchange) announce() {
 	for _, l := range e.links {
-		l.due = true
 		l.signal()
 	}
 }
@@ -269,3 +279,11 @@
 	}
 	return now.Sub(e.alone) >= e.config.Silence+refuteWindow(0)
 }
+
+// TopRevision returns the greatest revision that any instance is known to have
+// in force, whether or not that instance is left out.
+func (e *Exchange) TopRevision() savorystep.Revision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.store.revisions.top
+}
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"savorystep"
+	"savorystep/peer"
 )
 
 // TestExchangeSpreadsFacts guards against facts, revisions and statuses that
@@ -65,7 +66,7 @@
 
 // TestChangesFrom guards against changes that lose their content on the way.
 func TestChangesFrom(t *testing.T) {
-	f := newFleet(t, 2, nil)
+	f := newFleet(t, 2, func(c *peer.Config) { c.Fanout = 1 })
 	f.full(t)
 	when := time.Date(2026, 1, 2, 3, 4, 5, 6, time.UTC)
 	f.nodes[0].SetSource(source{
@@ -96,7 +97,7 @@
 // silent for ever while new ones work: it must be replaced without the peer
 // being left out.
 func TestExchangeReplacesSilentConnection(t *testing.T) {
-	f := newFleet(t, 2, nil)
+	f := newFleet(t, 2, func(c *peer.Config) { c.Fanout = 1 })
 	f.full(t)
 	a, b := f.nodes[0], f.nodes[1]
 	if f.network.silence(a.Self().Peer, b.Self().Peer) == 0 {
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -68,8 +68,14 @@
 	if entry == nil {
 		entry = e.store.get(factKey{kind: kind, instance: e.config.Self.ID, subject: subject})
 	}
-	if entry == nil {
-		e.dueAll()
+	var key factKey
+	switch {
+	case entry != nil:
+		key = entry.key
+	case kind == savorystep.FactRevision:
+		// Revisions travel in a field of the frame.
+		key = factKey{kind: kind, instance: e.config.Self.ID}
+	default:
 		e.mu.Unlock()
 		return 0, 0
 	}
@@ -79,7 +85,7 @@
 	e.waiters[number] = w
 	for id, l := range e.links {
 		w.outstanding[id] = true
-		l.pushes = append(l.pushes, push{number: number, key: entry.key})
+		l.pushes = append(l.pushes, push{number: number, key: key})
 		l.signal()
 	}
 	absent := e.countAbsent()
@@ -180,15 +186,16 @@
 	if from != nil {
 		delete(from.pending, entry.key)
 	}
+	if isScoped(entry.key.kind) {
+		e.spreadScoped(entry, from)
+		return
+	}
 	if from == nil {
 		for _, l := range e.links {
 			l.add(entry.key)
 		}
 		return
 	}
-	if isScoped(entry.key.kind) {
-		return
-	}
 	for _, l := range e.relaysFor(entry.key.instance, from) {
 		l.add(entry.key)
 	}
@@ -215,7 +222,7 @@
 // isMesh reports whether the fleet is small enough for a connection to every
 // instance.
 func (e *Exchange) isMesh() bool {
-	return len(e.store.members)-1 <= e.config.Connections
+	return len(e.store.members)-1 <= e.config.mesh()
 }
 
 // learn merges the facts of a frame.
@@ -232,6 +239,7 @@
 		if entry == nil {
 			continue
 		}
+		e.fresh++
 		e.spread(entry, from)
 		e.notify(savorystep.HeardFact{Fact: fact, Heard: now})
 	}
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -53,12 +53,16 @@
 	Push uint64 `cbor:"3,keyasint,omitempty"`
 	// Vector holds the instances known to have the newest revision in force.
 	Vector *vector `cbor:"4,keyasint,omitempty"`
-	// Digest holds one 32-bit checksum per bucket of the sender's facts.
+	// Digest holds one 32-bit checksum per bucket of the sender's facts and
+	// one of its revisions.
 	Digest []byte `cbor:"5,keyasint,omitempty"`
 	// Summary lists the facts in buckets whose checksums differ.
 	Summary *summary `cbor:"6,keyasint,omitempty"`
 	// Reset empties the dictionary before Names are added.
 	Reset bool `cbor:"7,keyasint,omitempty"`
+	// Revision is the revision in force at the sender, 0 if it is the same as
+	// in the last frame that had one.
+	Revision savorystep.Revision `cbor:"8,keyasint,omitempty"`
 }
 
 // A wireFact is a fact whose strings are numbers of the dictionary, from 1.
@@ -139,7 +143,7 @@
 			return savorystep.NewError(savorystep.KindBadRequest, "fact has no sequence or kind")
 		}
 	}
-	if len(f.Digest) != 0 && len(f.Digest) != 4*bucketCount {
+	if len(f.Digest) != 0 && len(f.Digest) != digestSize {
 		return savorystep.NewError(savorystep.KindBadRequest, "digest has %d bytes", len(f.Digest))
 	}
 	if f.Vector != nil {
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -35,6 +35,10 @@
 	drainingLifetime = 10 * time.Minute
 	// unknownLifetime is the lifetime of a count of an unknown name.
 	unknownLifetime = time.Hour
+	// idleLifetime is the lifetime of scoped facts that say the same as none,
+	// such as no requests in flight, so that endpoints that are gone leave
+	// nothing behind.
+	idleLifetime = time.Minute
 	// maxUnknown bounds the unknown names kept of all instances, and
 	// maxUnknownEach those of one instance. Callers choose these names, so
 	// without a bound they could fill the memory.
--- a/peer/link.go
+++ b/peer/link.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/binary"
 	"slices"
 	"time"
 
@@ -43,8 +42,17 @@
 	// pending, beat when a heartbeat is due, digest when a digest is due.
 	due, urgent, beat, digest bool
 	summaries                 []*summary
-	// vectorSent is the version of the revision table last sent.
-	vectorSent uint64
+	// vectorSent is the version of the revision table last sent, topSent the
+	// greatest revision announced, revisionSent the own revision last sent.
+	vectorSent   uint64
+	topSent      savorystep.Revision
+	revisionSent savorystep.Revision
+	// revisionHeard is the revision in force at the peer.
+	revisionHeard savorystep.Revision
+
+	// interests are the groups that the peer states facts of, sharing those of
+	// which it has been sent the own facts.
+	interests, sharing map[string]bool
 
 	names      map[string]uint64
 	heardNames []string
@@ -69,6 +77,8 @@
 	// maxPending bounds the facts waiting for one peer. What is dropped comes
 	// with the comparison of digests.
 	maxPending = 8192
+	// revisionSize is the size of an own revision in a frame, in bytes.
+	revisionSize = 10
 	// reserve is the part of the burst kept for urgent facts and heartbeats.
 	reserve = 200
 )
@@ -153,11 +163,15 @@
 	if len(l.pushes) > 0 {
 		p := l.pushes[0]
 		l.pushes = l.pushes[1:]
+		facts := &factsFrame{Push: p.number}
 		if entry := e.store.get(p.key); entry != nil {
-			facts := &factsFrame{Push: p.number}
 			l.append(now, facts, entry)
-			return l.encode(now, frame{Facts: facts})
+			delete(l.pending, p.key)
+		} else {
+			facts.Revision = e.store.members[e.config.Self.ID].revision
+			l.revisionSent = facts.Revision
 		}
+		return l.encode(now, frame{Facts: facts})
 	}
 	facts := l.compose(now)
 	if facts == nil {
@@ -173,7 +187,7 @@
 	facts := &factsFrame{}
 	empty := true
 	available := e.bucket.available(now)
-	if l.digest && available >= 4*bucketCount {
+	if l.digest && available >= digestSize {
 		l.digest = false
 		facts.Digest = e.store.digestBytes()
 		empty = false
@@ -185,14 +199,9 @@
 		empty = false
 		available -= summarySize(facts.Summary)
 	}
-	if (l.due || l.urgent) && l.vectorSent != e.store.revisions.version {
-		v := e.store.revisions.vector()
-		if size := v.size(); size <= available {
-			facts.Vector = v
-			l.vectorSent = e.store.revisions.version
-			empty = empty && v == nil
-			available -= size
-		}
+	if size := l.composeVector(now, facts, available); size > 0 {
+		empty = false
+		available -= size
 	}
 	if l.take(now, facts, available) {
 		empty = false
@@ -203,6 +212,36 @@
 	return facts
 }
 
+// composeVector adds the own revision and the vector to a frame if they are
+// new to the peer. It returns their size in bytes.
+func (l *link) composeVector(now time.Time, facts *factsFrame, available int) int {
+	e := l.exchange
+	size := 0
+	if m := e.store.members[e.config.Self.ID]; m.revision > l.revisionSent {
+		facts.Revision = m.revision
+		l.revisionSent = m.revision
+		size += revisionSize
+	}
+	revisions := &e.store.revisions
+	switch {
+	case l.topSent < revisions.top:
+		// A new revision is announced to all at once, by the first groups
+		// only: all groups on all links would exceed the budget.
+		facts.Vector = revisions.vector(1)
+		l.topSent = revisions.top
+	case l.due && l.vectorSent != revisions.version && !now.Before(e.vectorNext):
+		v := revisions.vector(bucketCount)
+		if v.size() > available-reserve {
+			return size
+		}
+		facts.Vector = v
+		l.vectorSent = revisions.version
+		// Vectors take at most half of the budget.
+		e.vectorNext = now.Add(time.Duration(2 * float64(v.size()) / float64(e.config.Bytes) * float64(time.Second)))
+	}
+	return size + facts.Vector.size()
+}
+
 // take moves pending facts into a frame, newest first, within the available
 // bytes. It reports whether it took any.
 func (l *link) take(now time.Time, facts *factsFrame, available int) bool {
@@ -359,12 +398,3 @@
 	}
 	return facts, nil
 }
-
-// digestBytes returns the checksums of the buckets.
-func (s *store) digestBytes() []byte {
-	data := make([]byte, 0, 4*bucketCount)
-	for _, sum := range s.digest {
-		data = binary.BigEndian.AppendUint32(data, sum)
-	}
-	return data
-}
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -29,7 +29,7 @@
 	switch {
 	case f.Facts != nil:
 		e.learn(now, l, facts, f.Facts.Facts)
-		e.learnVector(f.Facts.Vector)
+		e.learnRevisions(l, f.Facts)
 		e.reconcile(l, f.Facts)
 		if f.Facts.Push != 0 {
 			l.control = append(l.control, frame{Ack: &ackFrame{Push: f.Facts.Push}})
@@ -59,18 +59,23 @@
 	w.settle()
 }
 
-// learnVector takes the revisions in force of a peer's vector.
-func (e *Exchange) learnVector(v *vector) {
-	if v == nil {
-		return
-	}
+// learnRevisions takes the revisions in force from a peer's frame.
+func (e *Exchange) learnRevisions(l *link, f *factsFrame) {
 	top := e.store.revisions.top
-	for _, o := range e.store.revisions.merge(v) {
-		e.notify(revisionFact(o.id, o.m))
+	if m := e.store.members[l.peer.ID]; m != nil && e.store.revisions.raise(m, max(f.Revision, l.revisionHeard)) {
+		e.notify(revisionFact(l.peer.ID, m))
+	}
+	// The status of the peer may come after its revision.
+	l.revisionHeard = max(l.revisionHeard, f.Revision)
+	if f.Vector != nil {
+		l.topSent = max(l.topSent, f.Vector.Revision)
+		for _, o := range e.store.revisions.merge(f.Vector) {
+			e.notify(revisionFact(o.id, o.m))
+		}
 	}
 	if e.store.revisions.top > top {
 		// A new revision goes on at once, not with the next round.
-		e.dueAll()
+		e.announce()
 	}
 }
 
@@ -83,6 +88,9 @@
 				l.add(key)
 			}
 		}
+		if !e.store.sameRevisions(f.Digest) {
+			l.vectorSent = 0
+		}
 		if len(differing) > 0 && len(l.summaries) == 0 {
 			l.summaries = append(l.summaries, e.store.summarise(differing, false))
 			l.signal()
--- a/peer/revisiontable.go
+++ b/peer/revisiontable.go
@@ -18,6 +18,7 @@
 	// sent the newest state.
 	version uint64
 	buckets [bucketCount][]orderedMember
+	count   int
 }
 
 // An orderedMember is a member in a bucket, in order of its hash.
@@ -34,6 +35,7 @@
 	bucket := bucketOf(id)
 	at, _ := slices.BinarySearchFunc(t.buckets[bucket], m.hash, compareHash)
 	t.buckets[bucket] = slices.Insert(t.buckets[bucket], at, orderedMember{id: id, m: m})
+	t.count++
 	t.version++
 }
 
@@ -42,6 +44,7 @@
 	at, found := slices.BinarySearchFunc(t.buckets[bucket], m.hash, compareHash)
 	if found {
 		t.buckets[bucket] = slices.Delete(t.buckets[bucket], at, at+1)
+		t.count--
 		t.version++
 	}
 }
@@ -62,14 +65,15 @@
 	return true
 }
 
-// vector returns the members that have the top revision in force. It is nil if
-// there is no revision yet.
-func (t *revisionTable) vector() *vector {
+// vector returns the members that have the top revision in force, in at most
+// limit groups. It is nil if there is no revision yet.
+func (t *revisionTable) vector(limit int) *vector {
 	if t.top == 0 {
 		return nil
 	}
-	v := &vector{Revision: t.top}
-	for index, members := range t.buckets {
+	v := &vector{Revision: t.top, Groups: t.groups()}
+	for index := range v.Groups {
+		members := t.group(index, v.Groups)
 		bits := make([]byte, (len(members)+7)/8)
 		set := false
 		for i, o := range members {
@@ -78,18 +82,46 @@
 				set = true
 			}
 		}
-		if set {
-			v.Buckets = append(v.Buckets, vectorBucket{Index: uint8(index), Check: checkOf(members), Bits: bits})
+		if set && len(v.Buckets) < limit {
+			v.Buckets = append(v.Buckets, vectorBucket{Index: index, Check: checkOf(members), Bits: bits})
 		}
 	}
 	return v
 }
 
+// groups returns the number of groups for the present number of members. A
+// group of at least 8 members keeps the bytes per member low, and more groups
+// confine the effect of a difference in the members.
+func (t *revisionTable) groups() uint8 {
+	const least = 8
+	groups := uint8(1)
+	for groups < bucketCount && t.count >= 2*least*int(groups) {
+		groups *= 2
+	}
+	return groups
+}
+
+// group returns the members of one group.
+func (t *revisionTable) group(index, groups uint8) []orderedMember {
+	if groups == bucketCount {
+		return t.buckets[index]
+	}
+	var members []orderedMember
+	for bucket := int(index); bucket < bucketCount; bucket += int(groups) {
+		members = append(members, t.buckets[bucket]...)
+	}
+	return members
+}
+
 // merge takes a vector of a peer and returns the members whose revision grew.
 func (t *revisionTable) merge(v *vector) []orderedMember {
+	if v.Revision > t.top {
+		t.top = v.Revision
+		t.version++
+	}
 	var raised []orderedMember
 	for _, bucket := range v.Buckets {
-		members := t.buckets[bucket.Index]
+		members := t.group(bucket.Index, v.Groups)
 		if checkOf(members) != bucket.Check || len(bucket.Bits) != (len(members)+7)/8 {
 			continue
 		}
@@ -102,7 +134,21 @@
 	return raised
 }
 
-// checkOf returns the checksum of the members of a bucket.
+// checksum identifies the members that have the top revision in force. Equal
+// checksums mean that a vector would bring nothing new.
+func (t *revisionTable) checksum() uint32 {
+	sum := uint64(t.top) * 0x9e3779b97f4a7c15
+	for _, members := range t.buckets {
+		for _, o := range members {
+			if o.m.revision >= t.top {
+				sum ^= o.m.hash
+			}
+		}
+	}
+	return uint32(sum >> 32)
+}
+
+// checkOf returns the checksum of the members of a group.
 func checkOf(members []orderedMember) uint32 {
 	var sum uint64
 	for _, o := range members {
--- a/peer/rounds.go
+++ b/peer/rounds.go
@@ -16,6 +16,11 @@
 	// digestInterval is the time between comparisons of digests with one
 	// random peer. A digest has 256 bytes, which is 5% of the budget.
 	digestInterval = time.Second
+	// catchUpInterval is the time between digests of an instance that learned
+	// at least catchUpFacts facts since its last digest, so that a new
+	// instance asks several peers soon.
+	catchUpInterval = 250 * time.Millisecond
+	catchUpFacts    = 16
 	// suspectAgain is the least time between two suspicions of an instance
 	// that refuted but cannot be reached from here.
 	suspectAgain = 10 * time.Second
@@ -49,8 +54,13 @@
 			expired = now
 			e.expire(now)
 		}
-		if now.Sub(compared) >= digestInterval {
+		interval := digestInterval
+		if e.fresh >= catchUpFacts {
+			interval = catchUpInterval
+		}
+		if now.Sub(compared) >= interval {
 			compared = now
+			e.fresh = 0
 			if chosen := e.chooseLinks(1); len(chosen) > 0 {
 				chosen[0].digest = true
 				chosen[0].signal()
@@ -101,6 +111,7 @@
 // expire drops old facts and watches of forgotten instances.
 func (e *Exchange) expire(now time.Time) {
 	e.store.expire(now)
+	e.dropGroups()
 	for id := range e.watches {
 		if e.store.members[id] == nil && e.links[id] == nil {
 			delete(e.watches, id)
--- a/peer/runoverlay.go
+++ b/peer/runoverlay.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"savorystep"
@@ -85,7 +86,10 @@
 // connections that are no longer chosen.
 func (e *Exchange) keepNeighbours(ctx context.Context, now time.Time) {
 	candidates := e.candidates(now)
-	chosen := chooseNeighbours(e.config.Self, candidates, e.config.Connections)
+	chosen := slices.Concat(
+		chooseNeighbours(e.config.Self, candidates, e.config.mesh()),
+		e.keepGroups(now),
+	)
 	for _, instance := range chosen {
 		if l := e.links[instance.ID]; l != nil {
 			l.needed = now
@@ -134,7 +138,7 @@
 // tryDial dials an address in the background unless it is connected, being
 // dialed or waiting after a failure.
 func (e *Exchange) tryDial(ctx context.Context, now time.Time, id savorystep.InstanceID, address savorystep.Address) {
-	if address == "" || address == e.config.Self.Peer || e.group == nil {
+	if address == "" || address == e.config.Self.Peer || e.tasks == nil {
 		return
 	}
 	d := e.dials[address]
@@ -153,7 +157,7 @@
 		return
 	}
 	d.busy = true
-	e.group.Go(func() error {
+	e.tasks.Go(func() error {
 		err := e.connect(ctx, id, address)
 		e.mu.Lock()
 		defer e.mu.Unlock()
--- a/peer/store.go
+++ b/peer/store.go
@@ -36,6 +36,8 @@
 }
 
 var (
+	healthFacts    = Codec[savorystep.HealthFact]{Limit: maxBody}
+	inFlightFacts  = Codec[savorystep.InFlightFact]{Limit: maxBody}
 	statuses       = Codec[savorystep.StatusFact]{Limit: maxBody}
 	revisionFacts  = Codec[savorystep.RevisionFact]{Limit: maxBody}
 	suspicionFacts = Codec[suspicionFact]{Limit: maxBody}
@@ -82,7 +84,7 @@
 	if !s.admit(now, fact, old) {
 		return nil
 	}
-	e := &entry{key: key, sequence: fact.Sequence, body: fact.Body, born: born, heard: now}
+	e := &entry{key: key, sequence: fact.Sequence, body: fact.Body, born: born, heard: now, idle: isIdle(fact)}
 	if old != nil {
 		e.key, e.hash = old.key, old.hash
 		s.remove(old)
@@ -261,6 +263,9 @@
 		life := lifetime(kind)
 		for key, e := range facts {
 			orphan := s.members[key.instance] == nil && now.Sub(e.heard) >= forgetAfter
+			if e.idle && now.Sub(e.born) >= idleLifetime {
+				s.remove(e)
+			}
 			if (life > 0 && now.Sub(e.born) >= life) || (orphan && kind != factSuspicion) {
 				s.remove(e)
 			}
