Stop false suspicions during a large start and on a busy machine

Cause: 64 nodes started at once suspected each other without end. An instance monitored peers that it had only once considered, and took a refused connection for a dead peer. On a busy machine (load 24 on 10 cores) a pause of the own process was taken for the silence of others, and the refutations kept the machine busy.

Now only chosen or formerly connected peers are monitored, a refusal counts as a sign of life, a pause of the own process is excused, and a silent connection is replaced before its peer is suspected. Facts that a digest shows to be lacking are sent in random order, since several peers answer the same one.

--- a/peer/antientropy.go
+++ b/peer/antientropy.go
@@ -11,7 +11,7 @@
 	// maxMissing is the number of facts after which no further missing bucket
 	// is sent in answer to one digest. A new instance asks several peers, and
 	// each shall send another part.
-	maxMissing = 32
+	maxMissing = 16
 	// digestSize is the size of a digest in bytes.
 	digestSize = 4 * (bucketCount + 1)
 	// entrySize is the usual size of a summary's entry in bytes.
--- a/peer/bucket.go
+++ b/peer/bucket.go
@@ -12,7 +12,7 @@
 }
 
 // burstShare is the part of the budget that may be sent at once.
-const burstShare = 0.25
+const burstShare = 0.2
 
 func newTokenBucket(budget int, now time.Time) *tokenBucket {
 	capacity := float64(budget) * burstShare
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -203,7 +203,7 @@
 		opened:    now,
 		needed:    now,
 		heard:     now,
-		pending:   make(map[factKey]struct{}),
+		pending:   make(map[factKey]bool),
 		names:     make(map[string]uint64),
 	}
 }
@@ -251,7 +251,7 @@
 	if l.dialed {
 		e.stats.Dials++
 	}
-	e.watches[id] = &watch{heard: l.heard}
+	e.watches[id] = &watch{heard: l.heard, linked: true}
 	now := e.config.Clock.Now()
 	if m := e.store.members[e.config.Self.ID]; suspected >= m.sequence {
 		e.store.sequence = max(e.store.sequence, suspected)
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -8,10 +8,28 @@
 	"savorystep"
 )
 
-// relays is the number of peers to which an instance passes on a fact that it
-// heard from another. Four random relays per instance reach 98% of a random
-// network; comparing digests brings the rest.
-const relays = 4
+// The numbers of peers to which an instance passes on a fact that it heard
+// from another, in a fleet too large to connect to all. Four random relays per
+// instance reach 98% of a random network, two reach 80%; comparing digests
+// brings the rest. Each relay costs as many bytes as there are instances, so
+// only facts that are rare and urgent get more than two.
+const (
+	relays          = 2
+	suspicionRelays = 3
+	urgentRelays    = 4
+)
+
+// relaysOf returns the number of relays of a fact.
+func relaysOf(kind savorystep.FactKind) int {
+	switch kind {
+	case savorystep.FactDraining, savorystep.FactStrike:
+		return urgentRelays
+	case factSuspicion:
+		return suspicionRelays
+	default:
+		return relays
+	}
+}
 
 // Facts returns the newest facts of a kind from all instances, this one
 // included, in order of instance and subject.
@@ -190,31 +208,31 @@
 		e.spreadScoped(entry, from)
 		return
 	}
-	if from == nil {
-		for _, l := range e.links {
-			l.add(entry.key)
-		}
-		return
+	count := relaysOf(entry.key.kind)
+	switch {
+	case from == nil && e.isMesh():
+		count = len(e.links)
+	case from == nil:
+		count *= 2
+	case e.isMesh():
+		// With a connection to every instance, one relay guards against a
+		// loss between the fact's instance and a third one.
+		count = 1
 	}
-	for _, l := range e.relaysFor(entry.key.instance, from) {
+	for _, l := range e.relaysFor(entry.key.instance, from, count) {
 		l.add(entry.key)
 	}
 }
 
-// relaysFor chooses the links on which to pass on a fact. With a connection to
-// every instance, one relay guards against a loss between the fact's instance
-// and a third one.
-func (e *Exchange) relaysFor(instance savorystep.InstanceID, from *link) []*link {
+// relaysFor chooses the links on which to send a fact: not to the instance it
+// is of, nor back to the one it came from.
+func (e *Exchange) relaysFor(instance savorystep.InstanceID, from *link, count int) []*link {
 	others := make([]*link, 0, len(e.links))
 	for id, l := range e.links {
 		if l != from && id != instance {
 			others = append(others, l)
 		}
 	}
-	count := relays
-	if e.isMesh() {
-		count = 1
-	}
 	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
 	return others[:min(count, len(others))]
 }
@@ -237,13 +255,13 @@
 		}
 		entry := e.store.merge(now, fact, now.Add(-time.Duration(wire[i].Age)*time.Second))
 		if entry == nil {
+			e.stats.Duplicates++
 			continue
 		}
+		e.stats.Learned++
 		e.fresh++
 		e.spread(entry, from)
 		e.notify(savorystep.HeardFact{Fact: fact, Heard: now})
 	}
-	if e.store.isSelfSuspected() {
-		e.stateStatus(now)
-	}
+	e.refute(now)
 }
--- a/peer/fleet_bench_test.go
+++ b/peer/fleet_bench_test.go
@@ -74,6 +74,7 @@
 
 func benchConfig(config *peer.Config) {
 	config.Group = groupOf
+	config.Registry = &registry{}
 }
 
 func cpuTime() time.Duration {
--- a/peer/fleet_test.go
+++ b/peer/fleet_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -34,18 +35,39 @@
 	})
 }
 
+// A registry is an instance list that never learns of an end.
+type registry struct {
+	savorystep.Registry
+	mu        sync.Mutex
+	instances []savorystep.Instance
+}
+
+func (r *registry) add(instance savorystep.Instance) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.instances = append(r.instances, instance)
+}
+
+// Instances returns the list.
+func (r *registry) Instances(context.Context) ([]savorystep.Instance, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Clone(r.instances), nil
+}
+
 // A fleet is a number of exchanges in one process that talk over loopback.
 type fleet struct {
 	network *network
 	nodes   []*node
 	change  func(*peer.Config)
+	list    *registry
 	places  int
 	made    int
 }
 
 func newFleet(tb testing.TB, size int, change func(*peer.Config)) *fleet {
 	tb.Helper()
-	f := &fleet{network: newNetwork(), change: change, places: 6}
+	f := &fleet{network: newNetwork(), list: &registry{}, change: change, places: 6}
 	for range size {
 		f.add(tb)
 	}
@@ -79,6 +101,10 @@
 	if f.change != nil {
 		f.change(&config)
 	}
+	if config.Registry != nil {
+		config.Registry = f.list
+		f.list.add(self)
+	}
 	n := &node{Exchange: peer.New(config), listener: listener}
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
--- a/peer/frame.go
+++ b/peer/frame.go
@@ -63,6 +63,9 @@
 	// Revision is the revision in force at the sender, 0 if it is the same as
 	// in the last frame that had one.
 	Revision savorystep.Revision `cbor:"8,keyasint,omitempty"`
+	// Needed is true if the sender chose this connection, so that the receiver
+	// does not end it when it no longer needs it itself.
+	Needed bool `cbor:"9,keyasint,omitempty"`
 }
 
 // A wireFact is a fact whose strings are numbers of the dictionary, from 1.
--- a/peer/link.go
+++ b/peer/link.go
@@ -29,13 +29,18 @@
 	reason string
 
 	opened time.Time
-	// needed is when the connection was last among the chosen ones.
+	// needed is when the connection was last among the chosen ones here,
+	// wanted is true if it is at the peer.
 	needed time.Time
+	wanted bool
 	heard  time.Time
 	sent   time.Time
 
-	// pending are the facts to send, control the frames to send at once.
-	pending map[factKey]struct{}
+	// pending holds the facts to send, with true for facts that the peer lacks according to a digest.
+	// They follow after the others and in random order, since several
+	// instances answer the same peer.
+	pending map[factKey]bool
+	// control holds the frames to send at once.
 	control []frame
 	pushes  []push
 	// due is set when a round chose this link, urgent when an urgent fact is
@@ -106,13 +111,21 @@
 	if len(l.pending) >= maxPending {
 		return
 	}
-	l.pending[key] = struct{}{}
+	l.pending[key] = false
 	if isUrgent(key.kind) {
 		l.urgent = true
 		l.signal()
 	}
 }
 
+// offer puts a fact that the peer lacks among those to send. The exchange's
+// mutex is held.
+func (l *link) offer(key factKey) {
+	if _, waiting := l.pending[key]; !waiting && len(l.pending) < maxPending {
+		l.pending[key] = true
+	}
+}
+
 // write sends frames until the link ends.
 func (l *link) write(ctx context.Context) error {
 	for {
@@ -248,25 +261,7 @@
 	if !l.due && !l.urgent {
 		return false
 	}
-	e := l.exchange
-	entries := make([]*entry, 0, len(l.pending))
-	for key := range l.pending {
-		entry := e.store.get(key)
-		if entry == nil {
-			delete(l.pending, key)
-			continue
-		}
-		if l.due || isUrgent(key.kind) {
-			entries = append(entries, entry)
-		}
-	}
-	slices.SortFunc(entries, func(a, b *entry) int {
-		return cmp.Or(
-			compareBools(isUrgent(b.key.kind), isUrgent(a.key.kind)),
-			b.born.Compare(a.born),
-			cmp.Compare(b.sequence, a.sequence),
-		)
-	})
+	entries := l.ready()
 	left := min(available, maxGossip)
 	taken := 0
 	for _, entry := range entries {
@@ -292,6 +287,34 @@
 	return taken > 0
 }
 
+// ready returns the pending facts that may be sent now, in order: urgent ones,
+// others, and those from digests.
+func (l *link) ready() []*entry {
+	e := l.exchange
+	entries := make([]*entry, 0, len(l.pending))
+	for key, offered := range l.pending {
+		entry := e.store.get(key)
+		if entry == nil {
+			delete(l.pending, key)
+			continue
+		}
+		if l.due || (isUrgent(key.kind) && !offered) {
+			entries = append(entries, entry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b *entry) int {
+		if order := compareBools(l.pending[a.key], l.pending[b.key]); order != 0 || l.pending[a.key] {
+			return order
+		}
+		return cmp.Or(
+			compareBools(isUrgent(b.key.kind), isUrgent(a.key.kind)),
+			b.born.Compare(a.born),
+			cmp.Compare(b.sequence, a.sequence),
+		)
+	})
+	return entries
+}
+
 func compareBools(a, b bool) int {
 	switch {
 	case a == b:
@@ -345,6 +368,9 @@
 // encode stamps and encodes a frame and charges it to the budget.
 func (l *link) encode(now time.Time, f frame) ([]byte, error) {
 	f.Stamp = l.exchange.config.HLC.Now()
+	if f.Facts != nil {
+		f.Facts.Needed = now.Sub(l.needed) < surplusAfter
+	}
 	data, err := frames.Encode(f)
 	if err != nil {
 		return nil, err
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -28,6 +28,7 @@
 	}
 	switch {
 	case f.Facts != nil:
+		l.wanted = f.Facts.Needed
 		e.learn(now, l, facts, f.Facts.Facts)
 		e.learnRevisions(l, f.Facts)
 		e.reconcile(l, f.Facts)
@@ -85,7 +86,7 @@
 		missing, differing := e.store.compare(f.Digest)
 		for _, bucket := range missing {
 			for key := range e.store.buckets[bucket] {
-				l.add(key)
+				l.offer(key)
 			}
 		}
 		if !e.store.sameRevisions(f.Digest) {
@@ -101,7 +102,7 @@
 	}
 	keys, lacking := e.store.answer(f.Summary)
 	for _, key := range keys {
-		l.add(key)
+		l.offer(key)
 	}
 	if lacking && !f.Summary.Reply && len(l.summaries) < maxDiffering {
 		l.summaries = append(l.summaries, e.store.summarise(f.Summary.Buckets, true))
--- a/peer/rounds.go
+++ b/peer/rounds.go
@@ -19,11 +19,14 @@
 	// catchUpInterval is the time between digests of an instance that learned
 	// at least catchUpFacts facts since its last digest, so that a new
 	// instance asks several peers soon.
-	catchUpInterval = 250 * time.Millisecond
+	catchUpInterval = 400 * time.Millisecond
 	catchUpFacts    = 16
 	// suspectAgain is the least time between two suspicions of an instance
 	// that refuted but cannot be reached from here.
 	suspectAgain = 10 * time.Second
+	// refuteInterval is the least time between two refutations. It is half of
+	// the shortest time that others wait for one.
+	refuteInterval = 250 * time.Millisecond
 )
 
 // A watch is what a monitor knows of one instance.
@@ -34,6 +37,8 @@
 	// suspected is when this instance last stated a suspicion, zero if a frame
 	// came since.
 	suspected time.Time
+	// linked is true if there was a connection to it.
+	linked bool
 }
 
 // runRounds drives the exchange.
@@ -41,6 +46,7 @@
 	ticker := time.NewTicker(e.config.Round)
 	defer ticker.Stop()
 	var expired, compared time.Time
+	last := e.config.Clock.Now()
 	for {
 		select {
 		case <-ticker.C:
@@ -49,6 +55,8 @@
 		}
 		e.mu.Lock()
 		now := e.config.Clock.Now()
+		e.excuse(now.Sub(last) - e.config.Round)
+		last = now
 		e.round(now)
 		if now.Sub(expired) >= expireInterval {
 			expired = now
@@ -70,6 +78,22 @@
 	}
 }
 
+// excuse moves the times of silence by a time in which this process did not
+// run. What it did not read in that time is not the silence of others. Without
+// this, a busy machine makes instances suspect each other, and the refutations
+// keep it busy.
+func (e *Exchange) excuse(pause time.Duration) {
+	if pause < e.config.Heartbeat/4 {
+		return
+	}
+	for _, l := range e.links {
+		l.heard = l.heard.Add(pause)
+	}
+	for _, w := range e.watches {
+		w.heard = w.heard.Add(pause)
+	}
+}
+
 // round chooses the peers of a round, sends heartbeats, and gives up silent
 // connections.
 func (e *Exchange) round(now time.Time) {
@@ -94,7 +118,9 @@
 		}
 	}
 	for id, w := range e.watches {
-		if now.Sub(w.heard) < e.config.Silence || now.Sub(w.suspected) < suspectAgain || e.isIsolated(now) {
+		// A connection is replaced after Silence. The rest of the time is for a
+		// new one, so that a connection that went silent causes no suspicion.
+		if now.Sub(w.heard) < e.config.Silence+e.config.Heartbeat/2 || now.Sub(w.suspected) < suspectAgain || e.isIsolated(now) {
 			continue
 		}
 		if entry := e.store.suspect(now, id); entry != nil {
@@ -103,7 +129,12 @@
 			e.record(savorystep.EventSuspect, "instance "+string(id)+" is no longer heard")
 		}
 	}
-	if e.store.isSelfSuspected() {
+	e.refute(now)
+}
+
+// refute states the status again when others suspect this instance.
+func (e *Exchange) refute(now time.Time) {
+	if e.store.isSelfSuspected() && now.Sub(e.stated) >= refuteInterval {
 		e.stateStatus(now)
 	}
 }
--- a/peer/runoverlay.go
+++ b/peer/runoverlay.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/coder/websocket"
+
 	"savorystep"
 )
 
@@ -17,7 +19,10 @@
 	// which joins the halves of a healed partition.
 	probeInterval = 500 * time.Millisecond
 	// surplusAfter is how long a connection that is no longer chosen stays.
-	surplusAfter = 5 * time.Second
+	surplusAfter = 10 * time.Second
+	// refusedHold is how long an instance that refused a connection is not
+	// monitored from here. It exceeds the time between two attempts.
+	refusedHold = 10 * time.Second
 	// pollTime bounds one read of the registry.
 	pollTime = 5 * time.Second
 )
@@ -30,6 +35,9 @@
 	next time.Time
 	// id is the instance that last answered at the address.
 	id savorystep.InstanceID
+	// refused is when the instance there last answered that it has enough
+	// connections.
+	refused time.Time
 	// self is true if the address is this instance's own.
 	self bool
 }
@@ -90,23 +98,32 @@
 		chooseNeighbours(e.config.Self, candidates, e.config.mesh()),
 		e.keepGroups(now),
 	)
+	needed := make(map[savorystep.InstanceID]bool, len(chosen))
 	for _, instance := range chosen {
+		needed[instance.ID] = true
 		if l := e.links[instance.ID]; l != nil {
 			l.needed = now
 			continue
 		}
-		if e.watches[instance.ID] == nil {
+		if d := e.dials[instance.Peer]; e.watches[instance.ID] == nil && (d == nil || now.Sub(d.refused) >= refusedHold) {
 			e.watches[instance.ID] = &watch{heard: now}
 		}
 		e.tryDial(ctx, now, instance.ID, instance.Peer)
 	}
+	for id, w := range e.watches {
+		// An instance that chose this one is watched until its loss is stated,
+		// one that this instance only tried to reach while it is chosen.
+		if !needed[id] && e.links[id] == nil && (!w.linked || !w.suspected.IsZero()) {
+			delete(e.watches, id)
+		}
+	}
 	if len(e.links) < neighbours {
 		for _, seed := range e.config.Seeds {
 			e.tryDial(ctx, now, "", seed)
 		}
 	}
 	for _, l := range e.links {
-		if l.dialed && now.Sub(l.needed) >= surplusAfter {
+		if !l.wanted && now.Sub(l.needed) >= surplusAfter {
 			delete(e.watches, l.peer.ID)
 			l.close(closeSurplus, "connection is no longer needed")
 		}
@@ -168,6 +185,12 @@
 			d.id = e.idAt(address)
 			return nil
 		}
+		if w := e.watches[id]; w != nil && websocket.CloseStatus(err) == closeDuplicate {
+			// The instance runs but has enough connections, so others monitor
+			// it.
+			delete(e.watches, id)
+			d.refused = e.config.Clock.Now()
+		}
 		d.self = errors.Is(err, errSelf)
 		wait := backoff(d.failures)
 		d.failures++
--- a/peer/stats.go
+++ b/peer/stats.go
@@ -10,6 +10,8 @@
 	// Links is the number of connections now, Dials and Ends that of
 	// connections opened by this instance and ended by either side.
 	Links, Dials, Ends int
+	// Learned counts facts that were new, Duplicates those that were not.
+	Learned, Duplicates int
 	// Refused counts frames and hellos that ended a connection.
 	Refused int
 	// SkewedStamps counts stamps that were too far ahead.
