--- a/peer/link.go
+++ b/peer/link.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"context"
-	"encoding/binary"
 	"slices"
 	"time"
 
@@ -30,21 +29,35 @@
 	reason string
 
 	opened time.Time
-	// needed is when the connection was last among the chosen ones.
+	// needed is when the connection was last among the chosen ones here,
+	// wanted is true if it is at the peer.
 	needed time.Time
+	wanted bool
 	heard  time.Time
 	sent   time.Time
 
-	// pending are the facts to send, control the frames to send at once.
-	pending map[factKey]struct{}
+	// pending holds the facts to send, with true for facts that the peer lacks according to a digest.
+	// They follow after the others and in random order, since several
+	// instances answer the same peer.
+	pending map[factKey]bool
+	// control holds the frames to send at once.
 	control []frame
 	pushes  []push
 	// due is set when a round chose this link, urgent when an urgent fact is
 	// pending, beat when a heartbeat is due, digest when a digest is due.
 	due, urgent, beat, digest bool
 	summaries                 []*summary
-	// vectorSent is the version of the revision table last sent.
-	vectorSent uint64
+	// vectorSent is the version of the revision table last sent, topSent the
+	// greatest revision announced, revisionSent the own revision last sent.
+	vectorSent   uint64
+	topSent      savorystep.Revision
+	revisionSent savorystep.Revision
+	// revisionHeard is the revision in force at the peer.
+	revisionHeard savorystep.Revision
+
+	// interests are the groups that the peer states facts of, sharing those of
+	// which it has been sent the own facts.
+	interests, sharing map[string]bool
 
 	names      map[string]uint64
 	heardNames []string
@@ -69,6 +82,8 @@
 	// maxPending bounds the facts waiting for one peer. What is dropped comes
 	// with the comparison of digests.
 	maxPending = 8192
+	// revisionSize is the size of an own revision in a frame, in bytes.
+	revisionSize = 10
 	// reserve is the part of the burst kept for urgent facts and heartbeats.
 	reserve = 200
 )
@@ -96,13 +111,21 @@
 	if len(l.pending) >= maxPending {
 		return
 	}
-	l.pending[key] = struct{}{}
+	l.pending[key] = false
 	if isUrgent(key.kind) {
 		l.urgent = true
 		l.signal()
 	}
 }
 
+// offer puts a fact that the peer lacks among those to send. The exchange's
+// mutex is held.
+func (l *link) offer(key factKey) {
+	if _, waiting := l.pending[key]; !waiting && len(l.pending) < maxPending {
+		l.pending[key] = true
+	}
+}
+
 // write sends frames until the link ends.
 func (l *link) write(ctx context.Context) error {
 	for {
@@ -153,11 +176,15 @@
 	if len(l.pushes) > 0 {
 		p := l.pushes[0]
 		l.pushes = l.pushes[1:]
+		facts := &factsFrame{Push: p.number}
 		if entry := e.store.get(p.key); entry != nil {
-			facts := &factsFrame{Push: p.number}
 			l.append(now, facts, entry)
-			return l.encode(now, frame{Facts: facts})
+			delete(l.pending, p.key)
+		} else {
+			facts.Revision = e.store.members[e.config.Self.ID].revision
+			l.revisionSent = facts.Revision
 		}
+		return l.encode(now, frame{Facts: facts})
 	}
 	facts := l.compose(now)
 	if facts == nil {
@@ -173,7 +200,7 @@
 	facts := &factsFrame{}
 	empty := true
 	available := e.bucket.available(now)
-	if l.digest && available >= 4*bucketCount {
+	if l.digest && available >= digestSize {
 		l.digest = false
 		facts.Digest = e.store.digestBytes()
 		empty = false
@@ -185,14 +212,9 @@
 		empty = false
 		available -= summarySize(facts.Summary)
 	}
-	if (l.due || l.urgent) && l.vectorSent != e.store.revisions.version {
-		v := e.store.revisions.vector()
-		if size := v.size(); size <= available {
-			facts.Vector = v
-			l.vectorSent = e.store.revisions.version
-			empty = empty && v == nil
-			available -= size
-		}
+	if size := l.composeVector(now, facts, available); size > 0 {
+		empty = false
+		available -= size
 	}
 	if l.take(now, facts, available) {
 		empty = false
@@ -203,31 +225,43 @@
 	return facts
 }
 
+// composeVector adds the own revision and the vector to a frame if they are
+// new to the peer. It returns their size in bytes.
+func (l *link) composeVector(now time.Time, facts *factsFrame, available int) int {
+	e := l.exchange
+	size := 0
+	if m := e.store.members[e.config.Self.ID]; m.revision > l.revisionSent {
+		facts.Revision = m.revision
+		l.revisionSent = m.revision
+		size += revisionSize
+	}
+	revisions := &e.store.revisions
+	switch {
+	case l.topSent < revisions.top:
+		// A new revision is announced to all at once, by the first groups
+		// only: all groups on all links would exceed the budget.
+		facts.Vector = revisions.vector(1)
+		l.topSent = revisions.top
+	case l.due && l.vectorSent != revisions.version && !now.Before(e.vectorNext):
+		v := revisions.vector(bucketCount)
+		if v.size() > available-reserve {
+			return size
+		}
+		facts.Vector = v
+		l.vectorSent = revisions.version
+		// Vectors take at most half of the budget.
+		e.vectorNext = now.Add(time.Duration(2 * float64(v.size()) / float64(e.config.Bytes) * float64(time.Second)))
+	}
+	return size + facts.Vector.size()
+}
+
 // take moves pending facts into a frame, newest first, within the available
 // bytes. It reports whether it took any.
 func (l *link) take(now time.Time, facts *factsFrame, available int) bool {
 	if !l.due && !l.urgent {
 		return false
 	}
-	e := l.exchange
-	entries := make([]*entry, 0, len(l.pending))
-	for key := range l.pending {
-		entry := e.store.get(key)
-		if entry == nil {
-			delete(l.pending, key)
-			continue
-		}
-		if l.due || isUrgent(key.kind) {
-			entries = append(entries, entry)
-		}
-	}
-	slices.SortFunc(entries, func(a, b *entry) int {
-		return cmp.Or(
-			compareBools(isUrgent(b.key.kind), isUrgent(a.key.kind)),
-			b.born.Compare(a.born),
-			cmp.Compare(b.sequence, a.sequence),
-		)
-	})
+	entries := l.ready()
 	left := min(available, maxGossip)
 	taken := 0
 	for _, entry := range entries {
@@ -253,6 +287,34 @@
 	return taken > 0
 }
 
+// ready returns the pending facts that may be sent now, in order: urgent ones,
+// others, and those from digests.
+func (l *link) ready() []*entry {
+	e := l.exchange
+	entries := make([]*entry, 0, len(l.pending))
+	for key, offered := range l.pending {
+		entry := e.store.get(key)
+		if entry == nil {
+			delete(l.pending, key)
+			continue
+		}
+		if l.due || (isUrgent(key.kind) && !offered) {
+			entries = append(entries, entry)
+		}
+	}
+	slices.SortFunc(entries, func(a, b *entry) int {
+		if order := compareBools(l.pending[a.key], l.pending[b.key]); order != 0 || l.pending[a.key] {
+			return order
+		}
+		return cmp.Or(
+			compareBools(isUrgent(b.key.kind), isUrgent(a.key.kind)),
+			b.born.Compare(a.born),
+			cmp.Compare(b.sequence, a.sequence),
+		)
+	})
+	return entries
+}
+
 func compareBools(a, b bool) int {
 	switch {
 	case a == b:
@@ -306,6 +368,9 @@
 // encode stamps and encodes a frame and charges it to the budget.
 func (l *link) encode(now time.Time, f frame) ([]byte, error) {
 	f.Stamp = l.exchange.config.HLC.Now()
+	if f.Facts != nil {
+		f.Facts.Needed = now.Sub(l.needed) < surplusAfter
+	}
 	data, err := frames.Encode(f)
 	if err != nil {
 		return nil, err
@@ -359,12 +424,3 @@
 	}
 	return facts, nil
 }
-
-// digestBytes returns the checksums of the buckets.
-func (s *store) digestBytes() []byte {
-	data := make([]byte, 0, 4*bucketCount)
-	for _, sum := range s.digest {
-		data = binary.BigEndian.AppendUint32(data, sum)
-	}
-	return data
-}
