Test steering, health, queues, silence and drains

Cause: these rules had no tests. The tests found unlocked reads of an endpoint's listed data and an order of regions that changed from run to run. Ruled out: a fixed cut of the shifts' percents one after the other without intervals of their own, as growth of the first would move the second's blocks.

--- a/upstream/fakes_test.go
+++ b/upstream/fakes_test.go
@@ -108,6 +108,8 @@
 
 func (f *fakeFacts) Push(_ context.Context, kind savorystep.FactKind, subject string, body any) (acked, missing int) {
 	f.Publish(kind, subject, body)
+	f.bus.mu.Lock()
+	defer f.bus.mu.Unlock()
 	return len(f.bus.ends) - 1, 0
 }
 
--- /dev/null
+++ b/upstream/health_test.go
@@ -0,0 +1,99 @@
+package upstream_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+
+	"savorystep"
+	"savorystep/upstream"
+)
+
+// TestHealthScripts runs testdata/health. Each line of a "region" command is
+// "<seconds> <endpoint> <event>"; the output is the state of each endpoint
+// after the last line: whether it is usable and how many of 3 slots it takes.
+func TestHealthScripts(t *testing.T) {
+	const endpoints = 3
+	datadriven.RunTest(t, "testdata/health", func(t *testing.T, d *datadriven.TestData) string {
+		t.Helper()
+		healths := make([]*upstream.Health, endpoints)
+		for i := range healths {
+			healths[i] = upstream.NewHealth(upstream.HealthLimits{})
+		}
+		var out strings.Builder
+		for line := range strings.Lines(d.Input) {
+			var seconds float64
+			var endpoint int
+			var event string
+			if _, err := fmt.Sscan(line, &seconds, &endpoint, &event); err != nil {
+				d.Fatalf(t, "%q: %v", line, err)
+			}
+			now := steerStart.Add(time.Duration(seconds * float64(time.Second)))
+			if event == "show" {
+				showHealths(&out, seconds, healths, now)
+				continue
+			}
+			applyEvent(t, d, healths[endpoint], event, now)
+		}
+		return out.String()
+	})
+}
+
+// applyEvent tells a health what happened.
+func applyEvent(t *testing.T, d *datadriven.TestData, h *upstream.Health, event string, now time.Time) {
+	t.Helper()
+	switch event {
+	case "fail":
+		h.Fail(now, true)
+	case "fail-kept":
+		h.Fail(now, false)
+	case "list-leaving":
+		h.List(savorystep.StateLeaving)
+	case "page-busy":
+		h.ReadPage(now, upstream.Page{Busy: 3, Healthy: true}, 0)
+	case "page-draining":
+		h.ReadPage(now, upstream.Page{Draining: true, Healthy: true}, 0)
+	case "page-idle":
+		h.ReadPage(now, upstream.Page{Healthy: true}, 3)
+	case "page-ok":
+		h.ReadPage(now, upstream.Page{Healthy: true}, 0)
+	case "page-sick":
+		h.ReadPage(now, upstream.Page{}, 0)
+	case "peer-draining":
+		h.PeerDraining(now)
+	case "shed":
+		h.Shed(now)
+	case "start":
+		h.Start(now)
+	case "succeed":
+		h.Succeed(now)
+	default:
+		d.Fatalf(t, "unknown event %q", event)
+	}
+}
+
+// showHealths writes one line with the state of all endpoints.
+func showHealths(out *strings.Builder, seconds float64, healths []*upstream.Health, now time.Time) {
+	assessment := upstream.Assess(healths, now)
+	fmt.Fprintf(out, "%gs:", seconds)
+	for _, h := range healths {
+		state := fmt.Sprint(h.Capacity(now, 3) - h.Drift(now, 3))
+		if h.Paused(now) {
+			state = "paused"
+		}
+		if !h.Usable(now, assessment.BelievePages) {
+			state = "out"
+		}
+		fmt.Fprintf(out, " %s", state)
+	}
+	if assessment.MostDead {
+		out.WriteString(" most-dead")
+	}
+	if !assessment.BelievePages {
+		out.WriteString(" pages-not-believed")
+	}
+	out.WriteString("\n")
+}
--- a/upstream/list.go
+++ b/upstream/list.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"time"
 
 	"savorystep"
@@ -87,9 +89,10 @@
 				limits: &p.limits, clock: p.clock,
 			}
 			known[key] = g
-			// Readers hold the old slice, so it is not appended to in place.
-			old := p.groups[key.service]
-			p.groups[key.service] = append(old[:len(old):len(old)], g)
+			// Readers hold the old slice, so it is not changed in place.
+			groups := append(slices.Clone(p.groups[key.service]), g)
+			slices.SortFunc(groups, func(a, b *group) int { return strings.Compare(string(a.region), string(b.region)) })
+			p.groups[key.service] = groups
 		}
 		for _, info := range infos {
 			byID[info.ID] = g
--- /dev/null
+++ b/upstream/queue_test.go
@@ -0,0 +1,165 @@
+package upstream_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"savorystep"
+	"savorystep/standin"
+	"savorystep/upstream"
+)
+
+// An ending is the end of a request that ran in the background.
+type ending struct {
+	id  savorystep.RequestID
+	err error
+}
+
+// start forwards a request in the background and reports its end.
+func (s *site) start(f savorystep.Forwarder, request *savorystep.Request, ended chan<- ending) {
+	go func() {
+		response, err := f.Forward(s.t.Context(), request)
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		ended <- ending{request.ID, err}
+	}()
+}
+
+// queued returns how many requests wait at a pool.
+func queued(p *upstream.Pool) int {
+	return p.Regions(testService, time.Now())[0].Queued
+}
+
+// TestQueueOrder guards against a slot that goes to a request that came later,
+// and against more requests at an endpoint than it has slots.
+func TestQueueOrder(t *testing.T) {
+	s := newSite(t)
+	a := s.add("a", "natal", standin.UpstreamConfig{Slots: 1, Queue: -1})
+	a.SetFaults(standin.UpstreamFaults{Hold: true})
+	p := s.pool(nil)
+	const requests = 4
+	ended := make(chan ending, requests)
+	s.start(p, get("r0", "/echo"), ended)
+	s.eventually("the first request runs", func() bool { return a.Load().Busy == 1 })
+	for i := 1; i < requests; i++ {
+		s.start(p, get(savorystep.RequestID(fmt.Sprint("r", i)), "/echo"), ended)
+		s.eventually("the request waits", func() bool { return queued(p) == i })
+	}
+	a.SetFaults(standin.UpstreamFaults{})
+	for i := range requests {
+		end := <-ended
+		if end.err != nil || end.id != savorystep.RequestID(fmt.Sprint("r", i)) {
+			t.Errorf("end %d: %v", i, end)
+		}
+	}
+	if shed := a.Runs().Shed; shed != 0 {
+		t.Errorf("the endpoint shed %d requests", shed)
+	}
+}
+
+// TestQueueRefuses guards against a queue without bound, and against a request
+// that waits although it cannot meet its deadline.
+func TestQueueRefuses(t *testing.T) {
+	s := newSite(t)
+	a := s.add("a", "natal", standin.UpstreamConfig{Slots: 1})
+	a.SetFaults(standin.UpstreamFaults{Hold: true})
+	p := s.pool(func(c *upstream.Config) { c.Limits.QueueFactor = 2 })
+	ended := make(chan ending, 3)
+	s.start(p, get("r0", "/echo"), ended)
+	s.eventually("the first request runs", func() bool { return a.Load().Busy == 1 })
+	// The wait for the first slot is estimated at 20 ms.
+	hasty := get("hasty", "/echo")
+	hasty.Deadline = time.Now().Add(10 * time.Millisecond)
+	_, err := p.Forward(t.Context(), hasty)
+	wantError(t, err, savorystep.KindOverloaded)
+	for i := 1; i <= 2; i++ {
+		s.start(p, get(savorystep.RequestID(fmt.Sprint("r", i)), "/echo"), ended)
+		s.eventually("the request waits", func() bool { return queued(p) == i })
+	}
+	_, err = p.Forward(t.Context(), get("r3", "/echo"))
+	wantError(t, err, savorystep.KindOverloaded)
+	a.SetFaults(standin.UpstreamFaults{})
+	for range 3 {
+		if end := <-ended; end.err != nil {
+			t.Errorf("request %s: %v", end.id, end.err)
+		}
+	}
+	if s.runs("hasty") != 0 || s.runs("r3") != 0 {
+		t.Error("a refused request ran")
+	}
+}
+
+// TestQueueStranded guards against requests that wait for a region that has
+// lost all its endpoints while another region is free.
+func TestQueueStranded(t *testing.T) {
+	s := newSite(t)
+	a := s.add("a", "natal", standin.UpstreamConfig{Slots: 1})
+	a.SetFaults(standin.UpstreamFaults{Hold: true})
+	s.add("b", "recife", standin.UpstreamConfig{})
+	p := s.pool(nil)
+	ended := make(chan ending, 2)
+	for i := range 2 {
+		request := get(savorystep.RequestID(fmt.Sprint("r", i)), "/echo")
+		request.Record = record("natal", "recife")
+		s.start(p, request, ended)
+		s.eventually("the request runs or waits", func() bool { return int(a.Load().Busy)+queued(p) == i+1 })
+	}
+	leaving := s.registry.endpoints[0]
+	leaving.State = savorystep.StateLeaving
+	s.registry.set(leaving)
+	if end := <-ended; end.id != "r1" || end.err != nil {
+		t.Errorf("end %v", end)
+	}
+	a.SetFaults(standin.UpstreamFaults{})
+	if end := <-ended; end.err != nil {
+		t.Errorf("the drain interrupted a request: %v", end.err)
+	}
+}
+
+// TestPeersCount guards against two entries that together send an endpoint
+// more requests than it has slots. The variant without facts does.
+func TestPeersCount(t *testing.T) {
+	for _, informed := range []bool{true, false} {
+		t.Run(fmt.Sprint("informed ", informed), func(t *testing.T) {
+			s := newSite(t)
+			a := s.add("a", "natal", standin.UpstreamConfig{Slots: 2, Queue: -1})
+			a.SetFaults(standin.UpstreamFaults{Hold: true})
+			first := s.pool(noPages)
+			second := s.pool(func(c *upstream.Config) {
+				noPages(c)
+				c.Self.ID = "entry-2"
+				if !informed {
+					c.Facts = (&bus{}).join("entry-2")
+				}
+			})
+			ended := make(chan ending, 3)
+			for i := range 2 {
+				s.start(first, get(savorystep.RequestID(fmt.Sprint("r", i)), "/echo"), ended)
+			}
+			s.eventually("the endpoint is full", func() bool { return a.Load().Busy == 2 })
+			s.eventually("peers know it", func() bool {
+				return !informed || second.Regions(testService, time.Now())[0].Used == 2
+			})
+			s.start(second, get("r2", "/echo"), ended)
+			if informed {
+				s.eventually("the third request waits", func() bool { return queued(second) == 1 })
+			} else {
+				s.eventually("the third request is shed", func() bool { return a.Runs().Shed == 1 })
+			}
+			a.SetFaults(standin.UpstreamFaults{})
+			for range 3 {
+				end := <-ended
+				if informed && end.err != nil {
+					t.Errorf("request %s: %v", end.id, end.err)
+				}
+			}
+			if shed := a.Runs().Shed; informed && shed != 0 {
+				t.Errorf("%d requests shed", shed)
+			}
+		})
+	}
+}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -351,7 +351,7 @@
 		}
 		g.mu.Unlock()
 		if ejected {
-			p.recordEject(g, e)
+			p.recordEject(g, a.lease.info.ID)
 		}
 		if a.silent.Load() {
 			held = 0
--- a/upstream/watch.go
+++ b/upstream/watch.go
@@ -109,6 +109,7 @@
 func (p *Pool) endSilent(g *group, e *endpoint, a *attempt, now time.Time, old, hasPeers bool) []chore {
 	a.silent.Store(true)
 	ejected := g.fail(e, now, hasPeers)
+	id := e.info.ID
 	var chores []chore
 	if old && a.lease.link == e.link {
 		retired := e.link
@@ -117,13 +118,13 @@
 			retired.retire()
 			p.record(savorystep.Event{
 				Kind: savorystep.EventFault, Service: g.service, Region: g.region,
-				Text: "old connections to " + string(e.info.ID) + " are silent and were retired",
+				Text: "old connections to " + string(id) + " are silent and were retired",
 			})
 		})
 	}
 	return append(chores, func() {
 		if ejected {
-			p.recordEject(g, e)
+			p.recordEject(g, id)
 		}
 		if a.once && !a.answered.Load() {
 			a.lease.freeSlot(0)
@@ -134,11 +135,11 @@
 }
 
 // recordEject keeps the event of an ejection.
-func (p *Pool) recordEject(g *group, e *endpoint) {
-	log.Infof("endpoint %s is ejected", e.info.ID)
+func (p *Pool) recordEject(g *group, id savorystep.EndpointID) {
+	log.Infof("endpoint %s is ejected", id)
 	p.record(savorystep.Event{
 		Kind: savorystep.EventEject, Service: g.service, Region: g.region,
-		Text: "endpoint " + string(e.info.ID) + " is ejected after consecutive failures",
+		Text: "endpoint " + string(id) + " is ejected after consecutive failures",
 	})
 }
 
