Tell operators of a platform that is down and of instances that are lost

Cause: trials with three instances on loopback. With the platform down, a change blocked until the client's attempt ended, and the command said that no server could be reached. A stopped instance dropped out of the members while the command waited, so it said 2 of 2 without naming the third. The server bounds a change by 3 s now, shorter than an attempt of 5 s, and the wait names the members that are no longer heard.

--- a/cmd/changeflags.go
+++ b/cmd/changeflags.go
@@ -143,6 +143,9 @@
 	for _, region := range regions {
 		printf(w, "  %s: %d of %d\n", region, have[region], all[region])
 	}
+	for _, m := range p.Lost {
+		printf(w, "  %s in %s is no longer heard; no lookup leads to it\n", m.ID, m.Place.Region)
+	}
 	for _, m := range p.Members {
 		switch {
 		case m.Revision >= p.Revision:
--- a/cmd/exitcode.go
+++ b/cmd/exitcode.go
@@ -25,7 +25,7 @@
 	{exitFailed, "failed"},
 	{exitUsage, "wrong use, a faulty file, or an unknown name"},
 	{exitConflict, "another operator changed the record first"},
-	{exitDown, "no server could be reached, or the platform is down"},
+	{exitDown, "no server answered in time, or the platform is down"},
 	{exitPartial, "done in part: not in force everywhere in time, or some services or instances are missing"},
 }
 
@@ -42,7 +42,7 @@
 		return exitUsage
 	case savorystep.KindVersionConflict, savorystep.KindKeyConflict:
 		return exitConflict
-	case savorystep.KindNotReady, savorystep.KindPlatformDown:
+	case savorystep.KindDeadlineExceeded, savorystep.KindNotReady, savorystep.KindPlatformDown:
 		return exitDown
 	default:
 		return exitFailed
--- a/cmd/operatorcmds_test.go
+++ b/cmd/operatorcmds_test.go
@@ -67,6 +67,10 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		s.lag[savorystep.InstanceID(d.CmdArgs[0].Key)] = savorystep.Revision(scanNumber(t, d.CmdArgs[1].Key))
+	case "vanish":
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.looks[savorystep.InstanceID(d.CmdArgs[0].Key)] = scanNumber(t, d.CmdArgs[1].Key)
 	case "leaving":
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/cmd/operatorfakes_test.go
+++ b/cmd/operatorfakes_test.go
@@ -198,6 +198,8 @@
 	members []savorystep.Member
 	// lag is how many revisions an instance is behind.
 	lag map[savorystep.InstanceID]savorystep.Revision
+	// looks is after how many looks at the members an instance vanishes.
+	looks map[savorystep.InstanceID]int
 	// ready is the reason why the instances are not ready.
 	ready error
 }
@@ -209,7 +211,7 @@
 	s := &fakeSystem{
 		config: &fakeConfig{}, facts: &fakeFacts{}, stopping: make(chan struct{}),
 		recorders: map[savorystep.InstanceID]*fakeRecorder{}, servers: map[savorystep.InstanceID]*httptest.Server{},
-		lag: map[savorystep.InstanceID]savorystep.Revision{},
+		lag: map[savorystep.InstanceID]savorystep.Revision{}, looks: map[savorystep.InstanceID]int{},
 	}
 	for _, region := range []savorystep.Region{"burnie", "hobart", "launceston"} {
 		id := savorystep.InstanceID(region + "-1")
@@ -263,7 +265,16 @@
 	revision := m.system.config.View().Revision
 	m.system.mu.Lock()
 	defer m.system.mu.Unlock()
-	members := slices.Clone(m.system.members)
+	var members []savorystep.Member
+	for _, member := range m.system.members {
+		if looks, ok := m.system.looks[member.Instance.ID]; ok {
+			m.system.looks[member.Instance.ID]--
+			if looks <= 0 {
+				continue
+			}
+		}
+		members = append(members, member)
+	}
 	for i := range members {
 		members[i].Revision = revision - min(revision, m.system.lag[members[i].Instance.ID])
 	}
--- a/operator/client.go
+++ b/operator/client.go
@@ -217,7 +217,11 @@
 	}
 	for {
 		answer, err := ask[Answer](ctx, c, http.MethodPost, path, body)
-		if savorystep.KindOf(err) != savorystep.KindPlatformDown || !sleepWithin(ctx, err) {
+		switch kind := savorystep.KindOf(err); {
+		case kind == savorystep.KindPlatformDown && sleepWithin(ctx, err):
+		case kind == savorystep.KindPlatformDown || kind == savorystep.KindDeadlineExceeded:
+			return answer, savorystep.WrapError(kind, err, "the change may have been made or may still be made; see the history")
+		default:
 			return answer, err
 		}
 	}
@@ -252,6 +256,9 @@
 	var errs []error
 	first := c.server()
 	for i := range c.urls {
+		if ctx.Err() != nil {
+			break
+		}
 		server := (first + i) % len(c.urls)
 		data, err := c.roundTrip(ctx, c.urls[server], method, path, body)
 		switch savorystep.KindOf(err) {
@@ -261,16 +268,44 @@
 				return answer, savorystep.WrapError(savorystep.KindInternal, err, "decode the answer of %s", c.urls[server])
 			}
 			return answer, nil
-		case savorystep.KindNotReady, savorystep.KindPlatformDown:
+		case savorystep.KindNotReady, savorystep.KindPlatformDown, savorystep.KindDeadlineExceeded:
 			errs = append(errs, err)
 		default:
 			return answer, err
 		}
 	}
-	if len(errs) == 1 {
+	switch {
+	case len(errs) == 0:
+		return answer, savorystep.WrapError(savorystep.KindDeadlineExceeded, ctx.Err(), "no server was asked in time")
+	case len(errs) == 1:
 		return answer, errs[0]
+	default:
+		return answer, savorystep.WrapError(worstKind(errs), joinDistinct(errs), "no server of %d answered", len(errs))
 	}
-	return answer, savorystep.WrapError(savorystep.KindOf(errs[0]), errors.Join(errs...), "no server of %d answered", len(errs))
+}
+
+// joinDistinct joins errors, leaving out those that say the same.
+func joinDistinct(errs []error) error {
+	seen := map[string]bool{}
+	var distinct []error
+	for _, err := range errs {
+		if !seen[err.Error()] {
+			seen[err.Error()] = true
+			distinct = append(distinct, err)
+		}
+	}
+	return errors.Join(distinct...)
+}
+
+// worstKind returns the kind of errors of several servers. That the platform is
+// down tells more than that a server cannot be reached.
+func worstKind(errs []error) savorystep.Kind {
+	for _, err := range errs {
+		if kind := savorystep.KindOf(err); kind != savorystep.KindNotReady {
+			return kind
+		}
+	}
+	return savorystep.KindNotReady
 }
 
 func (c *Client) server() int {
@@ -322,6 +357,9 @@
 		if errors.As(err, &failed) {
 			err = failed.Err
 		}
+		if errors.Is(err, context.DeadlineExceeded) {
+			return nil, savorystep.WrapError(savorystep.KindDeadlineExceeded, err, "server %s did not answer in time", server)
+		}
 		return nil, savorystep.WrapError(savorystep.KindNotReady, err, "server %s cannot be reached", server)
 	}
 	if response.StatusCode == http.StatusOK {
--- a/operator/messages.go
+++ b/operator/messages.go
@@ -136,6 +136,10 @@
 	// Self is the instance whose list of members this is.
 	Self    savorystep.InstanceID `json:"self"`
 	Members []MemberStatus        `json:"members"`
+	// Lost are members that were heard when the wait began and are not any
+	// more. They are in no lookup until they are heard again with the revision
+	// in force.
+	Lost []MemberStatus `json:"lost,omitempty"`
 }
 
 // InForce counts the members that have the revision in force.
--- a/operator/server.go
+++ b/operator/server.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -104,6 +105,10 @@
 	})
 }
 
+// changeTimeout bounds a change. It is shorter than what clients allow for one
+// attempt, so that they learn of a platform that is down from the server.
+const changeTimeout = 3 * time.Second
+
 // health is the body of /healthz and /readyz.
 type health struct {
 	Status string `json:"status"`
@@ -134,7 +139,9 @@
 		if err := readJSON(r, &request); err != nil {
 			return nil, err
 		}
-		answer, err := run(s.changes(r), r.Context(), request)
+		ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
+		defer cancel()
+		answer, err := run(s.changes(r), ctx, request)
 		if err != nil {
 			return nil, err
 		}
@@ -278,8 +285,10 @@
 	defer cancel()
 	ticker := time.NewTicker(viewPoll)
 	defer ticker.Stop()
+	first := s.memberStatus(s.Clock.Now())
 	for {
 		progress := s.progress(savorystep.Revision(revision))
+		progress.Lost = lostMembers(first, progress.Members)
 		if progress.Done {
 			return progress, nil
 		}
@@ -293,6 +302,17 @@
 	}
 }
 
+// lostMembers returns the members of before that are not among those of now.
+func lostMembers(before, now []MemberStatus) []MemberStatus {
+	var lost []MemberStatus
+	for _, old := range before {
+		if !slices.ContainsFunc(now, func(m MemberStatus) bool { return m.ID == old.ID }) {
+			lost = append(lost, old)
+		}
+	}
+	return lost
+}
+
 // progress tells which members have a revision in force. An instance that
 // leaves is not waited for, since it is in no lookup any more.
 func (s *server) progress(revision savorystep.Revision) Progress {
--- a/operator/steering.go
+++ b/operator/steering.go
@@ -17,7 +17,7 @@
 	maxConflicts = 5
 	// conflictWait bounds the wait for the instance's copy to catch up after a
 	// conflict; polls of the configuration take about a second.
-	conflictWait = 3 * time.Second
+	conflictWait = 2 * time.Second
 	// viewPoll is the interval at which in-memory state is looked at while a
 	// request waits for it.
 	viewPoll = 50 * time.Millisecond
