Write the operators' guide and the reference

Cause: the commands, settings, records and errors had no pages. The parts of the reference that the program knows are made from it, and TestReference fails when the page differs.

--- a/cmd/draincmd.go
+++ b/cmd/draincmd.go
@@ -23,9 +23,10 @@
 		Use:   "drain REGION",
 		Short: "Move all traffic of a region to others",
 		Long: `Move all traffic of a region to others, service by service. Without --to it
-goes to the other regions of each service in proportion to their weights.
-Shifts into the region end. The traffic moves at the growth of shifts, and a
-region that has no room refuses the rest, so look at the warnings of a dry run
+goes to the other regions of each service in proportion to their weights,
+leaving out regions that are drained themselves. What shifts moved into the
+region goes to the same targets. The traffic moves at the growth of shifts, and
+what a region has no room for is refused, so look at the warnings of a dry run
 first.`,
 		Example: `  savorystep drain hobart --dry-run
   savorystep drain hobart --growth 2 --note "power work on Thursday"
--- /dev/null
+++ b/cmd/reference_test.go
@@ -0,0 +1,188 @@
+package cmd
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"regexp"
+	"strings"
+	"testing"
+
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
+
+	"savorystep"
+	"savorystep/operator"
+)
+
+const referencePage = "../docs/reference.md"
+
+// TestReference guards against a reference that differs from the program.
+func TestReference(t *testing.T) {
+	t.Setenv("USER", "")
+	t.Setenv(envServers, "")
+	t.Setenv(envTokenFile, "")
+	data, err := os.ReadFile(referencePage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	page := string(data)
+	for name, part := range map[string]string{
+		"changeflags": flagTable(newCorrectCmd(), newListCmd()),
+		"clientflags": flagTable(newListCmd(), nil),
+		"commands":    commandReference(newRootCmd().Commands(), ""),
+		"errors":      errorTable(),
+		"exitcodes":   exitCodeTable(),
+		"settings":    settingsTable(),
+	} {
+		begin, end := "<!-- begin "+name+" -->\n", "<!-- end "+name+" -->\n"
+		before, rest, ok1 := strings.Cut(page, begin)
+		_, after, ok2 := strings.Cut(rest, end)
+		if !ok1 || !ok2 {
+			t.Fatalf("the page has no part %s", name)
+		}
+		page = before + begin + part + end + after
+	}
+	if page == string(data) {
+		return
+	}
+	if f := flag.Lookup("rewrite"); f != nil && f.Value.String() == "true" {
+		if err := os.WriteFile(referencePage, []byte(page), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	t.Error("docs/reference.md is not current; run: go test ./cmd -run TestReference -rewrite")
+}
+
+// TestReferenceRecords guards against an example on the page that is refused.
+func TestReferenceRecords(t *testing.T) {
+	data, err := os.ReadFile(referencePage)
+	if err != nil {
+		t.Fatal(err)
+	}
+	schemas := map[int]bool{}
+	for _, match := range regexp.MustCompile("(?s)```ini\n(.*?)```").FindAllStringSubmatch(string(data), -1) {
+		record, err := operator.ParseRecord("reference.md", []byte(match[1]))
+		if err != nil {
+			t.Fatal(err)
+		}
+		schemas[record.Schema] = true
+		formatted, err := operator.FormatRecord(record, record.Schema)
+		if err != nil || string(formatted) != match[1] {
+			t.Errorf("the example is written differently by get: %v\n%s", err, formatted)
+		}
+	}
+	if !schemas[1] || !schemas[2] {
+		t.Errorf("examples of schemas %v", schemas)
+	}
+}
+
+// flagTable lists the flags of a command that another one lacks.
+func flagTable(cmd, without *cobra.Command) string {
+	var b strings.Builder
+	cmd.Flags().VisitAll(func(f *pflag.Flag) {
+		if f.Name == "help" || without != nil && without.Flags().Lookup(f.Name) != nil {
+			return
+		}
+		name := "--" + f.Name
+		if f.Shorthand != "" {
+			name = "-" + f.Shorthand + ", " + name
+		}
+		preset := f.DefValue
+		if preset != "" && preset != "[]" {
+			preset = "`" + strings.Trim(preset, "[]") + "`"
+		} else {
+			preset = ""
+		}
+		fmt.Fprintf(&b, "| `%s` | %s | %s |\n", name, preset, cell(f.Usage))
+	})
+	if b.Len() == 0 {
+		return ""
+	}
+	return "| flag | default | meaning |\n|---|---|---|\n" + b.String()
+}
+
+// commandReference describes commands and their subcommands.
+func commandReference(cmds []*cobra.Command, parent string) string {
+	var b strings.Builder
+	for _, cmd := range cmds {
+		if cmd.Name() == "help" || cmd.Name() == "completion" || cmd.Hidden {
+			continue
+		}
+		if cmd.HasSubCommands() {
+			b.WriteString(commandReference(cmd.Commands(), parent+cmd.Name()+" "))
+			continue
+		}
+		text := cmd.Long
+		if text == "" {
+			text = cmd.Short + "."
+		}
+		text, _, _ = strings.Cut(text, "\n\nExit codes:")
+		fmt.Fprintf(&b, "### savorystep %s%s\n\n%s\n\n", parent, cmd.Use, text)
+		if cmd.HasExample() {
+			fmt.Fprintf(&b, "```sh\n%s\n```\n\n", dedent(cmd.Example))
+		}
+		var without *cobra.Command
+		switch {
+		case cmd.Flags().Lookup("dry-run") != nil:
+			without = newCorrectCmd()
+		case cmd.Flags().Lookup("token-file") != nil:
+			without = newListCmd()
+		}
+		if table := flagTable(cmd, without); table != "" {
+			b.WriteString(table + "\n")
+		}
+	}
+	return b.String()
+}
+
+func dedent(text string) string {
+	lines := strings.Split(strings.TrimRight(text, "\n"), "\n")
+	for i := range lines {
+		lines[i] = strings.TrimPrefix(lines[i], "  ")
+	}
+	return strings.Join(lines, "\n")
+}
+
+func exitCodeTable() string {
+	var b strings.Builder
+	b.WriteString("| code | meaning |\n|---|---|\n")
+	for _, e := range exitCodes {
+		fmt.Fprintf(&b, "| %d | %s |\n", e.code, e.meaning)
+	}
+	return b.String()
+}
+
+func settingsTable() string {
+	var b strings.Builder
+	b.WriteString("| section | key | type | unit | default | allowed | meaning |\n|---|---|---|---|---|---|---|\n")
+	for _, key := range operator.SettingsKeys() {
+		preset := key.Default
+		if key.Required {
+			preset = "required"
+		}
+		fmt.Fprintf(&b, "| `[%s]` | `%s` | %s | %s | %s | %s | %s |\n", key.Section, key.Key, key.Type, key.Unit, preset, cell(key.Allowed), cell(key.Description))
+	}
+	return b.String()
+}
+
+func errorTable() string {
+	var b strings.Builder
+	b.WriteString("| kind | status | ran | same request may be sent again | after |\n|---|---|---|---|---|\n")
+	for kind := savorystep.KindNone + 1; kind.Answer().Name != "Internal" || kind == savorystep.KindInternal; kind++ {
+		answer := kind.Answer()
+		retry, delay := "no", ""
+		if answer.Retry {
+			retry, delay = "yes", answer.Delay.String()
+		}
+		fmt.Fprintf(&b, "| `%s` | %d %s | %s | %s | %s |\n", answer.Name, answer.Status, http.StatusText(answer.Status), answer.Ran, retry, delay)
+	}
+	return b.String()
+}
+
+// cell escapes a text for a table.
+func cell(text string) string {
+	return strings.ReplaceAll(strings.ReplaceAll(text, "|", "\\|"), "\n", " ")
+}
