Put shifts and drains on the timeline, and tell open outcomes truly

Cause: a change that ended with PlatformDown was answered with Savorystep-Ran: no, though the write may have taken effect. Changes that end with PlatformDown, DeadlineExceeded or Internal say unknown now. The timeline showed only revisions; the server records who shifted or drained what.

--- a/cmd/operatorfakes_test.go
+++ b/cmd/operatorfakes_test.go
@@ -172,6 +172,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	event.Instance = r.self
+	if event.Stamp.Wall == 0 {
+		event.Stamp.Wall = fakeNow.UnixNano()
+		event.Stamp.Logical = uint32(len(r.events))
+	}
 	r.events = append(r.events, event)
 }
 
--- a/operator/server.go
+++ b/operator/server.go
@@ -124,10 +124,11 @@
 // changes returns what makes the changes of a request: the configuration
 // itself or, with the query dry=true, a dry run of it.
 func (s *server) changes(r *http.Request) Changes {
-	c := &steering{clock: s.Clock, config: s.Config, endpoints: s.Endpoints, members: s.Members}
+	c := &steering{clock: s.Clock, config: s.Config, endpoints: s.Endpoints, members: s.Members, record: s.Recorder.Record}
 	if dry, _ := strconv.ParseBool(r.URL.Query().Get("dry")); dry {
 		c.dry = true
 		c.config = &DryRun{Config: s.Config}
+		c.record = func(savorystep.Event) {}
 	}
 	return c
 }
@@ -142,10 +143,14 @@
 		ctx, cancel := context.WithTimeout(r.Context(), changeTimeout)
 		defer cancel()
 		answer, err := run(s.changes(r), ctx, request)
-		if err != nil {
+		switch savorystep.KindOf(err) {
+		case savorystep.KindNone:
+			return answer, nil
+		case savorystep.KindPlatformDown, savorystep.KindDeadlineExceeded, savorystep.KindInternal:
+			return nil, &unsettledError{err}
+		default:
 			return nil, err
 		}
-		return answer, nil
 	}
 }
 
--- a/operator/serverjson.go
+++ b/operator/serverjson.go
@@ -15,6 +15,17 @@
 	"savorystep"
 )
 
+// An unsettledError is the error of a change that may have been made or may
+// still be made.
+type unsettledError struct {
+	error
+}
+
+// Unwrap returns the error with its kind.
+func (u *unsettledError) Unwrap() error {
+	return u.error
+}
+
 // handle turns a function into a handler that answers with JSON.
 func (s *server) handle(f func(*http.Request) (any, error)) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
@@ -63,7 +74,12 @@
 	}
 	header := w.Header()
 	header.Set(savorystep.HeaderKind, answer.Name)
-	header.Set(savorystep.HeaderRan, answer.Ran.String())
+	ran := answer.Ran
+	var unsettled *unsettledError
+	if errors.As(err, &unsettled) {
+		ran = savorystep.RanUnknown
+	}
+	header.Set(savorystep.HeaderRan, ran.String())
 	if answer.Retry {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(float64(body.Delay)/1000))))
 	}
--- a/operator/steering.go
+++ b/operator/steering.go
@@ -43,6 +43,8 @@
 	dry       bool
 	endpoints savorystep.Endpoints
 	members   savorystep.Members
+	// record keeps an event of the timeline.
+	record func(savorystep.Event)
 }
 
 // Apply replaces a record.
@@ -114,10 +116,25 @@
 	if err := s.knownRegions(request.From, request.To); err != nil {
 		return nil, err
 	}
-	return s.edit(ctx, request.ChangeInfo, request.Service, func(record *savorystep.Record) (*savorystep.Record, error) {
+	outcome, err := s.edit(ctx, request.ChangeInfo, request.Service, func(record *savorystep.Record) (*savorystep.Record, error) {
 		shift := withLimits(record, savorystep.Shift{From: request.From, To: request.To, Percent: request.Percent}, request.Cap, request.Growth)
 		return withShift(record, shift), nil
 	})
+	if err == nil && !outcome.Unchanged {
+		s.record(savorystep.Event{
+			Kind: savorystep.EventShift, Service: request.Service, Region: request.From,
+			Text: fmt.Sprintf("%s shifts %d percent from %s to %s with revision %d", authorName(request.Author), request.Percent, request.From, request.To, outcome.Revision),
+		})
+	}
+	return outcome, err
+}
+
+// authorName names the author of a change in events.
+func authorName(author string) string {
+	if author == "" {
+		return "an operator"
+	}
+	return "operator " + author
 }
 
 // Drain moves the traffic of a region elsewhere, one service after another. A
@@ -143,10 +160,24 @@
 			outcome = &Outcome{Service: service, Error: err.Error()}
 		}
 		outcomes = append(outcomes, *outcome)
+		if outcome.Revision > 0 && !outcome.Unchanged {
+			s.record(drainEvent(request, outcome))
+		}
 	}
 	return outcomes, nil
 }
 
+func drainEvent(request DrainRequest, outcome *Outcome) savorystep.Event {
+	verb := "drains"
+	if request.End {
+		verb = "ends the drain of"
+	}
+	return savorystep.Event{
+		Kind: savorystep.EventDrain, Service: outcome.Service, Region: request.Region,
+		Text: fmt.Sprintf("%s %s region %s with revision %d", authorName(request.Author), verb, request.Region, outcome.Revision),
+	}
+}
+
 // drained returns the services that a drain changes.
 func (s *steering) drained(request DrainRequest) ([]savorystep.Service, error) {
 	if err := s.knownRegions(append([]savorystep.Region{request.Region}, request.To...)...); err != nil {
