--- a/cmd/operatorcmds_test.go
+++ b/cmd/operatorcmds_test.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/datadriven"
 
 	"savorystep"
+	"savorystep/operator"
 )
 
 // TestOperatorCmds runs each command as an operator would. It guards against
@@ -49,6 +50,12 @@
 		if err := os.WriteFile(d.CmdArgs[0].Key, []byte(d.Input+"\n"), 0o600); err != nil {
 			t.Fatal(err)
 		}
+	case "record":
+		record, err := operator.ParseRecord("record.ini", []byte(strings.ReplaceAll(d.Input, " | ", "\n")))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.config.add(savorystep.Change{Service: record.Service, Record: record})
 	case "show":
 		data, err := os.ReadFile(d.CmdArgs[0].Key)
 		if err != nil {
--- a/operator/auth_test.go
+++ b/operator/auth_test.go
@@ -4,7 +4,6 @@
 	"crypto/ecdsa"
 	"crypto/elliptic"
 	"crypto/rand"
-	"crypto/tls"
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
@@ -168,7 +167,6 @@
 	if config, err := operator.ServerTLS(operator.AccessSettings{Token: "t"}); config != nil || err != nil {
 		t.Errorf("without certificate: %v, %v", config, err)
 	}
-	var config *tls.Config
 	config, err := operator.ClientTLS("", "", "")
 	if err != nil || config == nil {
 		t.Errorf("without files: %v, %v", config, err)
--- a/operator/record_test.go
+++ b/operator/record_test.go
@@ -15,7 +15,8 @@
 func TestRecords(t *testing.T) {
 	datadriven.RunTest(t, "testdata/records", func(t *testing.T, d *datadriven.TestData) string {
 		t.Helper()
-		input := d.Input
+		// Short files stand on one line.
+		input := strings.ReplaceAll(d.Input, " | ", "\n")
 		if d.HasArg("head") {
 			input = "schema = 2\nservice = orders\n[shares]\nhobart = 1\n" + input
 		}
