--- a/cmd/changeflags.go
+++ b/cmd/changeflags.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -28,7 +29,7 @@
 func (f *changeFlags) add(cmd *cobra.Command) {
 	f.clientFlags.add(cmd)
 	flags := cmd.Flags()
-	flags.StringVar(&f.author, "author", os.Getenv("USER"), "who makes the change, for the history")
+	flags.StringVar(&f.author, "author", cmp.Or(os.Getenv("USER"), "operator"), "who makes the change, for the history (env USER)")
 	flags.BoolVar(&f.dry, "dry-run", false, "show what would change, but change nothing")
 	flags.StringVar(&f.note, "note", "", "why the change is made, for the history")
 	flags.BoolVar(&f.wait, "wait", true, "wait until all instances have the change in force")
--- a/cmd/timelinecmd.go
+++ b/cmd/timelinecmd.go
@@ -72,7 +72,7 @@
 		return err
 	}
 	if o.html != "" {
-		err = writeTimelinePage(o, timeline)
+		err = writeTimelinePage(cmd, o, timeline)
 	} else {
 		err = o.print(cmd, timeline, func(w io.Writer) {
 			for _, event := range timeline.Events {
@@ -92,7 +92,7 @@
 	return nil
 }
 
-func writeTimelinePage(o *timelineOptions, timeline *operator.Timeline) error {
+func writeTimelinePage(cmd *cobra.Command, o *timelineOptions, timeline *operator.Timeline) error {
 	file, err := os.Create(o.html)
 	if err != nil {
 		return savorystep.WrapError(savorystep.KindBadRequest, err, "write the page")
@@ -101,7 +101,11 @@
 		_ = file.Close()
 		return err
 	}
-	return file.Close()
+	if err := file.Close(); err != nil {
+		return err
+	}
+	printf(cmd.OutOrStdout(), "%s: %d events of %d instances\n", o.html, len(timeline.Events), len(timeline.Instances))
+	return nil
 }
 
 // printUpdate prints what a followed timeline brings.
