--- a/cmd/changeflags.go
+++ b/cmd/changeflags.go
@@ -1,6 +1,7 @@
 package cmd
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -28,7 +29,7 @@
 func (f *changeFlags) add(cmd *cobra.Command) {
 	f.clientFlags.add(cmd)
 	flags := cmd.Flags()
-	flags.StringVar(&f.author, "author", os.Getenv("USER"), "who makes the change, for the history")
+	flags.StringVar(&f.author, "author", cmp.Or(os.Getenv("USER"), "operator"), "who makes the change, for the history (env USER)")
 	flags.BoolVar(&f.dry, "dry-run", false, "show what would change, but change nothing")
 	flags.StringVar(&f.note, "note", "", "why the change is made, for the history")
 	flags.BoolVar(&f.wait, "wait", true, "wait until all instances have the change in force")
@@ -126,9 +127,9 @@
 	}
 }
 
-// printProgress tells by region where a revision is in force.
+// printProgress tells by region where a revision is in force, and which
+// instances do not have it.
 func printProgress(w io.Writer, p *operator.Progress, took time.Duration) {
-	printf(w, "revision %d is in force on %d of %d instances after %.1f s\n", p.Revision, p.InForce(), len(p.Members), took.Seconds())
 	var regions []savorystep.Region
 	all, have := map[savorystep.Region]int{}, map[savorystep.Region]int{}
 	for _, m := range p.Members {
@@ -140,8 +141,13 @@
 			have[m.Place.Region]++
 		}
 	}
-	for _, region := range regions {
-		printf(w, "  %s: %d of %d\n", region, have[region], all[region])
+	texts := make([]string, len(regions))
+	for i, region := range regions {
+		texts[i] = fmt.Sprintf("%s %d of %d", region, have[region], all[region])
+	}
+	printf(w, "revision %d is in force on %d of %d instances after %.1f s: %s\n", p.Revision, p.InForce(), len(p.Members), took.Seconds(), strings.Join(texts, ", "))
+	for _, m := range p.Lost {
+		printf(w, "  %s in %s is no longer heard; no lookup leads to it\n", m.ID, m.Place.Region)
 	}
 	for _, m := range p.Members {
 		switch {
