--- a/cmd/operatorcmds_test.go
+++ b/cmd/operatorcmds_test.go
@@ -56,6 +56,13 @@
 			t.Fatal(err)
 		}
 		s.config.add(savorystep.Change{Service: record.Service, Record: record})
+	case "complete":
+		t.Setenv(envServers, s.servers["hobart-1"].URL)
+		args := append([]string{"__complete"}, words(d.Input)[1:]...)
+		if !strings.HasSuffix(d.Input, "--output") {
+			args = append(args, "--token", testToken)
+		}
+		return runCommand(t, append(args, ""))
 	case "show":
 		data, err := os.ReadFile(d.CmdArgs[0].Key)
 		if err != nil {
@@ -248,3 +255,13 @@
 	}
 	return n
 }
+
+// TestHelp guards against a command without examples or exit codes in its
+// help.
+func TestHelp(t *testing.T) {
+	for _, cmd := range operatorCmds() {
+		if !cmd.HasExample() || !strings.Contains(cmd.Long, "Exit codes:") || cmd.Short == "" {
+			t.Errorf("%s lacks a part of its help", cmd.Name())
+		}
+	}
+}
--- a/cmd/settingscmd.go
+++ b/cmd/settingscmd.go
@@ -42,13 +42,13 @@
 		return printJSON(cmd, keys)
 	}
 	return printTable(cmd, func(w io.Writer) {
-		printf(w, "%s\n", "SECTION\tKEY\tTYPE\tDEFAULT\tALLOWED\tMEANING")
+		printf(w, "%s\n", "SECTION\tKEY\tTYPE\tDEFAULT\tMEANING\tALLOWED")
 		for _, key := range keys {
 			preset := key.Default
 			if key.Required {
 				preset = "(required)"
 			}
-			printf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", key.Section, key.Key, key.Type, preset, key.Allowed, key.Description)
+			printf(w, "%s\t%s\t%s\t%s\t%s\t%s\n", key.Section, key.Key, key.Type, preset, key.Description, key.Allowed)
 		}
 	})
 }
--- a/operator/settingskeys.go
+++ b/operator/settingskeys.go
@@ -103,7 +103,7 @@
 
 func seedsKey() SettingsKey {
 	return SettingsKey{
-		Section: "peer", Key: "seeds", Type: "addresses", Allowed: "addresses separated by commas, each " + allowedAddress,
+		Section: "peer", Key: "seeds", Type: "addresses", Allowed: "addresses separated by commas, for example 10.1.0.2:7002, 10.2.0.1:7002",
 		Description: "Peer addresses of other instances, asked when the platform is down at the start",
 		set: func(s *Settings, value string) error {
 			for _, text := range splitList(value) {
