Hold the limit of connections and test each protection

Cause: a test of the limit found up to 15 connections where 12 were allowed: the limit was checked before the hellos only, and dialing did not check it. Now registering checks it, and up to four connections stay reserved for chosen peers. The number of chosen neighbours is a quarter of the limit, since about as many others choose an instance.

Adds tests of refusals with their reasons, garbage, duplicates, refutation, bounds of unknown names, own pauses, isolation, brokers, restart with a new ID, the order of merging (rapid), expiry and membership (datadriven), clock skew, and a fuzz target for frames.

--- /dev/null
+++ b/peer/codec_test.go
@@ -0,0 +1,77 @@
+package peer
+
+import (
+	"bytes"
+	"testing"
+
+	"savorystep"
+)
+
+// FuzzDecodeFrame guards against frames that crash the decoder, and against
+// accepted frames that do not survive encoding.
+func FuzzDecodeFrame(f *testing.F) {
+	seeds := []frame{
+		{Hello: &helloFrame{Version: protocolVersion, Instance: savorystep.Instance{ID: "a"}, Secret: []byte{1}}},
+		{Facts: &factsFrame{Names: []string{"a", "b"}, Facts: []wireFact{{Instance: 1, Sequence: 1, Kind: 3, Subject: 2, Age: 1, Body: []byte{0xa0}}}}},
+		{Facts: &factsFrame{Vector: &vector{Revision: 3, Groups: 1, Buckets: []vectorBucket{{Check: 1, Bits: []byte{7}}}}}},
+		{Facts: &factsFrame{Digest: make([]byte, digestSize), Summary: &summary{Buckets: []uint8{1}, Entries: []summaryEntry{{Key: 1, Sequence: 2}}}}},
+		{Ack: &ackFrame{Push: 1}},
+		{Want: &wantFrame{Request: 1, After: 2, Limit: 3}},
+		{Change: &changeFrame{Request: 1, Changes: []savorystep.Change{{Revision: 1, ID: "x", Record: &savorystep.Record{Service: "s"}}}}},
+	}
+	for _, seed := range seeds {
+		data, err := frames.Encode(seed)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(data)
+	}
+	f.Fuzz(func(t *testing.T, data []byte) {
+		decoded, err := decodeFrame(data)
+		if err != nil {
+			return
+		}
+		again, err := frames.Encode(decoded)
+		if err != nil {
+			t.Fatal(err)
+		}
+		second, err := decodeFrame(again)
+		if err != nil {
+			t.Fatal(err)
+		}
+		third, err := frames.Encode(second)
+		if err != nil || !bytes.Equal(again, third) {
+			t.Fatalf("frame changes when encoded again: %v", err)
+		}
+	})
+}
+
+// TestCodecLimit guards against values above the size limit in either
+// direction.
+func TestCodecLimit(t *testing.T) {
+	c := Codec[[]byte]{Limit: 10}
+	if _, err := c.Encode(make([]byte, 10)); savorystep.KindOf(err) != savorystep.KindTooLarge {
+		t.Errorf("encode: %v", err)
+	}
+	if _, err := c.Decode(make([]byte, 11)); savorystep.KindOf(err) != savorystep.KindTooLarge {
+		t.Errorf("decode: %v", err)
+	}
+	cases := []struct {
+		name string
+		data []byte
+	}{
+		{name: "duplicate key", data: []byte{0xa2, 0x01, 0x01, 0x01, 0x01}},
+		{name: "empty", data: nil},
+		{name: "indefinite length", data: []byte{0xbf, 0x01, 0x01, 0xff}},
+		{name: "tag", data: []byte{0xa1, 0x01, 0xc2, 0x41, 0x01}},
+		{name: "trailing bytes", data: []byte{0xa1, 0x01, 0x01, 0x00}},
+		{name: "unknown field", data: []byte{0xa1, 0x09, 0x01}},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			if _, err := revisionFacts.Decode(test.data); savorystep.KindOf(err) != savorystep.KindBadRequest {
+				t.Errorf("got %v", err)
+			}
+		})
+	}
+}
--- a/peer/config.go
+++ b/peer/config.go
@@ -109,3 +109,10 @@
 func (c Config) mesh() int {
 	return c.Connections * 3 / 4
 }
+
+// neighbours returns the number of instances that an instance chooses when
+// there are too many to connect to all. As many others choose it on average,
+// so half of the connections are left for an uneven choice and for brokers.
+func (c Config) neighbours() int {
+	return max(2, c.Connections/4)
+}
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -68,7 +68,7 @@
 	}
 	l := e.newLink(conn, hello.Instance, false)
 	if !e.register(l, hello.Suspected) {
-		_ = conn.Close(closeDuplicate, "connected already")
+		_ = conn.Close(closeDuplicate, "connected already or too many connections")
 		return
 	}
 	e.run(ctx, l)
@@ -215,7 +215,7 @@
 	if old := e.links[id]; old != nil {
 		return e.isReplaceable(old, false)
 	}
-	return len(e.links) < e.config.Connections
+	return len(e.links)+e.reserved < e.config.Connections
 }
 
 // isReplaceable reports whether a new connection replaces an old one to the
@@ -243,6 +243,8 @@
 			return false
 		}
 		old.close(closeDuplicate, "replaced")
+	} else if len(e.links) >= e.config.Connections {
+		return false
 	}
 	if e.tasks == nil {
 		return false
@@ -323,7 +325,7 @@
 			l.close(closeSurplus, "connection ended")
 		}
 		e.mu.Unlock()
-		if websocket.CloseStatus(err) == closeSurplus {
+		if code := websocket.CloseStatus(err); code == closeSurplus || code == closeDuplicate {
 			e.unwatch(l)
 		}
 		return err
@@ -347,8 +349,8 @@
 	_ = l.conn.Close(code, reason)
 }
 
-// unwatch ends the monitoring of a peer that closed a connection it did not
-// choose. Its own neighbours monitor it.
+// unwatch ends the monitoring of a peer that closed a connection because it did
+// not choose it or has too many. Its own neighbours monitor it.
 func (e *Exchange) unwatch(l *link) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -141,3 +143,110 @@
 		return true
 	})
 }
+
+// TestRestartWithNewID guards against an instance that returns with a new ID
+// at the same place and is taken for the old one.
+func TestRestartWithNewID(t *testing.T) {
+	f := newFleet(t, 4, nil)
+	f.full(t)
+	old := f.nodes[3]
+	old.Publish(savorystep.FactInFlight, "endpoint-1", savorystep.InFlightFact{Count: 5})
+	f.kill(old)
+	fresh := f.add(t)
+	f.full(t)
+	fresh.Publish(savorystep.FactInFlight, "endpoint-1", savorystep.InFlightFact{Count: 1})
+	eventually(t, "only the new count", func() bool {
+		for _, n := range f.nodes {
+			facts := n.Facts(savorystep.FactInFlight)
+			if len(facts) != 1 || facts[0].Instance != fresh.Self().ID {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// TestBrokersPassOnScopedFacts guards against instances of a large fleet that
+// use the same endpoints and do not hear each other's counts, and against
+// counts that reach those who do not use them.
+func TestBrokersPassOnScopedFacts(t *testing.T) {
+	f := newFleet(t, 16, func(c *peer.Config) {
+		c.Connections = 12
+		c.Group = groupOf
+	})
+	f.full(t)
+	users := f.nodes[2:6]
+	for i, n := range users {
+		n.Publish(savorystep.FactInFlight, "service/endpoint-1", savorystep.InFlightFact{Count: savorystep.Slots(i + 1)})
+	}
+	eventually(t, "counts known to the users", func() bool {
+		for _, n := range users {
+			if len(n.Facts(savorystep.FactInFlight)) != len(users) {
+				return false
+			}
+		}
+		return true
+	})
+	holders := 0
+	for _, n := range f.nodes {
+		if len(n.Facts(savorystep.FactInFlight)) > 0 {
+			holders++
+		}
+	}
+	if holders > len(users)+2 {
+		t.Errorf("%d instances hold the counts of %d users", holders, len(users))
+	}
+}
+
+// TestLimitOfConnections guards against more connections than the limit, and
+// against an instance that takes a refusal for the end of its peer.
+func TestLimitOfConnections(t *testing.T) {
+	const limit = 12
+	f := newFleet(t, 16, func(c *peer.Config) { c.Connections = limit })
+	f.full(t)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	if acked, missing := f.nodes[0].Push(ctx, savorystep.FactDraining, "endpoint-1", nil); acked == 0 {
+		t.Errorf("acked %d missing %d", acked, missing)
+	}
+	eventually(t, "pushed fact known to all", func() bool {
+		for _, n := range f.nodes {
+			if len(n.Facts(savorystep.FactDraining)) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	for _, n := range f.nodes {
+		if links := n.Stats().Links; links > limit {
+			t.Errorf("%d connections", links)
+		}
+	}
+}
+
+// TestSubscribeInOrder guards against facts that are lost or swapped on the
+// way to a subscriber.
+func TestSubscribeInOrder(t *testing.T) {
+	f := newFleet(t, 2, nil)
+	f.full(t)
+	const last = 50
+	var mu sync.Mutex
+	var heard []uint64
+	f.nodes[1].Subscribe(savorystep.FactStrike, func(fact savorystep.HeardFact) {
+		mu.Lock()
+		defer mu.Unlock()
+		heard = append(heard, fact.Sequence)
+	})
+	for i := range last {
+		f.nodes[0].Publish(savorystep.FactStrike, "x", savorystep.StrikeFact{Strikes: i})
+	}
+	final := f.nodes[0].Facts(savorystep.FactStrike)[0].Sequence
+	eventually(t, "last fact heard", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return len(heard) > 0 && heard[len(heard)-1] == final
+	})
+	if !slices.IsSorted(heard) {
+		t.Errorf("heard in order %v", heard)
+	}
+}
--- a/peer/fleet_bench_test.go
+++ b/peer/fleet_bench_test.go
@@ -205,7 +205,7 @@
 			}
 		})
 	}
-	var logs []float64
+	logs := make([]float64, 0, len(fitSizes))
 	for _, size := range fitSizes {
 		logs = append(logs, math.Log2(size))
 	}
@@ -220,6 +220,7 @@
 }
 
 func measureFleet(b *testing.B, size int) {
+	b.Helper()
 	before := memory()
 	f := newFleet(b, size, benchConfig)
 	joined := f.full(b)
@@ -243,7 +244,8 @@
 	fitSeries.report(b, "join-s", joined.Seconds())
 
 	const rounds = 7
-	var known, inForce []time.Duration
+	known := make([]time.Duration, 0, rounds)
+	inForce := make([]time.Duration, 0, rounds)
 	for i := range rounds {
 		k, all := f.spread(b, savorystep.Revision(i+1))
 		known, inForce = append(known, k), append(inForce, all)
@@ -254,7 +256,7 @@
 	fitSeries.report(b, "all-worst-ms", float64(slices.Max(inForce).Milliseconds()))
 
 	const kills = 3
-	var lost []time.Duration
+	lost := make([]time.Duration, 0, kills)
 	for range kills {
 		lost = append(lost, f.lose(b))
 		f.full(b)
--- /dev/null
+++ b/peer/hlc_test.go
@@ -0,0 +1,107 @@
+package peer_test
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"savorystep"
+	"savorystep/peer"
+)
+
+// A fixedClock stands still until it is set.
+type fixedClock struct{ now time.Time }
+
+func (c *fixedClock) Now() time.Time { return c.now }
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+// TestHLCOrdersAcrossSkew guards against stamps out of causal order between
+// machines whose clocks differ or run backwards.
+func TestHLCOrdersAcrossSkew(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		clocks := []*fixedClock{{noon}, {noon.Add(30 * time.Second)}, {noon.Add(-time.Hour)}}
+		hlcs := make([]*peer.HLC, 0, len(clocks))
+		for _, c := range clocks {
+			hlcs = append(hlcs, peer.NewHLC(c))
+		}
+		var last savorystep.Stamp
+		// A message passes from one instance to the next; each stamp must be
+		// greater than the one before.
+		for range rapid.IntRange(1, 50).Draw(t, "hops") {
+			i := rapid.IntRange(0, 2).Draw(t, "instance")
+			clocks[i].now = clocks[i].now.Add(time.Duration(rapid.IntRange(-100, 100).Draw(t, "ms")) * time.Millisecond)
+			if peer.CompareStamps(last, savorystep.Stamp{}) > 0 && !hlcs[i].Observe(last) {
+				// A clock an hour behind ignores the others' stamps; it may
+				// not be ordered after them.
+				if i != 2 {
+					t.Fatal("stamp within the skew is ignored")
+				}
+				continue
+			}
+			stamp := hlcs[i].Now()
+			if peer.CompareStamps(stamp, last) <= 0 {
+				t.Fatalf("%v is not after %v", stamp, last)
+			}
+			last = stamp
+		}
+	})
+}
+
+// TestHLCIgnoresFarFuture guards against one machine with a wrong clock that
+// moves the stamps of all others into the future.
+func TestHLCIgnoresFarFuture(t *testing.T) {
+	h := peer.NewHLC(&fixedClock{noon})
+	if h.Observe(savorystep.Stamp{Wall: noon.Add(2 * peer.MaxSkew).UnixNano()}) {
+		t.Error("stamp is taken")
+	}
+	if got := h.Now().Wall; got != noon.UnixNano() {
+		t.Errorf("stamp is %v", time.Unix(0, got))
+	}
+	// The logical part must not wrap around to a lesser stamp.
+	full := savorystep.Stamp{Wall: noon.UnixNano(), Logical: ^uint32(0)}
+	h.Observe(full)
+	if peer.CompareStamps(h.Now(), full) <= 0 {
+		t.Error("stamp wraps around")
+	}
+}
+
+// TestRingDropsOldest guards against a ring that grows or loses its order.
+func TestRingDropsOldest(t *testing.T) {
+	r := peer.NewRing(peer.RingConfig{Self: "a", HLC: peer.NewHLC(&fixedClock{noon}), Size: 10})
+	for i := range 25 {
+		r.Record(savorystep.Event{Kind: savorystep.EventApply, Text: string(rune('a' + i))})
+	}
+	events := r.Events()
+	if len(events) != 10 || events[0].Text != "p" || events[9].Text != "y" {
+		t.Errorf("kept %v", events)
+	}
+	if !slices.IsSortedFunc(events, func(a, b savorystep.Event) int { return peer.CompareStamps(a.Stamp, b.Stamp) }) {
+		t.Error("events are out of order")
+	}
+}
+
+// TestMergeTimelines guards against duplicates and against an effect before
+// its cause.
+func TestMergeTimelines(t *testing.T) {
+	a := peer.NewRing(peer.RingConfig{Self: "a", HLC: peer.NewHLC(&fixedClock{noon.Add(20 * time.Second)})})
+	hlc := peer.NewHLC(&fixedClock{noon})
+	b := peer.NewRing(peer.RingConfig{Self: "b", HLC: hlc})
+	b.Record(savorystep.Event{Text: "first"})
+	a.Record(savorystep.Event{Text: "cause"})
+	hlc.Observe(a.Events()[0].Stamp)
+	b.Record(savorystep.Event{Text: "effect"})
+	lists := [][]savorystep.Event{a.Events(), b.Events(), b.Events(), a.Events()}
+	rand.Shuffle(len(lists), func(i, j int) { lists[i], lists[j] = lists[j], lists[i] })
+	merged := peer.MergeTimelines(lists...)
+	texts := make([]string, 0, len(merged))
+	for _, event := range merged {
+		texts = append(texts, event.Text)
+	}
+	if !slices.Equal(texts, []string{"first", "cause", "effect"}) {
+		t.Errorf("merged %v", texts)
+	}
+}
--- a/peer/overlay.go
+++ b/peer/overlay.go
@@ -9,23 +9,15 @@
 	"savorystep"
 )
 
-// The numbers of neighbours that an instance chooses when the fleet is too
-// large to connect to all: some near ones, which keeps bytes off the links
-// between regions, and enough distant ones that the loss of a zone or region
-// leaves each lost instance with monitors. As many again choose this one.
-const (
-	zoneNeighbours   = 2
-	regionNeighbours = 2
-	farNeighbours    = 4
-	neighbours       = zoneNeighbours + regionNeighbours + farNeighbours
-)
-
-// chooseNeighbours returns the instances that self keeps connections to, at
-// most limit of them. If all candidates fit it returns all. Otherwise the
-// choice is by rendezvous hashing, so it changes little when others come and
-// go.
-func chooseNeighbours(self savorystep.Instance, candidates []savorystep.Instance, limit int) []savorystep.Instance {
-	if len(candidates) <= limit {
+// chooseNeighbours returns the instances that self keeps connections to. If
+// there are at most mesh candidates it returns all. Otherwise it chooses count
+// of them: a quarter in the same zone and a quarter in the same region, which
+// keeps bytes off the links between regions, and the others anywhere, so that
+// the loss of a zone or region leaves each lost instance with monitors. About
+// as many others choose this instance. The choice is by rendezvous hashing, so
+// it changes little when others come and go.
+func chooseNeighbours(self savorystep.Instance, candidates []savorystep.Instance, mesh, count int) []savorystep.Instance {
+	if len(candidates) <= mesh {
 		return candidates
 	}
 	type ranked struct {
@@ -40,8 +32,8 @@
 	slices.SortFunc(ranking, func(a, b ranked) int {
 		return cmp.Compare(b.score, a.score)
 	})
-	chosen := make([]savorystep.Instance, 0, neighbours)
-	taken := make(map[savorystep.InstanceID]bool, neighbours)
+	chosen := make([]savorystep.Instance, 0, count)
+	taken := make(map[savorystep.InstanceID]bool, count)
 	take := func(count int, fits func(savorystep.Place) bool) {
 		for _, r := range ranking {
 			if count == 0 {
@@ -54,9 +46,9 @@
 			}
 		}
 	}
-	take(zoneNeighbours, func(p savorystep.Place) bool { return p == self.Place })
-	take(regionNeighbours, func(p savorystep.Place) bool { return p.Region == self.Place.Region })
-	take(min(limit, neighbours)-len(chosen), func(savorystep.Place) bool { return true })
+	take(count/4, func(p savorystep.Place) bool { return p == self.Place })
+	take(count/4, func(p savorystep.Place) bool { return p.Region == self.Place.Region })
+	take(count-len(chosen), func(savorystep.Place) bool { return true })
 	return chosen
 }
 
--- a/peer/runoverlay.go
+++ b/peer/runoverlay.go
@@ -23,6 +23,9 @@
 	// refusedHold is how long an instance that refused a connection is not
 	// monitored from here. It exceeds the time between two attempts.
 	refusedHold = 10 * time.Second
+	// maxReserved bounds the connections kept free for chosen peers, so that
+	// those who choose this instance cannot take them all.
+	maxReserved = 4
 	// pollTime bounds one read of the registry.
 	pollTime = 5 * time.Second
 )
@@ -95,29 +98,26 @@
 func (e *Exchange) keepNeighbours(ctx context.Context, now time.Time) {
 	candidates := e.candidates(now)
 	chosen := slices.Concat(
-		chooseNeighbours(e.config.Self, candidates, e.config.mesh()),
+		chooseNeighbours(e.config.Self, candidates, e.config.mesh(), e.config.neighbours()),
 		e.keepGroups(now),
 	)
 	needed := make(map[savorystep.InstanceID]bool, len(chosen))
+	absent := 0
 	for _, instance := range chosen {
 		needed[instance.ID] = true
 		if l := e.links[instance.ID]; l != nil {
 			l.needed = now
 			continue
 		}
+		absent++
 		if d := e.dials[instance.Peer]; e.watches[instance.ID] == nil && (d == nil || now.Sub(d.refused) >= refusedHold) {
 			e.watches[instance.ID] = &watch{heard: now}
 		}
 		e.tryDial(ctx, now, instance.ID, instance.Peer)
 	}
-	for id, w := range e.watches {
-		// An instance that chose this one is watched until its loss is stated,
-		// one that this instance only tried to reach while it is chosen.
-		if !needed[id] && e.links[id] == nil && (!w.linked || !w.suspected.IsZero()) {
-			delete(e.watches, id)
-		}
-	}
-	if len(e.links) < neighbours {
+	e.reserved = min(absent, maxReserved)
+	e.dropWatches(needed)
+	if len(e.links) < e.config.neighbours() {
 		for _, seed := range e.config.Seeds {
 			e.tryDial(ctx, now, "", seed)
 		}
@@ -130,6 +130,16 @@
 	}
 }
 
+// dropWatches ends the monitoring of instances that are not connected and not
+// chosen. One that chose this instance is watched until its loss is stated.
+func (e *Exchange) dropWatches(needed map[savorystep.InstanceID]bool) {
+	for id, w := range e.watches {
+		if !needed[id] && e.links[id] == nil && (!w.linked || !w.suspected.IsZero()) {
+			delete(e.watches, id)
+		}
+	}
+}
+
 // probeLost dials one random instance that is lost or forgotten, or a seed.
 func (e *Exchange) probeLost(ctx context.Context, now time.Time) {
 	var lost []savorystep.Instance
@@ -155,7 +165,7 @@
 // tryDial dials an address in the background unless it is connected, being
 // dialed or waiting after a failure.
 func (e *Exchange) tryDial(ctx context.Context, now time.Time, id savorystep.InstanceID, address savorystep.Address) {
-	if address == "" || address == e.config.Self.Peer || e.tasks == nil {
+	if address == "" || address == e.config.Self.Peer || e.tasks == nil || len(e.links) >= e.config.Connections {
 		return
 	}
 	d := e.dials[address]
@@ -175,31 +185,35 @@
 	}
 	d.busy = true
 	e.tasks.Go(func() error {
-		err := e.connect(ctx, id, address)
-		e.mu.Lock()
-		defer e.mu.Unlock()
-		d.busy = false
-		if err == nil {
-			d.failures = 0
-			d.next = e.config.Clock.Now().Add(backoff(0))
-			d.id = e.idAt(address)
-			return nil
-		}
-		if w := e.watches[id]; w != nil && websocket.CloseStatus(err) == closeDuplicate {
-			// The instance runs but has enough connections, so others monitor
-			// it.
-			delete(e.watches, id)
-			d.refused = e.config.Clock.Now()
-		}
-		d.self = errors.Is(err, errSelf)
-		wait := backoff(d.failures)
-		d.failures++
-		d.next = e.config.Clock.Now().Add(wait/2 + rand.N(wait)) //nolint:gosec // The choice needs no secrecy.
-		logger.Debugf("connect to %s: %v", address, err)
+		e.settleDial(d, id, address, e.connect(ctx, id, address))
 		return nil
 	})
 }
 
+// settleDial notes the outcome of an attempt to connect.
+func (e *Exchange) settleDial(d *dial, id savorystep.InstanceID, address savorystep.Address, err error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.config.Clock.Now()
+	d.busy = false
+	if err == nil {
+		d.failures = 0
+		d.next = now.Add(backoff(0))
+		d.id = e.idAt(address)
+		return
+	}
+	if websocket.CloseStatus(err) == closeDuplicate && e.links[id] == nil {
+		// The instance runs but has enough connections, so others monitor it.
+		delete(e.watches, id)
+		d.refused = now
+	}
+	d.self = errors.Is(err, errSelf)
+	wait := backoff(d.failures)
+	d.failures++
+	d.next = now.Add(wait/2 + rand.N(wait)) //nolint:gosec // The choice needs no secrecy.
+	logger.Debugf("connect to %s: %v", address, err)
+}
+
 // idAt returns the connected instance with a peer address.
 func (e *Exchange) idAt(address savorystep.Address) savorystep.InstanceID {
 	for id, l := range e.links {
--- a/peer/scope.go
+++ b/peer/scope.go
@@ -130,20 +130,25 @@
 				needed = append(needed, m.status.Instance)
 			}
 		}
-		for id, l := range e.links {
-			target := mesh || slices.Contains(g.brokers, id) || l.interests[name]
-			switch {
-			case target && !l.sharing[name]:
-				l.sharing[name] = true
-				e.sendGroup(l, name, true)
-			case !target:
-				delete(l.sharing, name)
-			}
-		}
+		e.keepSharing(name, g, mesh)
 	}
 	return needed
 }
 
+// keepSharing sends the own facts of a group to the links that shall have them.
+func (e *Exchange) keepSharing(name string, g *group, mesh bool) {
+	for id, l := range e.links {
+		target := mesh || slices.Contains(g.brokers, id) || l.interests[name]
+		switch {
+		case target && !l.sharing[name]:
+			l.sharing[name] = true
+			e.sendGroup(l, name, true)
+		case !target:
+			delete(l.sharing, name)
+		}
+	}
+}
+
 // keepFirst makes this instance pass on the facts of a group while it is the
 // first broker.
 func (e *Exchange) keepFirst(name string, g *group) {
--- a/peer/store.go
+++ b/peer/store.go
@@ -259,14 +259,9 @@
 			s.forget(id)
 		}
 	}
-	for kind, facts := range s.facts {
-		life := lifetime(kind)
-		for key, e := range facts {
-			orphan := s.members[key.instance] == nil && now.Sub(e.heard) >= forgetAfter
-			if e.idle && now.Sub(e.born) >= idleLifetime {
-				s.remove(e)
-			}
-			if (life > 0 && now.Sub(e.born) >= life) || (orphan && kind != factSuspicion) {
+	for _, facts := range s.facts {
+		for _, e := range facts {
+			if s.isExpired(now, e) {
 				s.remove(e)
 			}
 		}
@@ -279,6 +274,18 @@
 	}
 }
 
+// isExpired reports whether a fact is too old, says nothing, or is of an
+// instance that is not known.
+func (s *store) isExpired(now time.Time, e *entry) bool {
+	if e.idle && now.Sub(e.born) >= idleLifetime {
+		return true
+	}
+	if life := lifetime(e.key.kind); life > 0 && now.Sub(e.born) >= life {
+		return true
+	}
+	return s.members[e.key.instance] == nil && e.key.kind != factSuspicion && now.Sub(e.heard) >= forgetAfter
+}
+
 // unknownQuota returns how many unknown names are kept of each instance.
 func (s *store) unknownQuota() int {
 	return min(maxUnknownEach, max(1, maxUnknown/max(1, len(s.members))))
--- /dev/null
+++ b/peer/store_test.go
@@ -0,0 +1,288 @@
+package peer
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/datadriven"
+	"pgregory.net/rapid"
+
+	"savorystep"
+)
+
+var epoch = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func statusBody(id savorystep.InstanceID, ready bool) []byte {
+	body, err := statuses.Encode(savorystep.StatusFact{
+		Instance: savorystep.Instance{ID: id, Peer: savorystep.Address(id + ":1")}, Ready: ready,
+	})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+func suspicionBody(sequence uint64) []byte {
+	body, err := suspicionFacts.Encode(suspicionFact{Sequence: sequence})
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+// A script is a store driven by a file.
+type script struct {
+	*store
+	now time.Time
+}
+
+// TestStore runs the scripts of merging, expiry and membership.
+func TestStore(t *testing.T) {
+	datadriven.Walk(t, "testdata/store", func(t *testing.T, path string) {
+		t.Helper()
+		s := &script{store: newStore("self", 1500*time.Millisecond), now: epoch}
+		datadriven.RunTest(t, path, s.run)
+	})
+}
+
+func (s *script) run(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	var id, subject string
+	var sequence, count uint64
+	var age int
+	d.MaybeScanArgs(t, "id", &id)
+	d.MaybeScanArgs(t, "subject", &subject)
+	d.MaybeScanArgs(t, "seq", &sequence)
+	d.MaybeScanArgs(t, "count", &count)
+	d.MaybeScanArgs(t, "age", &age)
+	fact := savorystep.Fact{Instance: savorystep.InstanceID(id), Sequence: sequence, Subject: subject}
+	switch d.Cmd {
+	case "wait":
+		wait, err := time.ParseDuration(d.CmdArgs[0].Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.now = s.now.Add(wait)
+		s.expire(s.now)
+		return ""
+	case "status":
+		fact.Kind, fact.Body = savorystep.FactStatus, statusBody(fact.Instance, true)
+	case "strike":
+		fact.Kind = savorystep.FactStrike
+	case "unknown":
+		fact.Kind = savorystep.FactUnknown
+	case "inflight":
+		fact.Kind = savorystep.FactInFlight
+		fact.Body, _ = inFlightFacts.Encode(savorystep.InFlightFact{Count: savorystep.Slots(count)})
+	case "suspect":
+		fact.Kind, fact.Body = factSuspicion, suspicionBody(count)
+	case "ended":
+		s.bury(s.now, savorystep.Instance{ID: fact.Instance})
+		return ""
+	case "flood":
+		for i := range count {
+			name := strconv.FormatUint(i, 10)
+			s.merge(s.now, savorystep.Fact{Instance: fact.Instance, Sequence: i + 1, Kind: savorystep.FactUnknown, Subject: name}, s.now)
+		}
+		return fmt.Sprintf("%d kept\n", len(s.facts[savorystep.FactUnknown]))
+	case "show":
+		return show(s.store, s.now)
+	default:
+		t.Fatalf("unknown command %s", d.Cmd)
+	}
+	if s.merge(s.now, fact, s.now.Add(-time.Duration(age)*time.Second)) == nil {
+		return "refused\n"
+	}
+	return "new\n"
+}
+
+// show prints the members and the facts.
+func show(s *store, now time.Time) string {
+	var b strings.Builder
+	alive := s.alive(now)
+	ids := make([]string, 0, len(alive))
+	for _, m := range alive {
+		ids = append(ids, string(m.Instance.ID))
+	}
+	fmt.Fprintf(&b, "members: %s\n", strings.Join(ids, " "))
+	for _, kind := range slices.Sorted(maps.Keys(s.facts)) {
+		for _, fact := range s.list(kind) {
+			fmt.Fprintf(&b, "%d %s %q seq %d\n", kind, fact.Instance, fact.Subject, fact.Sequence)
+		}
+	}
+	return b.String()
+}
+
+// TestStoreOrder guards against a state that depends on the order or the
+// number of times in which facts arrive.
+func TestStoreOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		ids := []savorystep.InstanceID{"a", "b", "c"}
+		makeFact := rapid.Custom(func(t *rapid.T) savorystep.Fact {
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			sequence := rapid.Uint64Range(1, 6).Draw(t, "sequence")
+			fact := savorystep.Fact{Instance: id, Sequence: sequence}
+			switch rapid.IntRange(0, 3).Draw(t, "kind") {
+			case 0:
+				// The body follows from the sequence, as an instance gives
+				// each sequence to one fact.
+				fact.Kind, fact.Body = savorystep.FactStatus, statusBody(id, sequence%2 == 0)
+			case 1:
+				fact.Kind, fact.Subject = factSuspicion, string(ids[sequence%3])
+				fact.Body = suspicionBody(sequence / 2)
+			case 2:
+				fact.Kind, fact.Subject = savorystep.FactStrike, strconv.FormatUint(sequence%2, 10)
+			default:
+				fact.Kind, fact.Subject = savorystep.FactInFlight, strconv.FormatUint(sequence%2, 10)
+				fact.Body, _ = inFlightFacts.Encode(savorystep.InFlightFact{Count: savorystep.Slots(sequence)})
+			}
+			return fact
+		})
+		facts := rapid.SliceOfN(makeFact, 1, 30).Draw(t, "facts")
+		other := slices.Concat(facts, rapid.SliceOfN(rapid.SampledFrom(facts), 0, 10).Draw(t, "again"))
+		other = rapid.Permutation(other).Draw(t, "order")
+		one, two := newStore("self", time.Second), newStore("self", time.Second)
+		for _, fact := range facts {
+			one.merge(epoch, fact, epoch)
+		}
+		for _, fact := range other {
+			two.merge(epoch, fact, epoch)
+		}
+		later := epoch.Add(time.Minute)
+		if a, b := show(one, later), show(two, later); a != b {
+			t.Fatalf("states differ:\n%s\n%s", a, b)
+		}
+		if one.digest != two.digest {
+			t.Fatal("digests differ")
+		}
+	})
+}
+
+// TestStoreAgeGrows guards against a fact that circulates for ever between
+// instances that drop it at different times.
+func TestStoreAgeGrows(t *testing.T) {
+	a, b := newStore("a", time.Second), newStore("b", time.Second)
+	now := epoch
+	fact := savorystep.Fact{Instance: "c", Sequence: 1, Kind: savorystep.FactStrike, Subject: "x"}
+	a.merge(now, fact, now)
+	a.merge(now, savorystep.Fact{Instance: "c", Sequence: 2, Kind: savorystep.FactStatus, Body: statusBody("c", true)}, now)
+	b.merge(now, savorystep.Fact{Instance: "c", Sequence: 2, Kind: savorystep.FactStatus, Body: statusBody("c", true)}, now)
+	from, to := a, b
+	for range 10 * int(strikeLifetime/time.Second) {
+		now = now.Add(900 * time.Millisecond)
+		for key, e := range from.facts[savorystep.FactStrike] {
+			to.merge(now, fact, now.Add(-time.Duration(e.age(now))*time.Second))
+			from.remove(from.get(key))
+		}
+		from.expire(now)
+		to.expire(now)
+		from, to = to, from
+	}
+	if len(a.facts[savorystep.FactStrike])+len(b.facts[savorystep.FactStrike]) != 0 {
+		t.Error("strike is kept past its lifetime")
+	}
+}
+
+// TestRevisionVector guards against bits that are taken for other instances.
+func TestRevisionVector(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(1, 200).Draw(t, "size")
+		one, two := newStore("self", time.Second), newStore("self", time.Second)
+		absent := rapid.IntRange(0, 200).Draw(t, "absent")
+		for i := range size {
+			id := savorystep.InstanceID(fmt.Sprint("entry-", i))
+			status := savorystep.Fact{Instance: id, Sequence: 1, Kind: savorystep.FactStatus, Body: statusBody(id, true)}
+			one.merge(epoch, status, epoch)
+			if i != absent {
+				two.merge(epoch, status, epoch)
+			}
+			if rapid.Bool().Draw(t, "inForce") {
+				one.revisions.raise(one.members[id], 5)
+			}
+		}
+		v := one.revisions.vector(bucketCount)
+		if v == nil {
+			return
+		}
+		two.revisions.merge(v)
+		for id, m := range two.members {
+			if m.revision > one.members[id].revision {
+				t.Fatalf("%s has revision %d, not %d", id, m.revision, one.members[id].revision)
+			}
+			if absent >= size && m.revision != one.members[id].revision {
+				t.Fatalf("%s lost its revision", id)
+			}
+		}
+		if absent >= size && !one.sameRevisions(two.digestBytes()) {
+			t.Fatal("revision checksums differ")
+		}
+	})
+}
+
+// TestTokenBucket guards against a second that carries more than the budget.
+func TestTokenBucket(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const budget = 5000
+		b := newTokenBucket(budget, epoch)
+		type send struct {
+			at    time.Time
+			bytes int
+		}
+		var sends []send
+		now := epoch
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			bytes := rapid.IntRange(1, 1000).Draw(t, "bytes")
+			if b.available(now) >= bytes {
+				b.spend(now, bytes)
+				sends = append(sends, send{now, bytes})
+			}
+		}
+		for i, first := range sends {
+			sum := 0
+			for _, s := range sends[i:] {
+				if s.at.Sub(first.at) < time.Second {
+					sum += s.bytes
+				}
+			}
+			if sum > budget {
+				t.Fatalf("%d bytes in the second from %v", sum, first.at)
+			}
+		}
+	})
+}
+
+// TestChooseNeighbours guards against neighbours that all lie in one zone.
+func TestChooseNeighbours(t *testing.T) {
+	all := make([]savorystep.Instance, 0, 500)
+	for i := range 500 {
+		all = append(all, savorystep.Instance{
+			ID:    savorystep.InstanceID(fmt.Sprint("entry-", i)),
+			Place: savorystep.Place{Region: savorystep.Region(strconv.Itoa(i % 5)), Zone: savorystep.Zone(strconv.Itoa(i % 10))},
+		})
+	}
+	chosen := chooseNeighbours(all[0], all[1:], 24, 8)
+	if len(chosen) != 8 {
+		t.Fatalf("%d neighbours", len(chosen))
+	}
+	near, far := 0, 0
+	for _, instance := range chosen {
+		if instance.Place == all[0].Place {
+			near++
+		}
+		if instance.Place.Region != all[0].Place.Region {
+			far++
+		}
+	}
+	if near < 2 || far == 0 {
+		t.Errorf("%d near and %d far neighbours", near, far)
+	}
+	if got := chooseNeighbours(all[0], all[1:13], 24, 8); len(got) != 12 {
+		t.Errorf("%d of 12 neighbours", len(got))
+	}
+}
--- /dev/null
+++ b/peer/wire_test.go
@@ -0,0 +1,332 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"savorystep"
+)
+
+// start runs an exchange behind a test server.
+func start(t *testing.T, config Config) (*Exchange, string) {
+	t.Helper()
+	config.Secret = "secret"
+	e := New(config)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := e.Start(ctx)
+	server := httptest.NewServer(e.Handler())
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+		server.Close()
+	})
+	return e, "ws" + strings.TrimPrefix(server.URL, "http") + Path
+}
+
+// A rawPeer speaks the protocol by hand.
+type rawPeer struct {
+	t    *testing.T
+	conn *websocket.Conn
+}
+
+func dialRaw(t *testing.T, url string) *rawPeer {
+	t.Helper()
+	conn, response, err := websocket.Dial(t.Context(), url, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.Body != nil {
+		_ = response.Body.Close()
+	}
+	conn.SetReadLimit(maxFrame)
+	t.Cleanup(func() { _ = conn.CloseNow() })
+	return &rawPeer{t: t, conn: conn}
+}
+
+func (p *rawPeer) send(f frame) {
+	p.t.Helper()
+	data, err := frames.Encode(f)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.write(data)
+}
+
+func (p *rawPeer) write(data []byte) {
+	p.t.Helper()
+	if err := p.conn.Write(p.t.Context(), websocket.MessageBinary, data); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// hello sends a hello and reads the answer.
+func (p *rawPeer) hello(id savorystep.InstanceID) {
+	p.t.Helper()
+	secret := sha256.Sum256([]byte("secret"))
+	p.send(frame{Hello: &helloFrame{Version: protocolVersion, Instance: savorystep.Instance{ID: id}, Secret: secret[:]}})
+	p.receive(func(f frame) bool { return f.Hello != nil })
+}
+
+// receive reads frames until one fits.
+func (p *rawPeer) receive(fits func(frame) bool) frame {
+	p.t.Helper()
+	for {
+		_, data, err := p.conn.Read(p.t.Context())
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		f, err := decodeFrame(data)
+		if err != nil {
+			p.t.Fatal(err)
+		}
+		if fits(f) {
+			return f
+		}
+	}
+}
+
+// closed reads until the connection ends and returns how it was closed.
+func (p *rawPeer) closed() websocket.CloseError {
+	p.t.Helper()
+	for {
+		_, _, err := p.conn.Read(p.t.Context())
+		if err == nil {
+			continue
+		}
+		var closed websocket.CloseError
+		if !errors.As(err, &closed) {
+			p.t.Fatalf("connection ended without a reason: %v", err)
+		}
+		return closed
+	}
+}
+
+// TestRefusals guards against frames that are taken although they are wrong,
+// and against connections that end without a reason.
+func TestRefusals(t *testing.T) {
+	e, url := start(t, Config{Self: savorystep.Instance{ID: "self"}})
+	encode := func(f frame) []byte {
+		data, err := encoding.Marshal(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	secret := sha256.Sum256([]byte("secret"))
+	wrong := sha256.Sum256([]byte("other"))
+	instance := savorystep.Instance{ID: "raw"}
+	unknownField, err := encoding.Marshal(map[int]any{1: map[int]any{1: 1, 2: 1}, 99: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	facts := func(f factsFrame) []byte { return encode(frame{Facts: &f}) }
+	cases := []struct {
+		name   string
+		first  []byte
+		after  []byte
+		code   websocket.StatusCode
+		reason string
+	}{
+		{name: "bad first frame", first: []byte("garbage"), code: closeBadFrame, reason: "decode"},
+		{name: "own ID", first: encode(frame{Hello: &helloFrame{Version: protocolVersion, Instance: e.Self(), Secret: secret[:]}}), code: closeBadFrame, reason: "own"},
+		{name: "no hello", first: facts(factsFrame{}), code: closeBadFrame, reason: "hello"},
+		{name: "wrong secret", first: encode(frame{Hello: &helloFrame{Version: protocolVersion, Instance: instance, Secret: wrong[:]}}), code: closeRefused, reason: "secret"},
+		{name: "wrong version", first: encode(frame{Hello: &helloFrame{Version: 99, Instance: instance, Secret: secret[:]}}), code: closeBadFrame, reason: "version"},
+		{name: "bad digest", after: facts(factsFrame{Digest: []byte{1}}), code: closeBadFrame, reason: "digest"},
+		{name: "bad vector", after: facts(factsFrame{Vector: &vector{Revision: 1, Groups: 3}}), code: closeBadFrame, reason: "groups"},
+		{name: "garbage", after: []byte("garbage"), code: closeBadFrame, reason: "decode"},
+		{name: "large body", after: facts(factsFrame{Facts: []wireFact{{Sequence: 1, Kind: 6, Body: make([]byte, maxBody+1)}}}), code: closeBadFrame, reason: "body"},
+		{name: "large dictionary", after: facts(factsFrame{Names: manyNames()}), code: closeBadFrame, reason: "dictionary"},
+		{name: "name outside", after: facts(factsFrame{Facts: []wireFact{{Instance: 7, Sequence: 1, Kind: 6}}}), code: closeBadFrame, reason: "dictionary"},
+		{name: "negative limit", after: encode(frame{Want: &wantFrame{Limit: -1}}), code: closeBadFrame, reason: "limit"},
+		{name: "second hello", after: encode(frame{Hello: &helloFrame{Instance: instance}}), code: closeBadFrame, reason: "second"},
+		{name: "two parts", after: encode(frame{Ack: &ackFrame{}, Want: &wantFrame{}}), code: closeBadFrame, reason: "parts"},
+		{name: "unknown field", after: unknownField, code: closeBadFrame, reason: "unknown field"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			p := dialRaw(t, url)
+			if c.after != nil {
+				p.hello(savorystep.InstanceID(c.name))
+				p.write(c.after)
+			} else {
+				p.write(c.first)
+			}
+			closed := p.closed()
+			if closed.Code != c.code || !strings.Contains(closed.Reason, c.reason) {
+				t.Errorf("closed with %d %q", closed.Code, closed.Reason)
+			}
+		})
+	}
+	if kept := len(e.Facts(savorystep.FactStrike)); kept != 0 {
+		t.Errorf("%d facts of refused frames are kept", kept)
+	}
+}
+
+func manyNames() []string {
+	names := make([]string, maxNames+1)
+	for i := range names {
+		names[i] = fmt.Sprint("n", i)
+	}
+	return names
+}
+
+// TestBadFrameLosesNothingElse guards against a peer whose garbage takes away
+// the facts that it or others sent before.
+func TestBadFrameLosesNothingElse(t *testing.T) {
+	e, url := start(t, Config{Self: savorystep.Instance{ID: "self"}})
+	good, bad := dialRaw(t, url), dialRaw(t, url)
+	strike := func(p *rawPeer, id savorystep.InstanceID) {
+		p.hello(id)
+		p.send(frame{Facts: &factsFrame{Names: []string{"x"}, Facts: []wireFact{{Sequence: 1, Kind: savorystep.FactStrike, Subject: 1}}, Push: 1}})
+		p.receive(func(f frame) bool { return f.Ack != nil && f.Ack.Push == 1 })
+	}
+	strike(good, "good")
+	strike(bad, "bad")
+	bad.write(bytes.Repeat([]byte{0xff}, 100))
+	if closed := bad.closed(); closed.Code != closeBadFrame {
+		t.Errorf("closed with %d", closed.Code)
+	}
+	if kept := len(e.Facts(savorystep.FactStrike)); kept != 2 {
+		t.Errorf("%d strikes kept, want 2", kept)
+	}
+	good.send(frame{Facts: &factsFrame{Push: 2}})
+	good.receive(func(f frame) bool { return f.Ack != nil && f.Ack.Push == 2 })
+}
+
+// TestOneConnectionPerPair guards against two connections between the same
+// instances: the newer one of the same peer stays, the older one ends.
+func TestOneConnectionPerPair(t *testing.T) {
+	e, url := start(t, Config{Self: savorystep.Instance{ID: "self"}})
+	one := dialRaw(t, url)
+	one.hello("raw")
+	two := dialRaw(t, url)
+	two.hello("raw")
+	if closed := one.closed(); closed.Code != closeDuplicate {
+		t.Errorf("first connection closed with %d", closed.Code)
+	}
+	two.send(frame{Facts: &factsFrame{Push: 1}})
+	two.receive(func(f frame) bool { return f.Ack != nil })
+	if links := e.Stats().Links; links != 1 {
+		t.Errorf("%d connections", links)
+	}
+}
+
+// TestOwnFactsStay guards against a peer that states facts in the name of this
+// instance.
+func TestOwnFactsStay(t *testing.T) {
+	e, url := start(t, Config{Self: savorystep.Instance{ID: "self"}})
+	e.Publish(savorystep.FactStrike, "x", savorystep.StrikeFact{Strikes: 1})
+	p := dialRaw(t, url)
+	p.hello("raw")
+	p.send(frame{Facts: &factsFrame{
+		Names: []string{"self", "x"},
+		Facts: []wireFact{{Instance: 1, Sequence: 1000, Kind: savorystep.FactStrike, Subject: 2}},
+		Push:  1,
+	}})
+	p.receive(func(f frame) bool { return f.Ack != nil })
+	if facts := e.Facts(savorystep.FactStrike); len(facts) != 1 || facts[0].Sequence >= 1000 {
+		t.Errorf("own fact became %+v", facts)
+	}
+}
+
+// TestRefutes guards against a running instance that stays suspected: it must
+// answer a suspicion and a hello that holds it for lost with a newer status.
+func TestRefutes(t *testing.T) {
+	e, url := start(t, Config{Self: savorystep.Instance{ID: "self"}})
+	p := dialRaw(t, url)
+	secret := sha256.Sum256([]byte("secret"))
+	p.send(frame{Hello: &helloFrame{Version: protocolVersion, Instance: savorystep.Instance{ID: "raw"}, Secret: secret[:], Suspected: 50}})
+	newer := func(than uint64) {
+		t.Helper()
+		p.receive(func(f frame) bool {
+			if f.Facts == nil {
+				return false
+			}
+			for _, fact := range f.Facts.Facts {
+				if fact.Kind == savorystep.FactStatus && fact.Instance == 0 && fact.Sequence > than {
+					return true
+				}
+			}
+			return false
+		})
+	}
+	newer(50)
+	p.send(frame{Facts: &factsFrame{
+		Names: []string{"self"},
+		Facts: []wireFact{{Sequence: 1, Kind: factSuspicion, Subject: 1, Body: suspicionBody(e.statusSequence())}},
+	}})
+	newer(51)
+	if members := e.Members(time.Now()); len(members) == 0 || members[len(members)-1].Instance.ID != "self" {
+		t.Errorf("members %v", members)
+	}
+}
+
+func (e *Exchange) statusSequence() uint64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.store.members[e.config.Self.ID].sequence
+}
+
+// TestUnknownNamesBounded guards against callers that fill the memory with
+// unknown names.
+func TestUnknownNamesBounded(t *testing.T) {
+	e := New(Config{Self: savorystep.Instance{ID: "self"}})
+	for i := range 10 * maxUnknownEach {
+		e.Publish(savorystep.FactUnknown, fmt.Sprint("name-", i), savorystep.UnknownFact{Count: 1})
+	}
+	e.Publish(savorystep.FactUnknown, strings.Repeat("x", maxName+1), savorystep.UnknownFact{Count: 1})
+	if kept := len(e.Facts(savorystep.FactUnknown)); kept != maxUnknownEach {
+		t.Errorf("%d names kept", kept)
+	}
+}
+
+// TestPauseIsNoSilence guards against an instance that suspects others because
+// it did not run itself.
+func TestPauseIsNoSilence(t *testing.T) {
+	e := New(Config{Self: savorystep.Instance{ID: "self"}})
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := e.config.Clock.Now()
+	l := e.newLink(nil, savorystep.Instance{ID: "b"}, true)
+	e.links["b"] = l
+	e.watches["b"] = &watch{heard: now, linked: true}
+	e.store.merge(now, savorystep.Fact{Instance: "b", Sequence: 1, Kind: savorystep.FactStatus, Body: statusBody("b", true)}, now)
+	const pause = 5 * time.Second
+	e.excuse(pause)
+	e.round(now.Add(pause))
+	if l.ended || len(e.store.suspicions) > 0 {
+		t.Error("peer is suspected after a pause of this instance")
+	}
+	e.round(now.Add(2 * pause))
+	if !l.ended {
+		t.Error("silent connection is kept")
+	}
+}
+
+// TestIsolatedSeesOnlyItself guards against an instance that vouches for
+// others while it hears nobody.
+func TestIsolatedSeesOnlyItself(t *testing.T) {
+	e := New(Config{Self: savorystep.Instance{ID: "self"}})
+	now := e.config.Clock.Now()
+	e.mu.Lock()
+	e.store.merge(now, savorystep.Fact{Instance: "b", Sequence: 1, Kind: savorystep.FactStatus, Body: statusBody("b", true)}, now)
+	e.mu.Unlock()
+	if members := e.Members(now); len(members) != 2 {
+		t.Errorf("%d members at the start", len(members))
+	}
+	if members := e.Members(now.Add(10 * time.Second)); len(members) != 1 || members[0].Instance.ID != "self" {
+		t.Errorf("isolated instance sees %v", members)
+	}
+}
