Limit the growth of failover into a region

Cause: nothing called the ramp, so the traffic of a lost region met cold caches at once. While no peer is heard, growth stands still.

Facts about endpoints go to the group of their service and region.

--- a/cmd/container.go
+++ b/cmd/container.go
@@ -26,6 +26,7 @@
 		newBudgets,
 		newCallerServer,
 		newExchange,
+		newFactGroups,
 		newForwarder,
 		newHLC,
 		newInstance,
@@ -98,12 +99,14 @@
 	hlc *peer.HLC,
 	ring *peer.Ring,
 	client *platform.Client,
+	groups *factGroups,
 ) *peer.Exchange {
 	settings := config.Settings.Peer
 	return peer.New(peer.Config{
 		Bytes:    int(settings.Rate),
 		Clock:    config.Clock,
 		Dial:     config.Dial,
+		Group:    groups.name,
 		HLC:      hlc,
 		Recorder: ring,
 		Registry: client,
@@ -166,9 +169,10 @@
 	budgets *platform.Budgets,
 	client *platform.Client,
 	exchange *peer.Exchange,
+	groups *factGroups,
 	ring *peer.Ring,
 ) *upstream.Pool {
-	return upstream.New(upstream.Config{
+	pool := upstream.New(upstream.Config{
 		Budgets:  budgets,
 		Clock:    config.Clock,
 		Facts:    exchange,
@@ -177,6 +181,8 @@
 		Self:     self,
 		Wrap:     config.Wrap,
 	})
+	groups.pool.Store(pool)
+	return pool
 }
 
 // newForwarder returns the chain of forwarders. Retries lie around the
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -38,14 +38,16 @@
 		if g == nil {
 			continue
 		}
+		if err := p.admitFailover(g, order[i], now); err != nil {
+			first = firstError(first, err)
+			continue
+		}
 		leased, err := p.leaseIn(ctx, request, r, g, order[i], !waited)
 		if err == nil {
 			return leased, nil
 		}
 		waited = true
-		if first == nil {
-			first = err
-		}
+		first = firstError(first, err)
 		if ctx.Err() != nil {
 			break
 		}
@@ -57,6 +59,14 @@
 	return nil, first
 }
 
+// firstError returns the earlier of two errors.
+func firstError(first, second error) error {
+	if first != nil {
+		return first
+	}
+	return second
+}
+
 // recordRefusal keeps the event of a refused request, at most one each second,
 // so that an overload does not displace all other events.
 func (p *Pool) recordRefusal(request *savorystep.Request, region savorystep.Region, err error) {
--- a/upstream/group.go
+++ b/upstream/group.go
@@ -30,6 +30,8 @@
 	healths   []*Health
 	waiters   []*waiter
 	usual     time.Duration
+	// ramp limits how fast failover may fill the region.
+	ramp *Ramp
 	// candidates is scratch space of pick.
 	candidates []Candidate
 	// suspectSince is when more than half of the endpoints began to look dead
--- /dev/null
+++ b/upstream/growth_test.go
@@ -0,0 +1,63 @@
+package upstream_test
+
+import (
+	"fmt"
+	"testing"
+
+	"savorystep"
+	"savorystep/standin"
+	"savorystep/upstream"
+)
+
+// failOver sends requests to a service whose home region has no usable
+// endpoint and returns how many run in the other region and how many were
+// refused.
+func failOver(t *testing.T, ramp upstream.RampConfig) (running savorystep.Slots, refused int) {
+	t.Helper()
+	const requests = 20
+	s := newSite(t)
+	target := s.add("a", "natal", standin.UpstreamConfig{Slots: requests})
+	target.SetFaults(standin.UpstreamFaults{Hold: true})
+	p := s.pool(func(c *upstream.Config) { c.Limits.Ramp = ramp })
+	ended := make(chan ending, requests)
+	for i := range requests {
+		request := get(savorystep.RequestID(fmt.Sprint("r", i)), "/echo")
+		request.Record = record("natal", "recife")
+		request.Home = "recife"
+		s.start(p, request, ended)
+	}
+	s.eventually("all requests run or are refused", func() bool {
+		return int(target.Load().Busy)+len(ended) == requests
+	})
+	running = target.Load().Busy
+	refused = len(ended)
+	target.SetFaults(standin.UpstreamFaults{})
+	for range requests {
+		if end := <-ended; end.err != nil && savorystep.KindOf(end.err) != savorystep.KindOverloaded {
+			t.Errorf("%s ended with %v", end.id, end.err)
+		}
+	}
+	return running, refused
+}
+
+// TestFailoverGrowth guards against a region whose cold caches get the whole
+// traffic of a lost region at once. The second case shows that the ramp is what
+// holds the requests back.
+func TestFailoverGrowth(t *testing.T) {
+	cases := []struct {
+		name    string
+		ramp    upstream.RampConfig
+		limited bool
+	}{
+		{name: "default", limited: true},
+		{name: "without limit", ramp: upstream.RampConfig{Floor: 1000}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			running, refused := failOver(t, c.ramp)
+			if limited := refused > 0; limited != c.limited {
+				t.Errorf("%d run, %d were refused", running, refused)
+			}
+		})
+	}
+}
--- a/upstream/heard.go
+++ b/upstream/heard.go
@@ -29,6 +29,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.heard[fact.Instance] = fact.Heard
+	p.lastPeer = fact.Heard
 	return true
 }
 
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -49,6 +49,8 @@
 	Replay int
 	// Health are the limits of the health of endpoints.
 	Health HealthLimits
+	// Ramp limits the growth of failover into a region.
+	Ramp RampConfig
 }
 
 // withDefaults returns the limits with defaults for zero values.
--- a/upstream/list.go
+++ b/upstream/list.go
@@ -86,7 +86,7 @@
 		if g == nil {
 			g = &group{
 				service: key.service, region: key.region, zone: p.config.Self.Place.Zone,
-				limits: &p.limits, clock: p.clock,
+				limits: &p.limits, clock: p.clock, ramp: NewRamp(p.limits.Ramp),
 			}
 			known[key] = g
 			// Readers hold the old slice, so it is not changed in place.
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -37,6 +37,8 @@
 	byID   map[savorystep.EndpointID]*group
 	// heard is when each other instance was last heard.
 	heard map[savorystep.InstanceID]time.Time
+	// lastPeer is when any other instance was last heard.
+	lastPeer time.Time
 }
 
 // New returns a pool without endpoints. Start begins to follow the platform's
@@ -111,6 +113,17 @@
 	return p.byID[id]
 }
 
+// GroupName names the service and region of an endpoint, for the exchange of
+// facts among the instances that use the same endpoints. It is empty for an
+// unknown endpoint.
+func (p *Pool) GroupName(id savorystep.EndpointID) string {
+	g := p.groupOf(id)
+	if g == nil {
+		return ""
+	}
+	return string(g.service) + "/" + string(g.region)
+}
+
 // allGroups returns the groups of all services.
 func (p *Pool) allGroups() []*group {
 	p.mu.RLock()
--- a/upstream/steer.go
+++ b/upstream/steer.go
@@ -80,7 +80,7 @@
 	var buffer [8]path
 	for _, other := range fallbacks(buffer[:0], record, block, first, now) {
 		if hasRoom(loads, other.region) {
-			return other.decision(why)
+			return other.failover(first, why)
 		}
 	}
 	if why == reasonUnusable {
@@ -97,7 +97,7 @@
 	var buffer [8]path
 	for _, other := range fallbacks(buffer[:0], record, block, first, now) {
 		if load, ok := loadOf(loads, other.region); ok && load.Usable > 0 {
-			return other.decision(reasonUnusable)
+			return other.failover(first, reasonUnusable)
 		}
 	}
 	return chosen.decision(reasonNone)
@@ -119,10 +119,15 @@
 	var buffer [8]path
 	candidates := append(buffer[:0], follow(record, block, first, now))
 	candidates = fallbacks(candidates, record, block, first, now)
-	for _, candidate := range candidates {
-		if !listed(dst[start:], candidate.region) {
-			dst = append(dst, candidate.decision(reasonFull))
+	for i, candidate := range candidates {
+		if listed(dst[start:], candidate.region) {
+			continue
+		}
+		decision := candidate.failover(first, reasonFull)
+		if i == 0 {
+			decision = candidate.decision(reasonFull)
 		}
+		dst = append(dst, decision)
 	}
 	return dst
 }
@@ -146,6 +151,14 @@
 	return decision
 }
 
+// failover returns the decision for the path of a block whose region is passed
+// over. A block that stays in its first region does not fail over.
+func (p path) failover(first savorystep.Region, reason string) savorystep.Decision {
+	decision := p.decision(reason)
+	decision.Failover = p.region != first
+	return decision
+}
+
 // firstRegion returns the region of a block before shifts, and the reason.
 func firstRegion(record *savorystep.Record, block savorystep.BlockID, home savorystep.Region) (savorystep.Region, string) {
 	for i := range record.Shares {
--- a/upstream/watch.go
+++ b/upstream/watch.go
@@ -38,6 +38,7 @@
 	now := p.clock.Now()
 	hasPeers := p.hasPeers(now)
 	suspect := false
+	measured := p.measuredAt(now)
 	var chores []chore
 	for _, g := range p.allGroups() {
 		g.mu.Lock()
@@ -47,6 +48,7 @@
 			chores = p.stateFacts(ctx, g, e, now, chores)
 		}
 		suspect = g.suspects(now, hasPeers) || suspect
+		g.measureGrowth(now, measured)
 		g.refuseStranded(now)
 		g.dispatch(now)
 		g.mu.Unlock()
