Keep the revision vector from starving under load

Cause: with 256 nodes one of seven revisions was known of all members only after 26 s. The vector waited for tokens that small frames used up, and at 2,500 members it would not have fitted into the burst at all. It now goes out in two parts, and other facts wait while a part does.

Seeds that are members are no longer dialed again (0.4 refused dials per second and node with 128 nodes before).

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -54,6 +54,8 @@
 	alone time.Time
 	// vectorNext is the earliest time of the next full vector.
 	vectorNext time.Time
+	// vectorHold is the bytes kept for a part of the vector that waits.
+	vectorHold int
 	// reserved is the number of connections kept free for chosen peers.
 	reserved int
 	// fresh counts the facts learned since the last digest.
--- a/peer/fleet_bench_test.go
+++ b/peer/fleet_bench_test.go
@@ -31,6 +31,7 @@
 	loadOwners    = 4
 	loadEndpoints = 12
 	loadInterval  = 100 * time.Millisecond
+	settleTime    = 20 * time.Second
 )
 
 func startLoad(f *fleet) *load {
@@ -225,7 +226,8 @@
 	f := newFleet(b, size, benchConfig)
 	joined := f.full(b)
 	l := startLoad(f)
-	time.Sleep(3 * time.Second)
+	// The statuses of all nodes change when the load starts.
+	time.Sleep(settleTime)
 
 	sent, received, links := f.sums()
 	processor, start := cpuTime(), time.Now()
--- a/peer/link.go
+++ b/peer/link.go
@@ -47,9 +47,10 @@
 	// pending, beat when a heartbeat is due, digest when a digest is due.
 	due, urgent, beat, digest bool
 	summaries                 []*summary
-	// vectorSent is the version of the revision table last sent, topSent the
-	// greatest revision announced, revisionSent the own revision last sent.
-	vectorSent   uint64
+	// partsSent are the versions of the revision table when each part of the
+	// vector was sent, topSent the greatest revision announced, revisionSent
+	// the own revision last sent.
+	partsSent    [vectorParts]uint64
 	topSent      savorystep.Revision
 	revisionSent savorystep.Revision
 	// revisionHeard is the revision in force at the peer.
@@ -238,21 +239,41 @@
 	revisions := &e.store.revisions
 	switch {
 	case l.topSent < revisions.top:
-		// A new revision is announced to all at once, by the first groups
+		// A new revision is announced to all at once, by the first group
 		// only: all groups on all links would exceed the budget.
-		facts.Vector = revisions.vector(1)
+		facts.Vector = revisions.announcement()
 		l.topSent = revisions.top
-	case l.due && l.vectorSent != revisions.version && !now.Before(e.vectorNext):
-		v := revisions.vector(bucketCount)
-		if v.size() > available-reserve {
-			return size
+	case l.due && !now.Before(e.vectorNext):
+		facts.Vector = l.nextPart(now, available-size)
+	}
+	return size + facts.Vector.size()
+}
+
+// nextPart returns a part of the vector that changed since it was sent on this
+// link, or nil. If the budget does not suffice, other facts wait for the part,
+// since small frames would else use up the budget for ever.
+func (l *link) nextPart(now time.Time, available int) *vector {
+	e := l.exchange
+	revisions := &e.store.revisions
+	for part := range l.partsSent {
+		if l.partsSent[part] == revisions.version {
+			continue
+		}
+		v := revisions.vector(part, partGroups)
+		if size := v.size(); size > available-reserve {
+			e.vectorHold = size
+			return nil
 		}
-		facts.Vector = v
-		l.vectorSent = revisions.version
+		l.partsSent[part] = revisions.version
+		if v == nil {
+			continue
+		}
+		e.vectorHold = 0
 		// Vectors take at most half of the budget.
 		e.vectorNext = now.Add(time.Duration(2 * float64(v.size()) / float64(e.config.Bytes) * float64(time.Second)))
+		return v
 	}
-	return size + facts.Vector.size()
+	return nil
 }
 
 // take moves pending facts into a frame, newest first, within the available
@@ -262,15 +283,15 @@
 		return false
 	}
 	entries := l.ready()
-	left := min(available, maxGossip)
+	left := available
 	taken := 0
 	for _, entry := range entries {
-		floor := reserve
+		floor := reserve + l.exchange.vectorHold
 		if isUrgent(entry.key.kind) {
 			floor = 0
 		}
 		size := l.sizeOf(entry)
-		if left-size < floor {
+		if left-size < floor || available-left+size > maxGossip {
 			break
 		}
 		left -= size
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -90,7 +90,7 @@
 			}
 		}
 		if !e.store.sameRevisions(f.Digest) {
-			l.vectorSent = 0
+			l.partsSent = [vectorParts]uint64{}
 		}
 		if len(differing) > 0 && len(l.summaries) == 0 {
 			l.summaries = append(l.summaries, e.store.summarise(differing, false))
--- a/peer/revisiontable.go
+++ b/peer/revisiontable.go
@@ -65,15 +65,21 @@
 	return true
 }
 
-// vector returns the members that have the top revision in force, in at most
-// limit groups. It is nil if there is no revision yet.
-func (t *revisionTable) vector(limit int) *vector {
-	if t.top == 0 {
-		return nil
-	}
-	v := &vector{Revision: t.top, Groups: t.groups()}
-	for index := range v.Groups {
-		members := t.group(index, v.Groups)
+// vectorParts is the number of parts of a vector, and partGroups the groups in
+// one part. All groups together would not fit into the burst of the budget at
+// 2,500 members.
+const (
+	vectorParts = 2
+	partGroups  = bucketCount / vectorParts
+)
+
+// vector returns the members in one part that have the top revision in force,
+// in at most limit groups. It is nil if there are none.
+func (t *revisionTable) vector(part, limit int) *vector {
+	groups := t.groups()
+	v := &vector{Revision: t.top, Groups: groups}
+	for index := part * partGroups; index < min((part+1)*partGroups, int(groups)); index++ {
+		members := t.group(uint8(index), groups)
 		bits := make([]byte, (len(members)+7)/8)
 		set := false
 		for i, o := range members {
@@ -83,12 +89,26 @@
 			}
 		}
 		if set && len(v.Buckets) < limit {
-			v.Buckets = append(v.Buckets, vectorBucket{Index: index, Check: checkOf(members), Bits: bits})
+			v.Buckets = append(v.Buckets, vectorBucket{Index: uint8(index), Check: checkOf(members), Bits: bits})
 		}
 	}
+	if t.top == 0 || len(v.Buckets) == 0 {
+		return nil
+	}
 	return v
 }
 
+// announcement returns a vector that tells the top revision with one group at
+// most.
+func (t *revisionTable) announcement() *vector {
+	for part := range vectorParts {
+		if v := t.vector(part, 1); v != nil {
+			return v
+		}
+	}
+	return &vector{Revision: t.top, Groups: t.groups()}
+}
+
 // groups returns the number of groups for the present number of members. A
 // group of at least 8 members keeps the bytes per member low, and more groups
 // confine the effect of a difference in the members.
--- a/peer/runoverlay.go
+++ b/peer/runoverlay.go
@@ -154,7 +154,9 @@
 		}
 	}
 	for _, seed := range e.config.Seeds {
-		lost = append(lost, savorystep.Instance{Peer: seed})
+		if !e.isMemberAt(now, seed) {
+			lost = append(lost, savorystep.Instance{Peer: seed})
+		}
 	}
 	if len(lost) > 0 {
 		chosen := lost[rand.IntN(len(lost))] //nolint:gosec // The choice needs no secrecy.
@@ -162,6 +164,16 @@
 	}
 }
 
+// isMemberAt reports whether a member that is not lost has a peer address.
+func (e *Exchange) isMemberAt(now time.Time, address savorystep.Address) bool {
+	for id, m := range e.store.members {
+		if m.status.Instance.Peer == address && !e.store.isLost(now, id) {
+			return true
+		}
+	}
+	return false
+}
+
 // tryDial dials an address in the background unless it is connected, being
 // dialed or waiting after a failure.
 func (e *Exchange) tryDial(ctx context.Context, now time.Time, id savorystep.InstanceID, address savorystep.Address) {
@@ -180,7 +192,7 @@
 		}
 		e.dials[address] = d
 	}
-	if d.busy || d.self || now.Before(d.next) || (id == "" && e.links[d.id] != nil) {
+	if d.busy || d.self || now.Before(d.next) || (id == "" && (e.links[d.id] != nil || e.idAt(address) != "")) {
 		return
 	}
 	d.busy = true
--- a/peer/store_test.go
+++ b/peer/store_test.go
@@ -205,11 +205,11 @@
 				one.revisions.raise(one.members[id], 5)
 			}
 		}
-		v := one.revisions.vector(bucketCount)
-		if v == nil {
-			return
+		for part := range vectorParts {
+			if v := one.revisions.vector(part, partGroups); v != nil {
+				two.revisions.merge(v)
+			}
 		}
-		two.revisions.merge(v)
 		for id, m := range two.members {
 			if m.revision > one.members[id].revision {
 				t.Fatalf("%s has revision %d, not %d", id, m.revision, one.members[id].revision)
@@ -224,6 +224,30 @@
 	})
 }
 
+// TestVectorFitsBudget guards against a vector that never fits into the burst
+// of the budget at the design size.
+func TestVectorFitsBudget(t *testing.T) {
+	s := newStore("self", time.Second)
+	for i := range 2500 {
+		id := savorystep.InstanceID(fmt.Sprint("entry-", i))
+		s.merge(epoch, savorystep.Fact{Instance: id, Sequence: 1, Kind: savorystep.FactStatus, Body: statusBody(id, true)}, epoch)
+		s.revisions.raise(s.members[id], 1)
+	}
+	total := 0
+	for part := range vectorParts {
+		v := s.revisions.vector(part, partGroups)
+		data, err := encoding.Marshal(v)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if len(data) > v.size() || v.size() > defaultBytes*burstShare-reserve {
+			t.Errorf("part of %d bytes, bound %d", len(data), v.size())
+		}
+		total += len(data)
+	}
+	t.Logf("vector of 2500 members has %d bytes", total)
+}
+
 // TestTokenBucket guards against a second that carries more than the budget.
 func TestTokenBucket(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
