Let a new instance get the list of endpoints from a peer

Cause: with the platform down, a new instance took the configuration from its peers but knew no endpoint, so it was ready and refused every request. A cache around the platform's lists asks peers, with the shared secret, while no list was read since the start; readiness now asks for a list as well.

Found by TestProcessesStopDuringUpload, which failed in 1 of about 10 runs because an entry was ready before it had read the list. The test now also waits for the registration of its upstreams.

--- a/cmd/container.go
+++ b/cmd/container.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/rand"
 	"fmt"
+	"net/http"
 	"strings"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -31,6 +32,7 @@
 		newHLC,
 		newInstance,
 		newKeys,
+		newListCache,
 		newLog,
 		newMetricsRegistry,
 		newOperatorHandler,
@@ -116,6 +118,20 @@
 	})
 }
 
+// newListCache returns the platform's lists with those of peers to fall back on.
+func newListCache(config instanceConfig, client *platform.Client, exchange *peer.Exchange) *peer.ListCache {
+	list := peer.ListCacheConfig{
+		Members:  exchange,
+		Registry: client,
+		Secret:   config.Settings.Peer.Secret,
+		Seeds:    config.Settings.Peer.Seeds,
+	}
+	if config.Dial != nil {
+		list.Client = &http.Client{Transport: &http.Transport{DialContext: config.Dial}}
+	}
+	return peer.NewListCache(list)
+}
+
 // newLog returns the configuration log.
 func newLog(
 	config instanceConfig,
@@ -167,9 +183,9 @@
 	config instanceConfig,
 	self savorystep.Instance,
 	budgets *platform.Budgets,
-	client *platform.Client,
 	exchange *peer.Exchange,
 	groups *factGroups,
+	lists *peer.ListCache,
 	ring *peer.Ring,
 ) *upstream.Pool {
 	pool := upstream.New(upstream.Config{
@@ -177,7 +193,7 @@
 		Clock:    config.Clock,
 		Facts:    exchange,
 		Recorder: ring,
-		Registry: client,
+		Registry: lists,
 		Self:     self,
 		Wrap:     config.Wrap,
 	})
@@ -237,6 +253,7 @@
 func newCallerServer(
 	config instanceConfig,
 	forwarder *upstream.Keyed,
+	lists *peer.ListCache,
 	log *platform.Log,
 	registry *prometheus.Registry,
 	ring *peer.Ring,
@@ -255,7 +272,7 @@
 			Linger:      config.Linger,
 			Lookups:     float64(limits.Lookups),
 		},
-		Ready:     log.Ready,
+		Ready:     func() bool { return readyError(log, lists) == nil },
 		Recorder:  ring,
 		Registry:  registry,
 		Revisions: log,
@@ -276,6 +293,7 @@
 	config instanceConfig,
 	self savorystep.Instance,
 	exchange *peer.Exchange,
+	lists *peer.ListCache,
 	log *platform.Log,
 	pool *upstream.Pool,
 	registry *prometheus.Registry,
@@ -295,7 +313,7 @@
 		Facts:      exchange,
 		Gatherer:   registry,
 		Members:    exchange,
-		Ready:      func() error { return readyError(log) },
+		Ready:      func() error { return readyError(log, lists) },
 		Recorder:   ring,
 		Registerer: registry,
 		Self:       self,
@@ -306,9 +324,12 @@
 }
 
 // readyError returns why the instance is not ready, nil if it is.
-func readyError(log *platform.Log) error {
-	if log.Ready() {
-		return nil
+func readyError(log *platform.Log, lists *peer.ListCache) error {
+	if !log.Ready() {
+		return savorystep.NewError(savorystep.KindNotReady, "the configuration is not known to be current")
+	}
+	if !lists.HasList() {
+		return savorystep.NewError(savorystep.KindNotReady, "no list of endpoints was read yet")
 	}
-	return savorystep.NewError(savorystep.KindNotReady, "the configuration is not known to be current")
+	return nil
 }
--- a/cmd/instance.go
+++ b/cmd/instance.go
@@ -46,6 +46,7 @@
 	exchange  *peer.Exchange
 	forwarder *upstream.Keyed
 	keys      *platform.Keys
+	lists     *peer.ListCache
 	log       *platform.Log
 	operator  *operatorHandler
 	pool      *upstream.Pool
@@ -65,6 +66,7 @@
 	exchange *peer.Exchange,
 	forwarder *upstream.Keyed,
 	keys *platform.Keys,
+	lists *peer.ListCache,
 	log *platform.Log,
 	operator *operatorHandler,
 	pool *upstream.Pool,
@@ -80,6 +82,7 @@
 		exchange:  exchange,
 		forwarder: forwarder,
 		keys:      keys,
+		lists:     lists,
 		log:       log,
 		operator:  operator,
 		pool:      pool,
@@ -240,7 +243,7 @@
 
 // stateStatus states the status of this instance to its peers.
 func (i *instance) stateStatus() {
-	i.exchange.SetStatus(i.log.Ready(), i.leaving.Load(), i.pool.Suspect(), i.log.View().Revision, i.caller.Rate(i.config.Clock.Now()))
+	i.exchange.SetStatus(readyError(i.log, i.lists) == nil, i.leaving.Load(), i.pool.Suspect(), i.log.View().Revision, i.caller.Rate(i.config.Clock.Now()))
 }
 
 // serveOperators starts the operators' listener.
@@ -258,7 +261,10 @@
 
 // servePeers starts the listener for other instances.
 func (i *instance) servePeers(ctx context.Context) *http.Server {
-	return serveHTTP(ctx, i.config.Listeners.Peer, i.exchange.Handler())
+	mux := http.NewServeMux()
+	mux.Handle(peer.Path, i.exchange.Handler())
+	mux.Handle(peer.ListPath, i.lists)
+	return serveHTTP(ctx, i.config.Listeners.Peer, mux)
 }
 
 // serveHTTP serves a handler until its server is shut down.
--- a/cmd/processes_test.go
+++ b/cmd/processes_test.go
@@ -143,6 +143,7 @@
 		service := services[i%len(services)]
 		p.startUpstream(savorystep.EndpointID(fmt.Sprintf("%s-%d", service, i/len(services))), service, regions[i%3])
 	}
+	p.awaitUpstreams()
 	for i := range entries {
 		p.startEntry(regions[i%3])
 	}
@@ -162,6 +163,15 @@
 		"--service", string(service), "--region", string(region), "--zone", string(region)+"-a", "--mean", "5ms", "--slots", "6")
 }
 
+// awaitUpstreams waits until all endpoints are registered, so that the first
+// list that an entry reads has them.
+func (p *processes) awaitUpstreams() {
+	p.t.Helper()
+	for id, upstream := range p.upstreams {
+		p.await("endpoint "+string(id), func() bool { return strings.Contains(upstream.out.String(), "listens on") })
+	}
+}
+
 // startEntry starts one entry instance.
 func (p *processes) startEntry(region savorystep.Region) {
 	p.t.Helper()
--- /dev/null
+++ b/peer/listcache_test.go
@@ -0,0 +1,87 @@
+package peer_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"savorystep"
+	"savorystep/peer"
+)
+
+// A listRegistry lists one endpoint or is down.
+type listRegistry struct {
+	savorystep.Registry
+	down bool
+}
+
+func (r *listRegistry) Endpoints(context.Context) ([]savorystep.Endpoint, error) {
+	if r.down {
+		return nil, savorystep.NewError(savorystep.KindPlatformDown, "down")
+	}
+	return []savorystep.Endpoint{{ID: "status-01", Service: "status", State: savorystep.StateLive, Slots: 3}}, nil
+}
+
+// noMembers is a membership of one.
+type noMembers struct{}
+
+func (noMembers) Members(time.Time) []savorystep.Member { return nil }
+
+func (noMembers) Self() savorystep.Instance { return savorystep.Instance{ID: "self"} }
+
+// newList returns a cache and the address of its listener.
+func newList(t *testing.T, registry savorystep.Registry, secret string, seeds ...savorystep.Address) (*peer.ListCache, savorystep.Address) {
+	t.Helper()
+	cache := peer.NewListCache(peer.ListCacheConfig{Members: noMembers{}, Registry: registry, Secret: secret, Seeds: seeds})
+	server := httptest.NewServer(cache)
+	t.Cleanup(server.Close)
+	return cache, savorystep.Address(strings.TrimPrefix(server.URL, "http://"))
+}
+
+// TestListFromPeer guards against an instance that starts while the platform is
+// down and knows no endpoint, so that it refuses all requests.
+func TestListFromPeer(t *testing.T) {
+	registry := &listRegistry{}
+	first, address := newList(t, registry, "secret")
+	if _, err := first.Endpoints(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	registry.down = true
+	second, _ := newList(t, registry, "secret", "127.0.0.1:1", address)
+	if second.HasList() {
+		t.Error("a list is there before one was read")
+	}
+	list, err := second.Endpoints(t.Context())
+	if err != nil || len(list) != 1 || list[0].ID != "status-01" || !second.HasList() {
+		t.Errorf("Endpoints = %v, %v", list, err)
+	}
+}
+
+// TestListNeedsSecret guards against a list that strangers can read.
+func TestListNeedsSecret(t *testing.T) {
+	registry := &listRegistry{}
+	first, address := newList(t, registry, "secret")
+	if _, err := first.Endpoints(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	registry.down = true
+	stranger, _ := newList(t, registry, "another secret", address)
+	if list, err := stranger.Endpoints(t.Context()); savorystep.KindOf(err) != savorystep.KindPlatformDown {
+		t.Errorf("Endpoints = %v, %v", list, err)
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+string(address), http.NoBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusUnauthorized {
+		t.Errorf("status = %d", response.StatusCode)
+	}
+}
