Make the tests of the budget and of the limit fail without them

Cause: a mutation trial on a scratch copy (34 protections switched off one by one) found two that no test noticed: the rate of the token bucket and the limit of connections when hellos cross. Both tests are stricter now and fail without the protection; the others failed already.

--- a/peer/store_test.go
+++ b/peer/store_test.go
@@ -248,34 +248,27 @@
 	t.Logf("vector of 2500 members has %d bytes", total)
 }
 
-// TestTokenBucket guards against a second that carries more than the budget.
+// TestTokenBucket guards against a second that carries more than the budget,
+// whatever its start, when the sender takes all it may.
 func TestTokenBucket(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const budget = 5000
 		b := newTokenBucket(budget, epoch)
-		type send struct {
-			at    time.Time
-			bytes int
-		}
-		var sends []send
-		now := epoch
-		for range rapid.IntRange(1, 200).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
-			bytes := rapid.IntRange(1, 1000).Draw(t, "bytes")
-			if b.available(now) >= bytes {
-				b.spend(now, bytes)
-				sends = append(sends, send{now, bytes})
+		sent := make([]int, 5000) // Bytes per millisecond.
+		for ms := 0; ms < len(sent); ms += rapid.IntRange(1, 500).Draw(t, "pause") {
+			now := epoch.Add(time.Duration(ms) * time.Millisecond)
+			if available := b.available(now); available > 0 {
+				b.spend(now, available)
+				sent[ms] = available
 			}
 		}
-		for i, first := range sends {
+		for from := range len(sent) - 1000 {
 			sum := 0
-			for _, s := range sends[i:] {
-				if s.at.Sub(first.at) < time.Second {
-					sum += s.bytes
-				}
+			for _, bytes := range sent[from : from+1000] {
+				sum += bytes
 			}
 			if sum > budget {
-				t.Fatalf("%d bytes in the second from %v", sum, first.at)
+				t.Fatalf("%d bytes in the second from millisecond %d", sum, from)
 			}
 		}
 	})
--- a/peer/wire_test.go
+++ b/peer/wire_test.go
@@ -330,3 +330,16 @@
 		t.Errorf("isolated instance sees %v", members)
 	}
 }
+
+// TestRegisterHoldsLimit guards against more connections than the limit when
+// several hellos cross.
+func TestRegisterHoldsLimit(t *testing.T) {
+	const limit = 3
+	e, _ := start(t, Config{Self: savorystep.Instance{ID: "self"}, Connections: limit})
+	for i := range limit + 2 {
+		l := e.newLink(nil, savorystep.Instance{ID: savorystep.InstanceID(fmt.Sprint("peer-", i))}, i%2 == 0)
+		if kept := e.register(l, 0); kept != (i < limit) {
+			t.Errorf("connection %d kept: %v", i, kept)
+		}
+	}
+}
