--- /dev/null
+++ b/standin/platform_test.go
@@ -0,0 +1,136 @@
+package standin_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"savorystep"
+	"savorystep/standin"
+)
+
+// call makes a call and decodes the response if it is a success.
+func call(t *testing.T, handler http.Handler, method, path string, body, value any) int {
+	t.Helper()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	recorder := httptest.NewRecorder()
+	handler.ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), method, path, bytes.NewReader(encoded)))
+	if value != nil && recorder.Code == http.StatusOK {
+		if err := json.Unmarshal(recorder.Body.Bytes(), value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	return recorder.Code
+}
+
+// TestPlatformFaults guards against faults that POST /faults does not switch,
+// or that it switches although the body does not name them.
+func TestPlatformFaults(t *testing.T) {
+	p := standin.NewPlatform(standin.PlatformConfig{})
+	if code := call(t, p, http.MethodPost, "/faults", map[string]any{"down": true}, nil); code != http.StatusOK {
+		t.Errorf("status %d", code)
+	}
+	var faults standin.PlatformFaults
+	call(t, p, http.MethodPost, "/faults", map[string]any{"lose": 2, "lag": 70}, &faults)
+	if want := (standin.PlatformFaults{Down: true, Lose: 2, Lag: 70}); faults != want || p.Faults() != want {
+		t.Errorf("faults %+v, want %+v", faults, want)
+	}
+	if code := call(t, p, http.MethodPost, "/faults", map[string]any{"dwon": true}, nil); code != http.StatusBadRequest {
+		t.Errorf("status %d for an unknown fault", code)
+	}
+	if code := call(t, p, http.MethodGet, "/table/row?key=a", nil, nil); code != http.StatusServiceUnavailable {
+		t.Errorf("status %d while down", code)
+	}
+}
+
+// TestPlatformRates guards against rates other than the stated ones and against
+// counters that count refused calls.
+func TestPlatformRates(t *testing.T) {
+	p := standin.NewPlatform(standin.PlatformConfig{Faults: standin.PlatformFaults{Writes: 20, Reads: 50}})
+	txn := savorystep.Txn{Writes: []savorystep.Write{{Key: "a"}, {Key: "b"}}}
+	refused := 0
+	begin := time.Now()
+	for range 10 {
+		if call(t, p, http.MethodPost, "/table/commit", txn, nil) == http.StatusTooManyRequests {
+			refused++
+		}
+		if call(t, p, http.MethodGet, "/table/row?key=a", nil, nil) == http.StatusTooManyRequests {
+			refused++
+		}
+	}
+	seconds := time.Since(begin).Seconds()
+	var stats standin.PlatformStats
+	call(t, p, http.MethodGet, "/stats", nil, &stats)
+	// The bursts are a tenth of a second.
+	if most := 2 + 20*seconds; stats.Writes < 2 || float64(stats.Writes) > most {
+		t.Errorf("%d writes, want 2 to %.1f", stats.Writes, most)
+	}
+	if most := 5 + 50*seconds; stats.Reads < 5 || float64(stats.Reads) > most {
+		t.Errorf("%d reads, want 5 to %.1f", stats.Reads, most)
+	}
+	if stats.Rows != 2*stats.Writes || int(stats.Refused) != refused || stats.Reads+stats.Writes+stats.Refused != 20 {
+		t.Errorf("stats %+v after %d refusals of 20 calls", stats, refused)
+	}
+}
+
+// fixedClock is a clock that is set by hand.
+type fixedClock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *fixedClock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *fixedClock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// TestPlatformLag guards against a list that is younger than its lag.
+func TestPlatformLag(t *testing.T) {
+	clock := &fixedClock{now: time.Now()}
+	p := standin.NewPlatform(standin.PlatformConfig{Clock: clock, Faults: standin.PlatformFaults{Lag: 1000}})
+	server := httptest.NewServer(p)
+	defer server.Close()
+	body, err := json.Marshal(savorystep.Instance{ID: "i"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL+"/instances", bytes.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	listed := func() int {
+		var instances []savorystep.Instance
+		call(t, p, http.MethodGet, "/instances", nil, &instances)
+		return len(instances)
+	}
+	for _, step := range []struct {
+		advance time.Duration
+		want    int
+	}{{advance: 0, want: 0}, {advance: 999 * time.Millisecond, want: 0}, {advance: time.Millisecond, want: 1}} {
+		clock.advance(step.advance)
+		if got := listed(); got != step.want {
+			t.Errorf("%d instances, want %d", got, step.want)
+		}
+	}
+	if err := response.Body.Close(); err != nil {
+		t.Fatal(err)
+	}
+}
