Answer keyed requests before their answer is stored

Cause: a caller waited for a second commit of the table, 70 ms between regions, and up to 30 s with the platform down, although its answer was there. The answer is stored in the background now; the same instance gives it again from memory until then, others answer InProgress. A planned stop waits for it. Ruled out: waiting for a bounded time, which costs the round trip all the same.

TestKeyedAnswersBeforeStored hung before and passes now.

--- a/upstream/keyed.go
+++ b/upstream/keyed.go
@@ -29,13 +29,14 @@
 	next       savorystep.Forwarder
 	config     KeyedConfig
 	background tasks
+	unstored   *unstored
 }
 
 // NewKeyed returns a Keyed in front of another forwarder.
 func NewKeyed(next savorystep.Forwarder, config KeyedConfig) *Keyed {
 	setDefault(&config.Answer, 4<<20)
 	setDefault(&config.Settle, 30*time.Second)
-	return &Keyed{next: next, config: config}
+	return &Keyed{next: next, config: config, unstored: newUnstored()}
 }
 
 // Wait waits until no run goes on in the background.
@@ -49,6 +50,13 @@
 	if request.Key == "" {
 		return k.next.Forward(ctx, request)
 	}
+	answer, err := k.unstored.find(request)
+	if err != nil {
+		return nil, err
+	}
+	if answer != nil {
+		return stored(answer), nil
+	}
 	callerCtx, cancel := withDeadline(ctx, request.Deadline)
 	defer cancel()
 	attempt, err := k.config.Keys.Begin(callerCtx, request.Service, request.Key, request.Fingerprint)
@@ -109,13 +117,22 @@
 	}
 	_ = response.Body.Close()
 	answer := savorystep.Answer{Status: response.Status, Header: response.Header, Body: body}
-	settleCtx, cancel := context.WithTimeout(ctx, k.config.Settle)
+	k.unstored.add(request, &answer)
+	k.background.Go(func() { k.complete(ctx, request, attempt, answer) })
+	response.Body = io.NopCloser(bytes.NewReader(body))
+	return outcome{response: response}
+}
+
+// complete stores an answer. The caller does not wait for it, which saves a
+// round trip to the table. Whoever sends the request again through another
+// instance before it is stored is told that it is in progress.
+func (k *Keyed) complete(ctx context.Context, request *savorystep.Request, attempt savorystep.Attempt, answer savorystep.Answer) {
+	defer k.unstored.remove(request)
+	ctx, cancel := context.WithTimeout(ctx, k.config.Settle)
 	defer cancel()
-	if err := attempt.Complete(settleCtx, answer); err != nil {
+	if err := attempt.Complete(ctx, answer); err != nil {
 		log.Warningf("the answer to request %s may not be stored: %v", request.ID, err)
 	}
-	response.Body = io.NopCloser(bytes.NewReader(body))
-	return outcome{response: response}
 }
 
 // release gives the permission back for a request that did not run.
--- a/upstream/keyed_test.go
+++ b/upstream/keyed_test.go
@@ -152,3 +152,55 @@
 		t.Errorf("%d runs", runs)
 	}
 }
+
+// A slowKeys stores answers only when told to.
+type slowKeys struct {
+	*fakeKeys
+	store chan struct{}
+}
+
+// A slowAttempt is an attempt of slowKeys.
+type slowAttempt struct {
+	savorystep.Attempt
+	store chan struct{}
+}
+
+func (k *slowKeys) Begin(ctx context.Context, service savorystep.Service, key savorystep.IdempotencyKey, fingerprint savorystep.Fingerprint) (savorystep.Attempt, error) {
+	attempt, err := k.fakeKeys.Begin(ctx, service, key, fingerprint)
+	if err != nil {
+		return nil, err
+	}
+	return &slowAttempt{Attempt: attempt, store: k.store}, nil
+}
+
+func (a *slowAttempt) Complete(ctx context.Context, answer savorystep.Answer) error {
+	<-a.store
+	return a.Attempt.Complete(ctx, answer)
+}
+
+// TestKeyedAnswersBeforeStored guards against a caller that waits for the table
+// although its answer is there, and against a request that is sent again
+// meanwhile and gets another answer than the first.
+func TestKeyedAnswersBeforeStored(t *testing.T) {
+	s := newSite(t)
+	a := s.add("a", "natal", standin.UpstreamConfig{})
+	keys := &slowKeys{fakeKeys: &fakeKeys{rows: map[savorystep.IdempotencyKey]*fakeAttempt{}}, store: make(chan struct{})}
+	k := upstream.NewKeyed(s.pool(nil), upstream.KeyedConfig{Keys: keys})
+	bodies := make([]string, 2)
+	for i, id := range []savorystep.RequestID{"r1", "r2"} {
+		response, err := k.Forward(t.Context(), keyed(id, "/echo"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		bodies[i] = readAll(t, response)
+	}
+	other := keyed("r3", "/echo")
+	other.Fingerprint++
+	_, err := k.Forward(t.Context(), other)
+	wantError(t, err, savorystep.KindKeyConflict)
+	close(keys.store)
+	k.Wait()
+	if bodies[0] != bodies[1] || a.Runs().Keys["key-1"] != 1 {
+		t.Errorf("%d runs, bodies %q and %q", a.Runs().Keys["key-1"], bodies[0], bodies[1])
+	}
+}
