--- a/upstream/keyed.go
+++ b/upstream/keyed.go
@@ -116,7 +116,8 @@
 		return outcome{response: response}
 	}
 	_ = response.Body.Close()
-	answer := savorystep.Answer{Status: response.Status, Header: response.Header, Body: body}
+	// The caller changes the header while the answer is stored.
+	answer := savorystep.Answer{Status: response.Status, Header: response.Header.Clone(), Body: body}
 	k.unstored.add(request, &answer)
 	k.background.Go(func() { k.complete(ctx, request, attempt, answer) })
 	response.Body = io.NopCloser(bytes.NewReader(body))
--- a/upstream/keyed_test.go
+++ b/upstream/keyed_test.go
@@ -179,8 +179,9 @@
 }
 
 // TestKeyedAnswersBeforeStored guards against a caller that waits for the table
-// although its answer is there, and against a request that is sent again
-// meanwhile and gets another answer than the first.
+// although its answer is there, against a request that is sent again meanwhile
+// and gets another answer than the first, and against a stored answer that
+// shares its header with the one that the caller gets and changes.
 func TestKeyedAnswersBeforeStored(t *testing.T) {
 	s := newSite(t)
 	a := s.add("a", "natal", standin.UpstreamConfig{})
@@ -192,6 +193,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
+		if response.Header.Get("Content-Type") == "" {
+			t.Error("the answer has lost its header")
+		}
+		response.Header.Del("Content-Type")
 		bodies[i] = readAll(t, response)
 	}
 	other := keyed("r3", "/echo")
