Blame callers for broken uploads, test the upstream stand-in

Cause: a caller that stopped sending its body counted as a failure of the endpoint and could eject it. POST /faults with silent silenced the connection of its own answer; found by the stand-in's new test, which hung. An average approaches a lasting count of a peer without reaching it, so that a full endpoint seemed to have a sliver of a free slot.

--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -99,6 +99,11 @@
 
 // SetFaults replaces the faults.
 func (u *Upstream) SetFaults(faults UpstreamFaults) {
+	u.setFaults(faults, nil)
+}
+
+// setFaults replaces the faults. The given connection does not fall silent.
+func (u *Upstream) setFaults(faults UpstreamFaults, spared *upstreamConn) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	if faults.Drain && !u.faults.Drain {
@@ -106,7 +111,7 @@
 	}
 	if faults.Silent {
 		for conn := range u.conns {
-			conn.silent.Store(true)
+			conn.silent.Store(conn != spared)
 		}
 	}
 	switch {
--- /dev/null
+++ b/standin/upstream_test.go
@@ -0,0 +1,136 @@
+package standin_test
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"savorystep"
+	"savorystep/standin"
+)
+
+// serve starts an upstream and returns its URL and the channel of its end.
+func serve(t *testing.T, config standin.UpstreamConfig) (*standin.Upstream, string, <-chan error) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	config.Mean = -1
+	u := standin.NewUpstream(config)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	return u, "http://" + listener.Addr().String(), u.Serve(ctx, listener)
+}
+
+// call sends a request and returns the status and the body.
+func call(t *testing.T, client *http.Client, method, url, body string) (int, string, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set(savorystep.HeaderRequest, "r1")
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	data, err := io.ReadAll(response.Body)
+	_ = response.Body.Close()
+	return response.StatusCode, string(data), err
+}
+
+// TestUpstreamAnswer guards against answers that do not tell which request
+// they belong to, and against wrong sizes and counts.
+func TestUpstreamAnswer(t *testing.T) {
+	u, url, _ := serve(t, standin.UpstreamConfig{ID: "a", Service: "status"})
+	client := &http.Client{Transport: &http.Transport{}}
+	status, body, err := call(t, client, http.MethodPost, url+"/size/70000", "hello")
+	if err != nil || status != http.StatusOK || len(body) != 70_000 {
+		t.Fatalf("status %d, %d bytes, %v", status, len(body), err)
+	}
+	var answer standin.UpstreamAnswer
+	line, rest, _ := strings.Cut(body, "\n")
+	if err := json.Unmarshal([]byte(line), &answer); err != nil {
+		t.Fatal(err)
+	}
+	if answer.Request != "r1" || answer.Endpoint != "a" || answer.Length != 5 || !strings.HasPrefix(rest, "r1.r1.") {
+		t.Errorf("answer %+v", answer)
+	}
+	if runs := u.Runs(); runs.Requests["r1"] != 1 || runs.Total != 1 {
+		t.Errorf("runs %+v", runs)
+	}
+}
+
+// TestUpstreamFaults guards against faults that have no effect.
+func TestUpstreamFaults(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults string
+		path   string
+		want   string
+	}{
+		{name: "drain", faults: `{"drain":true}`, path: "/load", want: `"draining":true`},
+		{name: "health lie", faults: `{"healthLie":true}`, path: "/load", want: `"healthy":false`},
+		{name: "page drain", faults: `{"pageDrain":true}`, path: "/load", want: `"draining":true`},
+		{name: "page lie", faults: `{"pageLie":true,"pageBusy":2}`, path: "/load", want: `"busy":2`},
+		{name: "page stop", faults: `{"pageStop":true}`, path: "/load", want: "failed"},
+		{name: "shed", faults: `{"shed":true}`, path: "/echo", want: "shed"},
+		{name: "silent", faults: `{"silent":true}`, path: "/echo", want: "failed"},
+		{name: "truncate", faults: `{"truncate":true}`, path: "/size/1000", want: "failed"},
+		{name: "crash on path", faults: `{"crashPath":"/echo"}`, path: "/echo", want: "failed"},
+		{name: "crash on request", faults: `{"crashRequest":"r1"}`, path: "/echo", want: "failed"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			_, url, done := serve(t, standin.UpstreamConfig{})
+			client := &http.Client{Transport: &http.Transport{}}
+			if c.name == "silent" {
+				if _, _, err := call(t, client, http.MethodGet, url+"/load", ""); err != nil {
+					t.Fatal(err)
+				}
+			}
+			// The faults come on a connection of their own.
+			if status, _, err := call(t, &http.Client{Transport: &http.Transport{}}, http.MethodPost, url+"/faults", c.faults); err != nil {
+				t.Fatal(status, err)
+			}
+			if c.want == "failed" {
+				client.Timeout = 300 * time.Millisecond
+			}
+			_, body, err := call(t, client, http.MethodGet, url+c.path, "")
+			if c.want == "failed" && err == nil || c.want != "failed" && !strings.Contains(body, c.want) {
+				t.Errorf("body %q, error %v", body, err)
+			}
+			if strings.HasPrefix(c.name, "crash") {
+				if err := <-done; !errors.Is(err, standin.ErrCrashed) {
+					t.Errorf("ended with %v", err)
+				}
+			}
+			if c.name == "silent" {
+				fresh := &http.Client{Transport: &http.Transport{}}
+				if status, _, err := call(t, fresh, http.MethodGet, url+c.path, ""); err != nil || status != http.StatusOK {
+					t.Errorf("a new connection gives %d, %v", status, err)
+				}
+			}
+		})
+	}
+}
+
+// TestUpstreamConnections guards against more connections than the limit.
+func TestUpstreamConnections(t *testing.T) {
+	_, url, _ := serve(t, standin.UpstreamConfig{Connections: 1})
+	first := &http.Client{Transport: &http.Transport{}}
+	if _, _, err := call(t, first, http.MethodGet, url+"/load", ""); err != nil {
+		t.Fatal(err)
+	}
+	second := &http.Client{Transport: &http.Transport{}}
+	if _, _, err := call(t, second, http.MethodGet, url+"/load", ""); err == nil {
+		t.Error("a second connection was accepted")
+	}
+}
--- a/standin/upstreamhandlers.go
+++ b/standin/upstreamhandlers.go
@@ -84,7 +84,13 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	u.SetFaults(faults)
+	// The connection that brings the faults still carries the answer to them,
+	// but no further request.
+	spared, _ := r.Context().Value(connKey{}).(*upstreamConn)
+	u.setFaults(faults, spared)
+	if faults.Silent {
+		w.Header().Set("Connection", "close")
+	}
 	w.WriteHeader(http.StatusNoContent)
 }
 
--- a/upstream/candidate.go
+++ b/upstream/candidate.go
@@ -18,6 +18,10 @@
 	Cost int64
 }
 
+// leastFree is the least expected number of free slots of an endpoint that gets
+// a request. Averages approach a lasting count without reaching it.
+const leastFree = 0.1
+
 // free returns the expected number of free slots, 0 if a request must not be
 // sent. The peers' requests are known only as an expectation, so that another
 // entry's request may meet this one's in the last slot; the endpoint then
@@ -26,7 +30,10 @@
 	if c.Own >= c.Slots {
 		return 0
 	}
-	return max(0, float64(c.Slots-c.Own)-c.Peers)
+	if free := float64(c.Slots-c.Own) - c.Peers; free >= leastFree {
+		return free
+	}
+	return 0
 }
 
 // Choose returns the index of the endpoint that gets the next request, or -1
--- a/upstream/replay.go
+++ b/upstream/replay.go
@@ -96,6 +96,17 @@
 	return nil
 }
 
+// sourceError returns the error that the caller's body ended with, or nil if
+// it was read without one.
+func (r *replay) sourceError() error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if errors.Is(r.err, io.EOF) {
+		return nil
+	}
+	return r.err
+}
+
 // isOver reports whether the start of the body is no longer kept.
 func (r *replay) isOver() bool {
 	r.mu.Lock()
--- a/upstream/retrier.go
+++ b/upstream/retrier.go
@@ -80,7 +80,7 @@
 // mayRetry reports whether a request may be sent again after a failure. It
 // takes a token of the budget if so.
 func (t *Retrier) mayRetry(ctx context.Context, request *savorystep.Request, failure *AttemptError, body *replay) bool {
-	if ctx.Err() != nil || body != nil && body.isOver() {
+	if ctx.Err() != nil || body != nil && (body.isOver() || body.sourceError() != nil) {
 		return false
 	}
 	once := request.Key != "" || !request.Idempotent
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -115,11 +115,14 @@
 		a.waiting.Store(0)
 		s := a.state.Load()
 		sent := s != nil && s.seal()
-		stale := !sent && a.reused.Load() && s.gateError() == nil
-		if stale && trip < maxTrips && tripCtx.Err() == nil && callerCtx.Err() == nil && !body.isOver() {
+		stale := !sent && a.reused.Load() && s.gateError() == nil && !body.isOver()
+		if stale && trip < maxTrips && errors.Join(tripCtx.Err(), callerCtx.Err()) == nil {
 			fresh = true
 			continue
 		}
+		if sent && body.sourceError() != nil && !a.silent.Load() {
+			return outcome{err: p.giveUpUpload(a, body.sourceError())}
+		}
 		return outcome{err: p.giveUp(callerCtx, a, err, sent)}
 	}
 }
@@ -182,6 +185,18 @@
 	return request, nil
 }
 
+// giveUpUpload ends an attempt whose caller stopped sending the body. The
+// endpoint is not to blame.
+func (p *Pool) giveUpUpload(a *attempt, cause error) error {
+	p.end(a, p.clock.Now().Sub(a.began), verdictNone)
+	kind := savorystep.KindUpstreamFailed
+	if a.once {
+		kind = savorystep.KindOutcomeUnknown
+	}
+	failure := &AttemptError{Endpoint: a.lease.info.ID, Sent: true, Err: cause}
+	return savorystep.WrapError(kind, failure, "the caller's body ended early")
+}
+
 // giveUp ends an attempt without an answer and returns its error.
 func (p *Pool) giveUp(callerCtx context.Context, a *attempt, cause error, sent bool) error {
 	held := time.Duration(0)
--- a/upstream/send_test.go
+++ b/upstream/send_test.go
@@ -296,6 +296,32 @@
 	s.eventually("the run is cancelled", func() bool { return a.Load().Busy == 0 })
 }
 
+// TestBrokenUpload guards against blaming an endpoint, or taking the upload for
+// whole, when the caller stops sending its body.
+func TestBrokenUpload(t *testing.T) {
+	s := newSite(t)
+	a := s.add("a", "natal", standin.UpstreamConfig{})
+	p := s.pool(func(c *upstream.Config) { c.Limits.Health.Failures = 1 })
+	retrier := upstream.NewRetrier(p, upstream.RetrierConfig{})
+	request := get("r1", "/echo")
+	request.Method = http.MethodPut
+	request.Body, request.Length = io.MultiReader(strings.NewReader(strings.Repeat("x", 200_000)), brokenReader{}), 400_000
+	_, err := retrier.Forward(t.Context(), request)
+	wantError(t, err, savorystep.KindUpstreamFailed)
+	if usable := p.Regions(testService, time.Now())[0].Usable; usable != 1 {
+		t.Error("the endpoint was ejected")
+	}
+	s.eventually("the endpoint is idle", func() bool { return a.Load().Busy == 0 })
+	if runs := s.runs("r1"); runs > 1 {
+		t.Errorf("%d runs", runs)
+	}
+}
+
+// A brokenReader fails like the body of a caller that went away.
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
 // TestShed guards against a shed request that is passed off as an answer or
 // reported as run.
 func TestShed(t *testing.T) {
