--- /dev/null
+++ b/operator/steering.go
@@ -0,0 +1,404 @@
+package operator
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"savorystep"
+)
+
+const (
+	// maxConflicts is how often a change that the server computes itself is
+	// tried again. Operators are few, so more conflicts in a row point to a
+	// fault.
+	maxConflicts = 5
+	// conflictWait bounds the wait for the instance's copy to catch up after a
+	// conflict; polls of the configuration take about a second.
+	conflictWait = 2 * time.Second
+	// viewPoll is the interval at which in-memory state is looked at while a
+	// request waits for it.
+	viewPoll = 50 * time.Millisecond
+	// historyDepth is how far back versions are looked up.
+	historyDepth = 1000
+)
+
+// Changes makes changes of the configuration. Errors have a kind.
+type Changes interface {
+	Apply(ctx context.Context, request ApplyRequest) (*Outcome, error)
+	Undo(ctx context.Context, request UndoRequest) (*Outcome, error)
+	Shift(ctx context.Context, request ShiftRequest) (*Outcome, error)
+	Drain(ctx context.Context, request DrainRequest) ([]Outcome, error)
+	Correct(ctx context.Context, request CorrectRequest) (*Outcome, error)
+}
+
+var _ Changes = &steering{}
+
+// A steering makes changes on a configuration.
+type steering struct {
+	clock     savorystep.Clock
+	config    savorystep.Config
+	dry       bool
+	endpoints savorystep.Endpoints
+	members   savorystep.Members
+	// record keeps an event of the timeline.
+	record func(savorystep.Event)
+}
+
+// Apply replaces a record.
+func (s *steering) Apply(ctx context.Context, request ApplyRequest) (*Outcome, error) {
+	if request.Record == nil {
+		return nil, savorystep.NewError(savorystep.KindBadRequest, "the request has no record")
+	}
+	return s.replaceOnce(ctx, request.ChangeInfo, request.Record.Service, request.Base, request.Record)
+}
+
+// Undo restores an old record.
+func (s *steering) Undo(ctx context.Context, request UndoRequest) (*Outcome, error) {
+	var record *savorystep.Record
+	if request.To != 0 {
+		old, err := s.version(ctx, request.Service, request.To)
+		if err != nil {
+			return nil, err
+		}
+		record = old.Record
+	}
+	return s.replaceOnce(ctx, request.ChangeInfo, request.Service, request.Base, record)
+}
+
+// A conflictError is an error of kind KindVersionConflict that tells the
+// record's current version.
+type conflictError struct {
+	error
+
+	current savorystep.Revision
+}
+
+// Unwrap returns the error with its kind.
+func (v *conflictError) Unwrap() error {
+	return v.error
+}
+
+// replaceOnce proposes a record with the operator's own base. A conflict is
+// answered with the current version, for which the instance's copy may have to
+// catch up first.
+func (s *steering) replaceOnce(ctx context.Context, info ChangeInfo, service savorystep.Service, base savorystep.Revision, record *savorystep.Record) (*Outcome, error) {
+	outcome, err := s.replace(ctx, info, service, base, record)
+	if savorystep.KindOf(err) != savorystep.KindVersionConflict {
+		return outcome, err
+	}
+	s.awaitVersion(ctx, service, base)
+	current := s.config.View().Versions[service]
+	return nil, &conflictError{
+		error:   savorystep.NewError(savorystep.KindVersionConflict, "record %s is at version %d, not %d", service, current, base),
+		current: current,
+	}
+}
+
+// version returns the change that made a version of a record.
+func (s *steering) version(ctx context.Context, service savorystep.Service, revision savorystep.Revision) (*savorystep.Change, error) {
+	changes, err := s.config.History(ctx, service, historyDepth)
+	if err != nil {
+		return nil, err
+	}
+	for i := range changes {
+		if changes[i].Revision == revision {
+			return &changes[i], nil
+		}
+	}
+	return nil, savorystep.NewError(savorystep.KindNotFound, "service %s has no version %d", service, revision)
+}
+
+// Shift sets a shift.
+func (s *steering) Shift(ctx context.Context, request ShiftRequest) (*Outcome, error) {
+	if err := s.knownRegions(request.From, request.To); err != nil {
+		return nil, err
+	}
+	outcome, err := s.edit(ctx, request.ChangeInfo, request.Service, func(record *savorystep.Record) (*savorystep.Record, error) {
+		shift := withLimits(record, savorystep.Shift{From: request.From, To: request.To, Percent: request.Percent}, request.Cap, request.Growth)
+		return withShift(record, shift), nil
+	})
+	if err == nil && !outcome.Unchanged {
+		s.record(savorystep.Event{
+			Kind: savorystep.EventShift, Service: request.Service, Region: request.From,
+			Text: fmt.Sprintf("%s shifts %d percent from %s to %s with revision %d", authorName(request.Author), request.Percent, request.From, request.To, outcome.Revision),
+		})
+	}
+	return outcome, err
+}
+
+// authorName names the author of a change in events.
+func authorName(author string) string {
+	if author == "" {
+		return "an operator"
+	}
+	return "operator " + author
+}
+
+// Drain moves the traffic of a region elsewhere, one service after another. A
+// service whose change fails has the reason in its outcome; the others are
+// drained all the same.
+func (s *steering) Drain(ctx context.Context, request DrainRequest) ([]Outcome, error) {
+	services, err := s.drained(request)
+	if err != nil {
+		return nil, err
+	}
+	outcomes := make([]Outcome, 0, len(services))
+	for _, service := range services {
+		info := request.ChangeInfo
+		// Each service is a change of its own and needs an ID of its own.
+		info.ID += savorystep.ChangeID("/" + service)
+		outcome, err := s.edit(ctx, info, service, func(record *savorystep.Record) (*savorystep.Record, error) {
+			if request.End {
+				return withoutDrain(record, request.Region), nil
+			}
+			return withDrain(record, drain{region: request.Region, to: request.To, limit: request.Cap, growth: request.Growth})
+		})
+		if err != nil {
+			outcome = &Outcome{Service: service, Error: err.Error()}
+		}
+		outcomes = append(outcomes, *outcome)
+		if outcome.Revision > 0 && !outcome.Unchanged {
+			s.record(drainEvent(request, outcome))
+		}
+	}
+	return outcomes, nil
+}
+
+func drainEvent(request DrainRequest, outcome *Outcome) savorystep.Event {
+	verb := "drains"
+	if request.End {
+		verb = "ends the drain of"
+	}
+	return savorystep.Event{
+		Kind: savorystep.EventDrain, Service: outcome.Service, Region: request.Region,
+		Text: fmt.Sprintf("%s %s region %s with revision %d", authorName(request.Author), verb, request.Region, outcome.Revision),
+	}
+}
+
+// drained returns the services that a drain changes.
+func (s *steering) drained(request DrainRequest) ([]savorystep.Service, error) {
+	if err := s.knownRegions(append([]savorystep.Region{request.Region}, request.To...)...); err != nil {
+		return nil, err
+	}
+	if slices.Contains(request.To, request.Region) {
+		return nil, savorystep.NewError(savorystep.KindBadRequest, "region %s cannot take its own traffic", request.Region)
+	}
+	view := s.config.View()
+	services := request.Services
+	if len(services) == 0 {
+		for _, service := range slices.Sorted(maps.Keys(view.Records)) {
+			if uses(view.Records[service], request.Region) && (!request.End || isSource(view.Records[service], request.Region)) {
+				services = append(services, service)
+			}
+		}
+	}
+	if len(services) == 0 {
+		if request.End {
+			return nil, savorystep.NewError(savorystep.KindNotFound, "no service has a shift out of region %s", request.Region)
+		}
+		return nil, savorystep.NewError(savorystep.KindNotFound, "no service sends traffic to region %s", request.Region)
+	}
+	return services, nil
+}
+
+// Correct makes a misspelling lead to a service.
+func (s *steering) Correct(ctx context.Context, request CorrectRequest) (*Outcome, error) {
+	if !isName(string(request.Name)) {
+		return nil, savorystep.NewError(savorystep.KindBadRequest, "%q is not a name; allowed: %s", request.Name, allowedName)
+	}
+	return s.edit(ctx, request.ChangeInfo, request.Service, func(record *savorystep.Record) (*savorystep.Record, error) {
+		if request.Name == savorystep.Name(request.Service) {
+			return record, nil
+		}
+		return withName(record, request.Name), nil
+	})
+}
+
+// edit changes the record of a service by a function, again on the newer
+// record after a version conflict.
+func (s *steering) edit(ctx context.Context, info ChangeInfo, service savorystep.Service, change func(*savorystep.Record) (*savorystep.Record, error)) (*Outcome, error) {
+	for attempt := 1; ; attempt++ {
+		view := s.config.View()
+		record := view.Records[service]
+		if record == nil {
+			err := savorystep.NewError(savorystep.KindNotFound, "service %s has no record", service)
+			err.Suggestions = Nearest(savorystep.Name(service), view)
+			return nil, err
+		}
+		changed, err := change(record)
+		if err != nil {
+			return nil, err
+		}
+		base := view.Versions[service]
+		outcome, err := s.replace(ctx, info, service, base, changed)
+		if savorystep.KindOf(err) != savorystep.KindVersionConflict || attempt == maxConflicts {
+			return outcome, err
+		}
+		if !s.awaitVersion(ctx, service, base) {
+			return nil, err
+		}
+	}
+}
+
+// awaitVersion waits until the instance's copy of a record is no longer at a
+// version, and reports whether it is.
+func (s *steering) awaitVersion(ctx context.Context, service savorystep.Service, version savorystep.Revision) bool {
+	ctx, cancel := context.WithTimeout(ctx, conflictWait)
+	defer cancel()
+	ticker := time.NewTicker(viewPoll)
+	defer ticker.Stop()
+	for s.config.View().Versions[service] == version {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.C:
+		}
+	}
+	return true
+}
+
+// replace proposes a record, nil to remove the service.
+func (s *steering) replace(ctx context.Context, info ChangeInfo, service savorystep.Service, base savorystep.Revision, record *savorystep.Record) (*Outcome, error) {
+	if info.ID == "" {
+		return nil, savorystep.NewError(savorystep.KindBadRequest, "the change has no id")
+	}
+	view := s.config.View()
+	current := view.Records[service]
+	if record != nil {
+		if err := Validate(record); err != nil {
+			return nil, err
+		}
+		if err := checkOtherServices(view, record); err != nil {
+			return nil, err
+		}
+	}
+	now := s.clock.Now()
+	if view.Versions[service] == base && sameRecord(current, record) {
+		return s.unchanged(ctx, info, service, base)
+	}
+	outcome := &Outcome{Service: service, Base: base, Dry: s.dry}
+	record = withStarts(record, current, now)
+	diff, err := DiffRecords(current, record, versionName(service, view.Versions[service]), newName(service, record))
+	if err != nil {
+		return nil, err
+	}
+	outcome.Diff = diff
+	outcome.Warnings = s.warnings(record, now)
+	outcome.Revision, err = s.config.Apply(ctx, savorystep.Change{
+		ID: info.ID, Author: info.Author, Note: info.Note, Time: now.Round(0).UTC(),
+		Service: service, Base: base, Record: record,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return outcome, nil
+}
+
+// unchanged returns the outcome for a record that says already what it should.
+// If the change itself made it so, because its first answer was lost, the
+// outcome is that of the change.
+func (s *steering) unchanged(ctx context.Context, info ChangeInfo, service savorystep.Service, version savorystep.Revision) (*Outcome, error) {
+	outcome := &Outcome{Service: service, Base: version, Revision: version, Unchanged: true, Dry: s.dry}
+	changes, err := s.config.History(ctx, service, 2)
+	if err != nil {
+		// Without the history the answer is still true, only less exact.
+		log.Debugf("history of %s: %v", service, err)
+		changes = nil
+	}
+	if len(changes) == 0 || changes[0].ID != info.ID {
+		return outcome, nil
+	}
+	made := changes[0]
+	outcome.Unchanged, outcome.Base, outcome.Revision = false, made.Base, made.Revision
+	var before *savorystep.Record
+	if len(changes) > 1 {
+		before = changes[1].Record
+	}
+	outcome.Diff, err = DiffRecords(before, made.Record, versionName(service, made.Base), newName(service, made.Record))
+	return outcome, err
+}
+
+// versionName names a version in diffs.
+func versionName(service savorystep.Service, version savorystep.Revision) string {
+	if version == 0 {
+		return string(service) + " (none)"
+	}
+	return fmt.Sprintf("%s (version %d)", service, version)
+}
+
+// newName names a proposed record in diffs.
+func newName(service savorystep.Service, record *savorystep.Record) string {
+	if record == nil {
+		return string(service) + " (removed)"
+	}
+	return string(service) + " (new)"
+}
+
+// checkOtherServices refuses a record whose names lead to another service.
+func checkOtherServices(view *savorystep.View, record *savorystep.Record) error {
+	names := append([]savorystep.Name{savorystep.Name(record.Service)}, record.Names...)
+	for _, name := range names {
+		if owner, ok := view.Services[name]; ok && owner != record.Service {
+			return savorystep.NewError(savorystep.KindBadRequest, "name %q leads to service %s already", name, owner)
+		}
+	}
+	return nil
+}
+
+// knownRegions refuses regions that no instance and no record knows, which
+// are most likely misspelled.
+func (s *steering) knownRegions(regions ...savorystep.Region) error {
+	known := map[savorystep.Region]bool{}
+	for _, record := range s.config.View().Records {
+		for _, region := range shareRegions(record) {
+			known[region] = true
+		}
+	}
+	for _, member := range s.members.Members(s.clock.Now()) {
+		known[member.Instance.Place.Region] = true
+	}
+	for _, region := range regions {
+		if !known[region] {
+			return savorystep.NewError(savorystep.KindBadRequest, "region %q is unknown; allowed: %s", region, joinTexts(slices.Sorted(maps.Keys(known))))
+		}
+	}
+	return nil
+}
+
+// warnings tells what is allowed but may not be meant: limits of regions that
+// get no traffic, and shifts of more than what their targets have free now.
+func (s *steering) warnings(record *savorystep.Record, now time.Time) []string {
+	if record == nil {
+		return nil
+	}
+	var texts []string
+	for _, region := range slices.Sorted(maps.Keys(record.Limits)) {
+		if !hasShare(record, region) && !isTarget(record, region) {
+			texts = append(texts, fmt.Sprintf("the limit of region %s has no effect; no share or shift leads there", region))
+		}
+	}
+	if s.endpoints == nil || len(record.Shifts) == 0 {
+		return texts
+	}
+	loads := map[savorystep.Region]savorystep.RegionLoad{}
+	for _, load := range s.endpoints.Regions(record.Service, now) {
+		loads[load.Region] = load
+	}
+	moving := map[savorystep.Region]int{}
+	for _, shift := range record.Shifts {
+		n := int(loads[shift.From].Used) * shift.Percent / maxPercent
+		if shift.Cap > 0 {
+			n = min(n, int(shift.Cap))
+		}
+		moving[shift.To] += n
+	}
+	for _, to := range slices.Sorted(maps.Keys(moving)) {
+		if free := max(int(loads[to].Slots-loads[to].Used), 0); moving[to] > free {
+			texts = append(texts, fmt.Sprintf("the shifts would move about %d requests in flight to %s now, which has %d free slots; the rest would be refused", moving[to], to, free))
+		}
+	}
+	return texts
+}
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -1,10 +1,16 @@
 package upstream
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // Limits are the limits of a Pool. Zero values take the defaults given with
 // the fields.
 type Limits struct {
+	// wrap is Config.Wrap.
+	wrap func(made net.Conn, address string) net.Conn
+
 	// Poll is the interval of reading the platform's list; 1 s by default.
 	Poll time.Duration
 	// Tick is the interval of checks on silence and queues and of publishing
@@ -48,6 +54,8 @@
 	Replay int
 	// Health are the limits of the health of endpoints.
 	Health HealthLimits
+	// Ramp limits the growth of failover into a region.
+	Ramp RampConfig
 }
 
 // withDefaults returns the limits with defaults for zero values.
