--- a/standin/upstream_test.go
+++ b/standin/upstream_test.go
@@ -29,8 +29,8 @@
 	return u, "http://" + listener.Addr().String(), u.Serve(ctx, listener)
 }
 
-// call sends a request and returns the status and the body.
-func call(t *testing.T, client *http.Client, method, url, body string) (int, string, error) {
+// callUpstream sends a request and returns the status and the body.
+func callUpstream(t *testing.T, client *http.Client, method, url, body string) (int, string, error) {
 	t.Helper()
 	request, err := http.NewRequestWithContext(t.Context(), method, url, strings.NewReader(body))
 	if err != nil {
@@ -51,7 +51,7 @@
 func TestUpstreamAnswer(t *testing.T) {
 	u, url, _ := serve(t, standin.UpstreamConfig{ID: "a", Service: "status"})
 	client := &http.Client{Transport: &http.Transport{}}
-	status, body, err := call(t, client, http.MethodPost, url+"/size/70000", "hello")
+	status, body, err := callUpstream(t, client, http.MethodPost, url+"/size/70000", "hello")
 	if err != nil || status != http.StatusOK || len(body) != 70_000 {
 		t.Fatalf("status %d, %d bytes, %v", status, len(body), err)
 	}
@@ -92,18 +92,18 @@
 			_, url, done := serve(t, standin.UpstreamConfig{})
 			client := &http.Client{Transport: &http.Transport{}}
 			if c.name == "silent" {
-				if _, _, err := call(t, client, http.MethodGet, url+"/load", ""); err != nil {
+				if _, _, err := callUpstream(t, client, http.MethodGet, url+"/load", ""); err != nil {
 					t.Fatal(err)
 				}
 			}
 			// The faults come on a connection of their own.
-			if status, _, err := call(t, &http.Client{Transport: &http.Transport{}}, http.MethodPost, url+"/faults", c.faults); err != nil {
+			if status, _, err := callUpstream(t, &http.Client{Transport: &http.Transport{}}, http.MethodPost, url+"/faults", c.faults); err != nil {
 				t.Fatal(status, err)
 			}
 			if c.want == "failed" {
 				client.Timeout = 300 * time.Millisecond
 			}
-			_, body, err := call(t, client, http.MethodGet, url+c.path, "")
+			_, body, err := callUpstream(t, client, http.MethodGet, url+c.path, "")
 			if c.want == "failed" && err == nil || c.want != "failed" && !strings.Contains(body, c.want) {
 				t.Errorf("body %q, error %v", body, err)
 			}
@@ -114,7 +114,7 @@
 			}
 			if c.name == "silent" {
 				fresh := &http.Client{Transport: &http.Transport{}}
-				if status, _, err := call(t, fresh, http.MethodGet, url+c.path, ""); err != nil || status != http.StatusOK {
+				if status, _, err := callUpstream(t, fresh, http.MethodGet, url+c.path, ""); err != nil || status != http.StatusOK {
 					t.Errorf("a new connection gives %d, %v", status, err)
 				}
 			}
@@ -126,11 +126,11 @@
 func TestUpstreamConnections(t *testing.T) {
 	_, url, _ := serve(t, standin.UpstreamConfig{Connections: 1})
 	first := &http.Client{Transport: &http.Transport{}}
-	if _, _, err := call(t, first, http.MethodGet, url+"/load", ""); err != nil {
+	if _, _, err := callUpstream(t, first, http.MethodGet, url+"/load", ""); err != nil {
 		t.Fatal(err)
 	}
 	second := &http.Client{Transport: &http.Transport{}}
-	if _, _, err := call(t, second, http.MethodGet, url+"/load", ""); err == nil {
+	if _, _, err := callUpstream(t, second, http.MethodGet, url+"/load", ""); err == nil {
 		t.Error("a second connection was accepted")
 	}
 }
