Let suspected instances hear of it after a partition

Cause: BenchmarkPartition with 48 nodes did not see the full membership again within 2 minutes. A trial with 32 nodes showed members left out for more than 4 s although a connection to them existed: the suspicion had come from others, and the suspected instance had not heard it or refused it from a forgotten instance. Now a suspicion goes to its subject over an existing connection, an instance hears suspicions of itself from anyone, a refutation goes to all connections, and suspicions beyond the third are not passed on.

Ruled out: refusing further suspicions, since the state would then depend on the order of facts.

--- a/peer/facts.go
+++ b/peer/facts.go
@@ -208,6 +208,16 @@
 		e.spreadScoped(entry, from)
 		return
 	}
+	if entry.key.kind == factSuspicion {
+		// The suspected instance shall hear of it first.
+		subject := savorystep.InstanceID(entry.key.subject)
+		if l := e.links[subject]; l != nil && l != from {
+			l.add(entry.key)
+		}
+		if suspected := e.store.suspicions[subject]; from != nil && suspected != nil && len(suspected.by) > maxSuspecters {
+			return
+		}
+	}
 	count := relaysOf(entry.key.kind)
 	switch {
 	case from == nil && e.isMesh():
--- a/peer/rounds.go
+++ b/peer/rounds.go
@@ -136,6 +136,10 @@
 func (e *Exchange) refute(now time.Time) {
 	if e.store.isSelfSuspected() && now.Sub(e.stated) >= refuteInterval {
 		e.stateStatus(now)
+		// Those who suspect this instance are mostly its neighbours.
+		for _, l := range e.links {
+			l.add(factKey{kind: savorystep.FactStatus, instance: e.config.Self.ID})
+		}
 	}
 }
 
--- a/peer/store.go
+++ b/peer/store.go
@@ -106,7 +106,9 @@
 		}
 		return s.admitStatus(now, fact)
 	case factSuspicion:
-		return !buried && s.admitSuspicion(now, fact)
+		// A suspicion of this instance counts even from one that is forgotten
+		// here, so that both sides of a healed partition can refute.
+		return (!buried || fact.Subject == string(s.self)) && s.admitSuspicion(now, fact)
 	case savorystep.FactRevision:
 		// Revisions travel in vectors.
 		return false
--- a/peer/store_test.go
+++ b/peer/store_test.go
@@ -304,3 +304,15 @@
 		t.Errorf("%d of 12 neighbours", len(got))
 	}
 }
+
+// TestForgottenSuspecterIsHeard guards against halves of a healed partition
+// that stay apart since neither takes a suspicion of itself from the other.
+func TestForgottenSuspecterIsHeard(t *testing.T) {
+	s := newStore("self", time.Second)
+	s.state(epoch, savorystep.FactStatus, "", statusBody("self", true))
+	s.dig("b", grave{sequence: 9, until: epoch.Add(time.Hour)})
+	suspicion := savorystep.Fact{Instance: "b", Sequence: 5, Kind: factSuspicion, Subject: "self", Body: suspicionBody(1)}
+	if s.merge(epoch, suspicion, epoch) == nil || !s.isSelfSuspected() {
+		t.Error("suspicion of this instance is not heard")
+	}
+}
