Say 'did not run' of a keyed request only when it is known

Cause: an entry that refuses a keyed request before the key ledger has spoken, for example with the platform down, said that it did not run, although an earlier attempt through another entry may have run it. Callers now mark the first attempt with Savorystep-Attempt: 1; without the mark such a refusal says 'unknown'. The client keeps net/http from repeating a marked request by itself.

POST /faults of the platform's stand-in replaces faults; its test asks for that now, with two checks more than before.

--- a/caller/refusal.go
+++ b/caller/refusal.go
@@ -28,9 +28,10 @@
 	}
 	s.metrics.countRefusal(typed.Kind)
 	answer := typed.Kind.Answer()
+	ran := typed.Ran().String()
 	header := w.Header()
 	header.Set(savorystep.HeaderKind, answer.Name)
-	header.Set(savorystep.HeaderRan, answer.Ran.String())
+	header.Set(savorystep.HeaderRan, ran)
 	delay := typed.RetryAfter()
 	if delay > 0 {
 		header.Set("Retry-After", strconv.Itoa(int(math.Ceil(delay.Seconds()))))
@@ -38,13 +39,26 @@
 	writeJSON(w, answer.Status, Refusal{
 		Kind:        answer.Name,
 		Detail:      typed.Detail,
-		Ran:         answer.Ran.String(),
+		Ran:         ran,
 		Retry:       answer.Retry,
 		Delay:       delay.Milliseconds(),
 		Suggestions: typed.Suggestions,
 	})
 }
 
+// refuseUndecided refuses a request about which the key ledger has not spoken.
+// If it has a key and may be a repeat, an earlier attempt may have run it.
+func (s *Server) refuseUndecided(w http.ResponseWriter, r *http.Request, err error) {
+	var typed *savorystep.Error
+	repeat := r.Header.Get(savorystep.HeaderKey) != "" && r.Header.Get(savorystep.HeaderAttempt) != "1"
+	if repeat && errors.As(err, &typed) {
+		undecided := *typed
+		undecided.MayHaveRun = true
+		err = &undecided
+	}
+	s.refuse(w, err)
+}
+
 // writeJSON answers with a JSON body.
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	data, err := json.Marshal(body)
--- a/caller/request.go
+++ b/caller/request.go
@@ -32,7 +32,7 @@
 	}
 	request, err := s.newRequest(w, r, now)
 	if err != nil {
-		s.refuse(w, err)
+		s.refuseUndecided(w, r, err)
 		return
 	}
 	w.Header().Set(savorystep.HeaderRequest, string(request.ID))
@@ -41,7 +41,7 @@
 	defer cancel()
 	response, err := s.Forwarder.Forward(ctx, request)
 	if err != nil {
-		s.refuseRequest(w, request, err)
+		s.refuseRequest(w, r, request, err)
 		return
 	}
 	s.meter.Add(now)
@@ -133,7 +133,7 @@
 }
 
 // refuseRequest answers a request that got no answer from an upstream.
-func (s *Server) refuseRequest(w http.ResponseWriter, request *savorystep.Request, err error) {
+func (s *Server) refuseRequest(w http.ResponseWriter, r *http.Request, request *savorystep.Request, err error) {
 	kind := savorystep.KindOf(err)
 	log.Debugf("Request %s to %s was refused: %v.", request.ID, request.Service, err)
 	if kind == savorystep.KindQuarantined {
@@ -144,6 +144,10 @@
 			Text:    "Refused a quarantined request.",
 		})
 	}
+	if kind == savorystep.KindPlatformDown {
+		s.refuseUndecided(w, r, err)
+		return
+	}
 	s.refuse(w, err)
 }
 
--- a/entry/client.go
+++ b/entry/client.go
@@ -207,5 +207,6 @@
 	err := savorystep.NewError(kind, "%s", refusal.Detail)
 	err.Delay = time.Duration(refusal.Delay) * time.Millisecond
 	err.Suggestions = refusal.Suggestions
+	err.MayHaveRun = response.Header.Get(savorystep.HeaderRan) != savorystep.RanNo.String()
 	return err
 }
--- a/entry/failure.go
+++ b/entry/failure.go
@@ -12,7 +12,7 @@
 // add takes note of the error of one attempt.
 func (f *failure) add(err error) {
 	f.last = err
-	if savorystep.KindOf(err).Answer().Ran != savorystep.RanNo {
+	if savorystep.RanOf(err) != savorystep.RanNo {
 		f.unknown = err
 	}
 }
@@ -25,7 +25,7 @@
 
 // err returns the error of the request as a whole.
 func (f *failure) err() error {
-	if f.unknown == nil || savorystep.KindOf(f.last).Answer().Ran != savorystep.RanNo {
+	if f.unknown == nil || savorystep.RanOf(f.last) != savorystep.RanNo {
 		return f.last
 	}
 	return savorystep.WrapError(savorystep.KindOutcomeUnknown, f.last, "an earlier attempt may have run")
--- a/entry/request.go
+++ b/entry/request.go
@@ -10,12 +10,14 @@
 
 // A Request is a request to a service.
 type Request struct {
-	ID      savorystep.RequestID
-	Name    savorystep.Name
-	Method  string
-	Path    string
-	Header  http.Header
-	Key     savorystep.IdempotencyKey
+	ID     savorystep.RequestID
+	Name   savorystep.Name
+	Method string
+	Path   string
+	Header http.Header
+	Key    savorystep.IdempotencyKey
+	// Repeat is true if the request was sent before with the same key.
+	Repeat  bool
 	Timeout time.Duration
 	// Body returns a new reader of the body for each attempt. It may be nil.
 	Body func() io.Reader
--- a/entry/send.go
+++ b/entry/send.go
@@ -35,6 +35,7 @@
 			return nil, failed.with(savorystep.NewError(savorystep.KindNotReady, "no entry serves %s", request.Name))
 		}
 		response, err := c.sendTo(ctx, entry, &request)
+		request.Repeat = true
 		if err == nil {
 			response.Attempts = attempt + 1
 			return response, nil
@@ -102,8 +103,13 @@
 // newRequest makes the HTTP request for one attempt.
 func (c *Client) newRequest(ctx context.Context, entry savorystep.Entry, request *Request) (*http.Request, error) {
 	var body io.Reader = http.NoBody
-	if request.Body != nil {
+	switch {
+	case request.Body != nil:
 		body = request.Body()
+	case request.Key != "":
+		// The transport repeats a keyed request without a body on its own,
+		// marked as a first attempt; it can't repeat one with a reader.
+		body = io.MultiReader()
 	}
 	target := fmt.Sprintf("http://%s/s/%s%s", entry.Address, request.Name, request.Path)
 	outgoing, err := http.NewRequestWithContext(ctx, request.Method, target, body)
@@ -122,6 +128,9 @@
 	outgoing.Header.Set(savorystep.HeaderRequest, string(request.ID))
 	if request.Key != "" {
 		outgoing.Header.Set(savorystep.HeaderKey, string(request.Key))
+		if !request.Repeat {
+			outgoing.Header.Set(savorystep.HeaderAttempt, "1")
+		}
 	}
 	if c.config.From != "" {
 		outgoing.Header.Set(savorystep.HeaderFrom, c.config.From)
--- a/error.go
+++ b/error.go
@@ -13,6 +13,9 @@
 	Detail string
 	// Delay overrides the kind's delay if it is positive.
 	Delay time.Duration
+	// MayHaveRun is true if the request may have run although the kind says
+	// that it did not: an earlier attempt with the same key is not known of.
+	MayHaveRun bool
 	// Suggestions are services with a name like the one asked for.
 	Suggestions []Service
 	// Cause is the underlying error, or nil.
@@ -42,6 +45,25 @@
 	return e.Cause
 }
 
+// Ran says whether the request ran.
+func (e *Error) Ran() Ran {
+	ran := e.Kind.Answer().Ran
+	if ran == RanNo && e.MayHaveRun {
+		return RanUnknown
+	}
+	return ran
+}
+
+// RanOf says whether the request that ended in err ran. An error without a kind
+// leaves it unknown.
+func RanOf(err error) Ran {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Ran()
+	}
+	return KindOf(err).Answer().Ran
+}
+
 // RetryAfter returns the least time to wait before a retry.
 func (e *Error) RetryAfter() time.Duration {
 	if e.Delay > 0 {
--- a/header.go
+++ b/header.go
@@ -2,6 +2,10 @@
 
 // The HTTP headers of savorystep.
 const (
+	// HeaderAttempt is "1" in a keyed request if its caller sends it for the
+	// first time. Without it a refusal does not say that the request did not
+	// run, unless the key ledger knows.
+	HeaderAttempt = "Savorystep-Attempt"
 	// HeaderAttempts is how many upstreams a request was sent to.
 	HeaderAttempts = "Savorystep-Attempts"
 	// HeaderDeadline is the time left for a request, in milliseconds.
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -31,22 +31,28 @@
 }
 
 // TestPlatformFaults guards against faults that POST /faults does not switch,
-// or that it switches although the body does not name them.
+// and against faults that stay on although a later body does not name them.
 func TestPlatformFaults(t *testing.T) {
 	p := standin.NewPlatform(standin.PlatformConfig{})
 	if code := call(t, p, http.MethodPost, "/faults", map[string]any{"down": true}, nil); code != http.StatusOK {
 		t.Errorf("status %d", code)
 	}
+	if code := call(t, p, http.MethodGet, "/table/row?key=a", nil, nil); code != http.StatusServiceUnavailable {
+		t.Errorf("status %d while down", code)
+	}
 	var faults standin.PlatformFaults
 	call(t, p, http.MethodPost, "/faults", map[string]any{"lose": 2, "lag": 70}, &faults)
-	if want := (standin.PlatformFaults{Down: true, Lose: 2, Lag: 70}); faults != want || p.Faults() != want {
+	if want := (standin.PlatformFaults{Lose: 2, Lag: 70}); faults != want || p.Faults() != want {
 		t.Errorf("faults %+v, want %+v", faults, want)
 	}
 	if code := call(t, p, http.MethodPost, "/faults", map[string]any{"dwon": true}, nil); code != http.StatusBadRequest {
 		t.Errorf("status %d for an unknown fault", code)
 	}
-	if code := call(t, p, http.MethodGet, "/table/row?key=a", nil, nil); code != http.StatusServiceUnavailable {
-		t.Errorf("status %d while down", code)
+	if want := (standin.PlatformFaults{Lose: 2, Lag: 70}); p.Faults() != want {
+		t.Errorf("an unknown fault changed the faults to %+v", p.Faults())
+	}
+	if code := call(t, p, http.MethodGet, "/table/row?key=a", nil, nil); code != http.StatusOK {
+		t.Errorf("status %d after the outage", code)
 	}
 }
 
