Keep a zone's failure from quarantining popular requests

Cause: a strike hit every fingerprint in flight on a dead endpoint, so a popular request that ran on two endpoints of a failing zone was refused for ten minutes on all instances. A death now counts only if its attempt began after the last strike was known, and an answer to an attempt that began later clears the strikes everywhere; a request that kills upstreams is never answered.

--- a/cmd/container.go
+++ b/cmd/container.go
@@ -201,8 +201,8 @@
 	return pool
 }
 
-// newForwarder returns the chain of forwarders. Retries lie around the
-// quarantine, so that a strike is known to peers before the next attempt.
+// newForwarder returns the chain of forwarders. The quarantine lies around the
+// retries: it is asked before each of them.
 func newForwarder(
 	config instanceConfig,
 	self savorystep.Instance,
@@ -211,14 +211,14 @@
 	pool *upstream.Pool,
 	ring *peer.Ring,
 ) *upstream.Keyed {
-	quarantine := upstream.NewQuarantine(pool, upstream.QuarantineConfig{
+	retrier := upstream.NewRetrier(pool, upstream.RetrierConfig{Recorder: ring})
+	quarantine := upstream.NewQuarantine(retrier, upstream.QuarantineConfig{
 		Clock:    config.Clock,
 		Facts:    exchange,
 		Recorder: ring,
 		Self:     self.ID,
 	})
-	retrier := upstream.NewRetrier(quarantine, upstream.RetrierConfig{Recorder: ring})
-	return upstream.NewKeyed(retrier, upstream.KeyedConfig{Keys: keys})
+	return upstream.NewKeyed(quarantine, upstream.KeyedConfig{Keys: keys})
 }
 
 // newSteering returns the look-up decisions.
--- a/factbodies.go
+++ b/factbodies.go
@@ -32,6 +32,9 @@
 // A StrikeFact counts the deaths of upstreams that coincided with a request.
 type StrikeFact struct {
 	Strikes int `cbor:"1,keyasint"`
+	// Cleared is true if a request with the fingerprint was answered since, so
+	// that the strikes of all instances no longer count.
+	Cleared bool `cbor:"2,keyasint,omitempty"`
 }
 
 // An UnknownFact counts how often callers sent an unknown name.
--- a/upstream/health.go
+++ b/upstream/health.go
@@ -55,6 +55,12 @@
 	}
 }
 
+// Vanish takes note that nothing listens at the endpoint's address, so that the
+// next failure ejects it.
+func (h *Health) Vanish() {
+	h.failures = max(h.failures, h.limits.Failures-1)
+}
+
 // Fail takes note of a failure of the endpoint or the connection to it. It
 // reports whether the endpoint was ejected. With mayEject false, failures are
 // counted but do not eject.
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -64,6 +64,10 @@
 	if err != nil || cbor.Unmarshal(fact.Body, &body) != nil {
 		return
 	}
+	if body.Cleared {
+		q.strikes.clear(savorystep.Fingerprint(key))
+		return
+	}
 	q.strikes.hear(savorystep.Fingerprint(key), fact.Instance, body.Strikes, fact.Heard)
 }
 
@@ -84,7 +88,7 @@
 		t.end()
 		return nil, err
 	}
-	response.Body = &closingBody{ReadCloser: response.Body, closed: t.end}
+	response.Body = &closingBody{ReadCloser: response.Body, closed: t.end, whole: t.answered}
 	return response, nil
 }
 
@@ -94,12 +98,33 @@
 	request    *savorystep.Request
 	mu         sync.Mutex
 	unlock     func()
+	// began is when the last attempt was let through.
+	began time.Time
 }
 
 // enter returns an error if the fingerprint is quarantined. With one strike it
 // waits until no other request with the fingerprint runs. It is called before
 // each attempt after the first as well.
 func (t *turn) enter(ctx context.Context) error {
+	if err := t.admit(ctx); err != nil {
+		return err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.began = t.quarantine.config.Clock.Now()
+	return nil
+}
+
+// start returns when the last attempt was let through.
+func (t *turn) start() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.began
+}
+
+// admit waits for the turn of the request and refuses it if its fingerprint is
+// quarantined.
+func (t *turn) admit(ctx context.Context) error {
 	q, key := t.quarantine, t.request.Fingerprint
 	total := q.strikes.total(key, q.config.Clock.Now())
 	if total == 0 {
@@ -140,13 +165,36 @@
 	}
 }
 
-// died counts a strike and tells the peers, at most for the time of a push.
+// answered clears the strikes of the fingerprint if the answered attempt began
+// after the last one. A request that kills upstreams is never answered, while
+// one that was in flight by chance when upstreams died soon is.
+func (t *turn) answered() {
+	q, key := t.quarantine, t.request.Fingerprint
+	if !q.strikes.clearBefore(key, t.start()) {
+		return
+	}
+	q.config.Facts.Publish(savorystep.FactStrike, subjectOf(key), savorystep.StrikeFact{Cleared: true})
+	log.Infof("fingerprint %s was answered, its strikes are cleared", subjectOf(key))
+}
+
+// subjectOf returns the subject of facts about a fingerprint.
+func subjectOf(key savorystep.Fingerprint) string {
+	return strconv.FormatUint(uint64(key), 16)
+}
+
+// died counts a strike and tells the peers, at most for the time of a push. The
+// death of an attempt that began before the last strike was known counts for
+// nothing: when a zone fails, endpoints die together, whatever they run.
 func (t *turn) died(endpoint savorystep.EndpointID) {
 	q, key := t.quarantine, t.request.Fingerprint
+	if q.strikes.knownSince(key, t.start()) {
+		log.Warningf("endpoint %s died with request %s, which began before the last strike", endpoint, t.request.ID)
+		return
+	}
 	own := q.strikes.add(key, q.config.Self, q.config.Clock.Now())
 	ctx, cancel := context.WithTimeout(context.Background(), q.config.Push)
 	defer cancel()
-	subject := strconv.FormatUint(uint64(key), 16)
+	subject := subjectOf(key)
 	acked, missing := q.config.Facts.Push(ctx, savorystep.FactStrike, subject, savorystep.StrikeFact{Strikes: own})
 	log.Warningf("endpoint %s died while it ran request %s", endpoint, t.request.ID)
 	if q.config.Recorder != nil {
--- a/upstream/quarantine_test.go
+++ b/upstream/quarantine_test.go
@@ -137,3 +137,50 @@
 	}
 	readAll(t, response)
 }
+
+// TestZoneLossQuarantinesNothing guards against a popular request that is
+// refused for ten minutes because a zone failed while it ran on several of its
+// endpoints. Deaths of attempts that began together count once, and the next
+// answer clears the strike on all entries.
+func TestZoneLossQuarantinesNothing(t *testing.T) {
+	s := newSite(t)
+	const endpoints = 6
+	all := make([]*standin.Upstream, 0, endpoints)
+	for i := range endpoints {
+		u := s.add(savorystep.EndpointID(fmt.Sprint("u", i)), "natal", standin.UpstreamConfig{Slots: 1})
+		u.SetFaults(standin.UpstreamFaults{Hold: true})
+		all = append(all, u)
+	}
+	entries := []savorystep.Forwarder{entryAt(s, "entry-0", true), entryAt(s, "entry-1", true)}
+	ended := make(chan ending, endpoints)
+	for i := range endpoints {
+		s.start(entries[0], get(savorystep.RequestID(fmt.Sprint("r", i)), "/popular"), ended)
+	}
+	s.eventually("a request runs on each endpoint", func() bool {
+		busy := savorystep.Slots(0)
+		for _, u := range all {
+			busy += u.Load().Busy
+		}
+		return busy == endpoints
+	})
+	for i, u := range all {
+		if i < endpoints/2 {
+			u.Crash()
+		}
+	}
+	for i, u := range all {
+		if i >= endpoints/2 {
+			u.SetFaults(standin.UpstreamFaults{})
+		}
+	}
+	for range endpoints {
+		<-ended
+	}
+	for i, entry := range entries {
+		response, err := entry.Forward(t.Context(), get(savorystep.RequestID(fmt.Sprint("after", i)), "/popular"))
+		if err != nil {
+			t.Fatalf("entry %d: %v", i, err)
+		}
+		readAll(t, response)
+	}
+}
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -220,7 +220,7 @@
 		p.end(a, held, verdictNone)
 		return savorystep.WrapError(savorystep.KindOverloaded, failure, "the request ended before it was sent")
 	case !sent:
-		p.end(a, held, verdictFailed)
+		p.end(a, held, connectVerdict(cause))
 		return savorystep.WrapError(savorystep.KindNoUpstream, failure, "no connection to the endpoint")
 	case callerCtx.Err() != nil && !a.silent.Load():
 		p.end(a, held, p.lateVerdict(a))
@@ -230,7 +230,11 @@
 		failure.Err = errSilent
 	}
 	failure.Died = p.checkDeath(a, cause)
-	p.end(a, held, verdictFailed)
+	verdict := verdictFailed
+	if failure.Died {
+		verdict = verdictGone
+	}
+	p.end(a, held, verdict)
 	kind := savorystep.KindUpstreamFailed
 	if a.once {
 		kind = savorystep.KindOutcomeUnknown
@@ -251,6 +255,15 @@
 	return verdictNone
 }
 
+// connectVerdict returns the verdict on an endpoint to which no connection was
+// made. A refusal is certain, any other failure may be the network's.
+func connectVerdict(cause error) verdict {
+	if errors.Is(cause, syscall.ECONNREFUSED) {
+		return verdictGone
+	}
+	return verdictFailed
+}
+
 // checkDeath reports whether an endpoint ended while it ran a request, and
 // tells the quarantine. A closed connection alone is no death: the endpoint
 // must also refuse a new one.
@@ -347,7 +360,7 @@
 		a.cancel()
 		a.endCaller()
 		now := p.clock.Now()
-		hasPeers := v == verdictFailed && p.hasPeers(now)
+		hasPeers := (v == verdictFailed || v == verdictGone) && p.hasPeers(now)
 		g, e := a.lease.group, a.lease.endpoint
 		g.mu.Lock()
 		delete(e.attempts, a)
@@ -362,6 +375,9 @@
 			if !a.silent.Load() {
 				ejected = g.fail(e, now, hasPeers)
 			}
+		case verdictGone:
+			e.health.Vanish()
+			ejected = g.fail(e, now, hasPeers)
 		case verdictNone:
 		}
 		g.mu.Unlock()
--- a/upstream/strikes.go
+++ b/upstream/strikes.go
@@ -74,6 +74,47 @@
 	s.set(key, id, strikeCount{count: count, heard: now})
 }
 
+// clear forgets the strikes of a fingerprint.
+func (s *strikes) clear(key savorystep.Fingerprint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.byKey, key)
+}
+
+// clearBefore forgets the strikes of a fingerprint if all are older than the
+// given time. It reports whether there were any to forget.
+func (s *strikes) clearBefore(key savorystep.Fingerprint, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.last(key)
+	if last.IsZero() || !last.Before(at) {
+		return false
+	}
+	delete(s.byKey, key)
+	return true
+}
+
+// knownSince reports whether a strike of a fingerprint was heard at or after
+// the given time.
+func (s *strikes) knownSince(key savorystep.Fingerprint, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	last := s.last(key)
+	return !last.IsZero() && !last.Before(at)
+}
+
+// last returns when the last strike of a fingerprint was heard, or zero. The
+// caller holds mu.
+func (s *strikes) last(key savorystep.Fingerprint) time.Time {
+	var last time.Time
+	for _, strike := range s.byKey[key] {
+		if strike.count > 0 && strike.heard.After(last) {
+			last = strike.heard
+		}
+	}
+	return last
+}
+
 // set replaces the count of one instance. The caller holds mu.
 func (s *strikes) set(key savorystep.Fingerprint, id savorystep.InstanceID, strike strikeCount) {
 	if s.byKey[key] == nil {
--- a/upstream/verdict.go
+++ b/upstream/verdict.go
@@ -7,5 +7,7 @@
 	verdictNone verdict = iota
 	verdictGood
 	verdictFailed
+	// verdictGone means that nothing listens at the endpoint's address.
+	verdictGone
 	verdictShed
 )
