--- a/cmd/processes_test.go
+++ b/cmd/processes_test.go
@@ -111,16 +111,13 @@
 // process listens on them.
 func newAddresses(t *testing.T, count int) []savorystep.Address {
 	t.Helper()
-	const port = 7001
+	const port, numbers = 7001, 254
 	pid := os.Getpid()
 	addresses := make([]savorystep.Address, 0, count)
 	for range count {
 		n := addressCount.Add(1)
-		if n > 254 {
-			t.Fatal("no loopback number is left")
-		}
-		number := netip.AddrFrom4([4]byte{127, byte(64 + pid>>8&0x7f), byte(pid), byte(n)})
-		addresses = append(addresses, savorystep.Address(netip.AddrPortFrom(number, port).String()))
+		number := netip.AddrFrom4([4]byte{127, byte(64 + pid>>8&0x7f), byte(pid), byte(1 + (n-1)%numbers)})
+		addresses = append(addresses, savorystep.Address(netip.AddrPortFrom(number, uint16(port+(n-1)/numbers)).String()))
 	}
 	return addresses
 }
@@ -164,6 +161,12 @@
 
 // startEntry starts one entry instance.
 func (p *processes) startEntry(region savorystep.Region) {
+	p.t.Helper()
+	p.startEntryWith(region, "process-test-secret")
+}
+
+// startEntryWith starts one entry instance that shares a secret with its peers.
+func (p *processes) startEntryWith(region savorystep.Region, secret string) {
 	p.t.Helper()
 	free := newAddresses(p.t, 3)
 	settings := operator.InstanceSettings{
@@ -182,14 +185,14 @@
 [platform]
 address = %s
 [peer]
-secret = process-test-secret
+secret = %s
 %s
 [operator]
 token = process-test-token
 [limits]
 drain = 60s
 body = 256MiB
-`, settings.Region, settings.Zone, settings.Caller, settings.Operator, settings.Peer, p.address, seedsLine(seeds))
+`, settings.Region, settings.Zone, settings.Caller, settings.Operator, settings.Peer, p.address, secret, seedsLine(seeds))
 	path := filepath.Join(p.t.TempDir(), "entry.ini")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		p.t.Fatal(err)
