--- a/upstream/group.go
+++ b/upstream/group.go
@@ -30,6 +30,8 @@
 	healths   []*Health
 	waiters   []*waiter
 	usual     time.Duration
+	// ramp limits how fast failover may fill the region.
+	ramp *Ramp
 	// candidates is scratch space of pick.
 	candidates []Candidate
 	// suspectSince is when more than half of the endpoints began to look dead
@@ -48,9 +50,9 @@
 	assessment := g.assess(now)
 	g.candidates = g.candidates[:0]
 	for _, e := range g.endpoints {
-		c := Candidate{Near: e.info.Place.Zone == g.zone, Cost: int64(e.usual)}
+		var c Candidate
 		if e.health.Usable(now, assessment.BelievePages) && !e.health.Paused(now) && !r.avoids(e.info.ID) {
-			c.Free = e.free(now, g.limits.FactAge)
+			c = e.candidate(now, e.info.Place.Zone == g.zone)
 		}
 		g.candidates = append(g.candidates, c)
 	}
@@ -74,7 +76,7 @@
 		}
 		load.Usable++
 		load.Slots += e.info.Slots
-		load.Used += e.usedSlots(now, g.limits.FactAge)
+		load.Used += e.usedSlots(now)
 	}
 	return load
 }
