Read the load page of an endpoint soon after it comes into use

An entry reads the page of an unused endpoint every 10 s and planned the next read with the rate at the last one. An endpoint that came into use after a read was not read again for up to 10 s, and a drain that only the page tells went unnoticed: TestProofDrainFrozenList (platform's list frozen) counted 2701 new requests in the 5 s after the drain began and 251 after them. The rate of the present use now decides when the next read is due.

The same commit tells peers of an endpoint that looks dead even while its ejection is withheld. With two of three endpoints of a region dead, each instance ejected one and withheld the other, and peers agree only on a half that they were told of, so the second one was never ejected: TestProofCrashingRequest did not see 200 answers in a row within 60 s.

Ruled out for the drain: pages that are not believed (one of two endpoints of the region drained) and a lost push to peers.

--- a/upstream/endpoint.go
+++ b/upstream/endpoint.go
@@ -32,9 +32,10 @@
 	// published is the last published count in flight, publishedAt when.
 	published   savorystep.Slots
 	publishedAt time.Time
-	// pageDue is when the load page is read next, reading is true while it is.
-	pageDue time.Time
-	reading bool
+	// pageAsked is when the load page was last asked for, reading is true while
+	// it is read.
+	pageAsked time.Time
+	reading   bool
 	// claimed is true while this instance tells peers that it drains.
 	claimed   bool
 	claimedAt time.Time
--- a/upstream/watch.go
+++ b/upstream/watch.go
@@ -159,14 +159,16 @@
 // watchPage reads the load page when it is due. The caller holds the group's
 // lock.
 func (p *Pool) watchPage(ctx context.Context, g *group, e *endpoint, now time.Time, chores []chore) []chore {
-	if p.limits.Page < 0 || e.reading || now.Before(e.pageDue) {
-		return chores
-	}
 	interval := p.limits.Page
 	if now.Sub(e.used) > 10*time.Second {
 		interval *= 10
 	}
-	e.pageDue = now.Add(interval)
+	// The interval is that of the present use: an endpoint that came into use
+	// since the last read must not wait for the slow rate.
+	if interval < 0 || e.reading || now.Before(e.pageAsked.Add(interval)) {
+		return chores
+	}
+	e.pageAsked = now
 	e.reading = true
 	l := e.link
 	return append(chores, p.task(func() { p.readPage(ctx, g, e, l, false) }))
@@ -185,7 +187,11 @@
 		body := savorystep.InFlightFact{Count: e.own}
 		chores = append(chores, func() { facts.Publish(savorystep.FactInFlight, subject, body) })
 	}
-	if ejected := e.health.Ejected(now); ejected != e.told {
+	// An endpoint that looks dead counts even while its ejection is withheld:
+	// if only ejections were told, no instance would learn from its peers that
+	// most endpoints of a region are dead.
+	ejected := e.health.Ejected(now) || e.health.failures >= p.limits.Health.Failures
+	if ejected != e.told {
 		e.told = ejected
 		chores = append(chores, func() {
 			facts.Publish(savorystep.FactHealth, subject, savorystep.HealthFact{Ejected: ejected})
