--- a/cmd/proof_test.go
+++ b/cmd/proof_test.go
@@ -319,6 +319,19 @@
 	l.ended.Wait()
 }
 
+// checkRefusals checks that requests without an answer were refused as not run
+// and may be sent again.
+func (l *proofLoad) checkRefusals(t *testing.T) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for kind, count := range l.kinds {
+		if parsed, ok := savorystep.ParseKind(kind); !ok || !parsed.Answer().Retry || parsed.Answer().Ran != savorystep.RanNo {
+			t.Errorf("%d requests ended with %s", count, kind)
+		}
+	}
+}
+
 // An uncheckedTable is a table that forgets the conditions on rows with a
 // prefix. It removes the protection that the conditions give.
 type uncheckedTable struct {
