--- a/peer/store_test.go
+++ b/peer/store_test.go
@@ -248,34 +248,28 @@
 	t.Logf("vector of 2500 members has %d bytes", total)
 }
 
-// TestTokenBucket guards against a second that carries more than the budget.
+// TestTokenBucket guards against a second that carries more than the budget,
+// whatever its start, when the sender takes all it may.
 func TestTokenBucket(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		const budget = 5000
 		b := newTokenBucket(budget, epoch)
-		type send struct {
-			at    time.Time
-			bytes int
-		}
-		var sends []send
-		now := epoch
-		for range rapid.IntRange(1, 200).Draw(t, "steps") {
-			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
-			bytes := rapid.IntRange(1, 1000).Draw(t, "bytes")
-			if b.available(now) >= bytes {
-				b.spend(now, bytes)
-				sends = append(sends, send{now, bytes})
+		sent := make([]int, 5000) // Bytes per millisecond.
+		for ms := 0; ms < len(sent); ms += rapid.IntRange(1, 500).Draw(t, "pause") {
+			now := epoch.Add(time.Duration(ms) * time.Millisecond)
+			if available := b.available(now); available > 0 {
+				b.spend(now, available)
+				sent[ms] = available
 			}
 		}
-		for i, first := range sends {
-			sum := 0
-			for _, s := range sends[i:] {
-				if s.at.Sub(first.at) < time.Second {
-					sum += s.bytes
-				}
+		sum := 0
+		for ms, bytes := range sent {
+			sum += bytes
+			if ms >= 1000 {
+				sum -= sent[ms-1000]
 			}
 			if sum > budget {
-				t.Fatalf("%d bytes in the second from %v", sum, first.at)
+				t.Fatalf("%d bytes in the second up to millisecond %d", sum, ms)
 			}
 		}
 	})
@@ -310,3 +304,15 @@
 		t.Errorf("%d of 12 neighbours", len(got))
 	}
 }
+
+// TestForgottenSuspecterIsHeard guards against halves of a healed partition
+// that stay apart since neither takes a suspicion of itself from the other.
+func TestForgottenSuspecterIsHeard(t *testing.T) {
+	s := newStore("self", time.Second)
+	s.state(epoch, savorystep.FactStatus, "", statusBody("self", true))
+	s.dig("b", grave{sequence: 9, until: epoch.Add(time.Hour)})
+	suspicion := savorystep.Fact{Instance: "b", Sequence: 5, Kind: factSuspicion, Subject: "self", Body: suspicionBody(1)}
+	if s.merge(epoch, suspicion, epoch) == nil || !s.isSelfSuspected() {
+		t.Error("suspicion of this instance is not heard")
+	}
+}
