--- a/upstream/group.go
+++ b/upstream/group.go
@@ -246,8 +246,9 @@
 		e := g.find(info.ID)
 		if e == nil || e.info.Address != info.Address {
 			e = newEndpoint(info, base, g.limits)
-			// Spread, so that a start does not read all pages at once.
-			e.pageDue = now.Add(time.Duration(rand.Float64() * float64(g.limits.Page)))
+			// Spread, so that a start does not read all pages at once. An
+			// endpoint that is not used yet is read at the slow rate.
+			e.pageAsked = now.Add(time.Duration((rand.Float64() - unusedPages) * float64(g.limits.Page)))
 			if len(g.endpoints) > 0 {
 				e.health.Start(now)
 			}
--- a/upstream/watch.go
+++ b/upstream/watch.go
@@ -35,6 +35,10 @@
 	}
 }
 
+// unusedPages is how many times less often the page of an unused endpoint is
+// read.
+const unusedPages = 10
+
 // A chore is what a tick does after it released the locks.
 type chore func()
 
@@ -161,7 +165,7 @@
 func (p *Pool) watchPage(ctx context.Context, g *group, e *endpoint, now time.Time, chores []chore) []chore {
 	interval := p.limits.Page
 	if now.Sub(e.used) > 10*time.Second {
-		interval *= 10
+		interval *= unusedPages
 	}
 	// The interval is that of the present use: an endpoint that came into use
 	// since the last read must not wait for the slow rate.
