--- a/cmd/proof_test.go
+++ b/cmd/proof_test.go
@@ -199,6 +199,8 @@
 	key                savorystep.IdempotencyKey
 	body               string
 	timeout            time.Duration
+	// first is true if no earlier attempt with the key may have run.
+	first bool
 }
 
 // A proofAnswer is the outcome of one attempt.
@@ -238,6 +240,9 @@
 	if r.key != "" {
 		request.Header.Set(savorystep.HeaderKey, string(r.key))
 	}
+	if r.first {
+		request.Header.Set(savorystep.HeaderAttempt, "1")
+	}
 	if r.from != "" {
 		request.Header.Set(savorystep.HeaderFrom, r.from)
 	}
--- a/cmd/proofonce_test.go
+++ b/cmd/proofonce_test.go
@@ -158,10 +158,14 @@
 func sendOnce(p *proofSystem, h *onceHistory, client, n, attempts int) {
 	request := onceRequest(n)
 	request.timeout = 2 * time.Second
+	// An attempt stays the first one while all before it did not run. A key that
+	// two callers send has no first attempt that either could mark.
+	request.first = client == 0 && n%4 != 0
 	for attempt := range attempts {
 		call := time.Now()
 		answer := sendTo(p.t.Context(), p.caller(n+client+attempt), request)
 		h.add(client, request.key, call, answer)
+		request.first = request.first && answer.ran == savorystep.RanNo
 		if answer.answered() || !sleepContext(p.t.Context(), 100*time.Millisecond) {
 			return
 		}
