Let the entries of proofs know each other before the first change

An entry that the others did not know yet is not waited for by the wait for a revision, so it had no record when the load began. Ruled out: a lost record; the entry had just become ready.

--- a/cmd/proof_test.go
+++ b/cmd/proof_test.go
@@ -78,6 +78,9 @@
 	for i := range p.entries {
 		p.join(i)
 	}
+	// A change is in force everywhere once the members that an entry knows have
+	// it, so the entries must know each other before the first one.
+	p.awaitPeers(config.Entries)
 	return p
 }
 
