Join what stood twice: waits, name distances, tombstones

Cause: the same wait for a duration or a context stood in six places and the distance of names in two; the membership called its tombstones by another word. Both functions are in the root package now.

go test . ./caller ./operator passes.

--- a/caller/steering.go
+++ b/caller/steering.go
@@ -93,7 +93,7 @@
 // unknownNameError returns the refusal of an unknown name.
 func unknownNameError(view *savorystep.View, name savorystep.Name) error {
 	err := savorystep.NewError(savorystep.KindUnknownName, "no service has the name %q", name)
-	err.Suggestions = Suggest(name, view)
+	err.Suggestions = savorystep.Nearest(name, view)
 	return err
 }
 
--- a/entry/load.go
+++ b/entry/load.go
@@ -47,7 +47,7 @@
 	var running sync.WaitGroup
 	for i, arrival := range l.config.Arrivals {
 		due := start.Add(arrival.At)
-		if !wait(ctx, due.Sub(l.config.Clock.Now())) {
+		if !savorystep.Sleep(ctx, due.Sub(l.config.Clock.Now())) {
 			break
 		}
 		running.Add(1)
--- a/entry/send.go
+++ b/entry/send.go
@@ -44,7 +44,7 @@
 		if isUnreachable(err) {
 			c.avoid(entry.Address)
 		}
-		if !c.mayRepeat(&request, err) || !wait(ctx, delayOf(err)) {
+		if !c.mayRepeat(&request, err) || !savorystep.Sleep(ctx, delayOf(err)) {
 			break
 		}
 	}
@@ -165,18 +165,3 @@
 	}
 	return typed.RetryAfter()
 }
-
-// wait waits for the delay and reports whether ctx still holds.
-func wait(ctx context.Context, delay time.Duration) bool {
-	if delay <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/operator/distance.go
+++ b/nearest.go
@@ -1,16 +1,18 @@
-package operator
+package savorystep
 
 import (
 	"cmp"
 	"slices"
 	"strings"
-
-	"savorystep"
 )
 
 // maxSuggestions is how many services are suggested for an unknown name.
 const maxSuggestions = 3
 
+// maxNearest bounds the names that suggestions are made for, in bytes, since a
+// caller chooses the name.
+const maxNearest = 64
+
 // Distance returns the optimal string alignment distance of two texts: the
 // least number of insertions, deletions, substitutions and transpositions of
 // neighbours that turn a into b, where no part is edited twice.
@@ -40,8 +42,11 @@
 // Nearest returns the services whose names are near an unknown one, the
 // nearest first. A service counts with its nearest known name; upper and lower
 // case are the same.
-func Nearest(name savorystep.Name, view *savorystep.View) []savorystep.Service {
-	best := map[savorystep.Service]int{}
+func Nearest(name Name, view *View) []Service {
+	if len(name) > maxNearest {
+		return nil
+	}
+	best := map[Service]int{}
 	for known, service := range view.Services {
 		d := Distance(strings.ToLower(string(name)), strings.ToLower(string(known)))
 		// A third of the letters may differ; more has nothing to do with a
@@ -53,11 +58,11 @@
 			best[service] = d
 		}
 	}
-	services := make([]savorystep.Service, 0, len(best))
+	services := make([]Service, 0, len(best))
 	for service := range best {
 		services = append(services, service)
 	}
-	slices.SortFunc(services, func(a, b savorystep.Service) int {
+	slices.SortFunc(services, func(a, b Service) int {
 		return cmp.Or(cmp.Compare(best[a], best[b]), cmp.Compare(a, b))
 	})
 	return services[:min(len(services), maxSuggestions)]
--- a/operator/client.go
+++ b/operator/client.go
@@ -235,14 +235,7 @@
 	if !ok || time.Until(deadline) < 2*delay {
 		return false
 	}
-	timer := time.NewTimer(delay)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
+	return savorystep.Sleep(ctx, delay)
 }
 
 // ask tries the servers in order, beginning with the one that answered last.
--- a/operator/server.go
+++ b/operator/server.go
@@ -171,7 +171,7 @@
 	record := view.Records[service]
 	if record == nil {
 		err := savorystep.NewError(savorystep.KindNotFound, "service %s has no record", service)
-		err.Suggestions = Nearest(savorystep.Name(service), view)
+		err.Suggestions = savorystep.Nearest(savorystep.Name(service), view)
 		return nil, err
 	}
 	return RecordStatus{Service: service, Version: view.Versions[service], Revision: view.Revision, Record: record}, nil
--- a/operator/steering.go
+++ b/operator/steering.go
@@ -225,7 +225,7 @@
 		record := view.Records[service]
 		if record == nil {
 			err := savorystep.NewError(savorystep.KindNotFound, "service %s has no record", service)
-			err.Suggestions = Nearest(savorystep.Name(service), view)
+			err.Suggestions = savorystep.Nearest(savorystep.Name(service), view)
 			return nil, err
 		}
 		changed, err := change(record)
--- a/operator/unknown.go
+++ b/operator/unknown.go
@@ -33,7 +33,7 @@
 			continue
 		}
 		if sums[name] == nil {
-			sums[name] = &UnknownName{Name: name, Nearest: Nearest(name, view)}
+			sums[name] = &UnknownName{Name: name, Nearest: savorystep.Nearest(name, view)}
 		}
 		sums[name].Count += body.Count
 		sums[name].Instances++
--- a/peer/connect.go
+++ b/peer/connect.go
@@ -365,7 +365,7 @@
 	if current := s.suspicions[id]; current != nil {
 		return current.sequence
 	}
-	return s.graves[id].sequence
+	return s.tombstones[id].sequence
 }
 
 // backoff returns the time to wait after a number of failures in a row.
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -23,13 +23,13 @@
 const (
 	// forgetAfter is how long the facts of a left-out instance are kept.
 	forgetAfter = 10 * time.Second
-	// graveLifetime is how long a forgotten instance is remembered, so that
+	// tombstoneLifetime is how long a forgotten instance is remembered, so that
 	// its old status does not bring it back. After that time no other
 	// connected instance holds the old status either.
-	graveLifetime = 10 * time.Minute
-	// maxGraves bounds the remembered instances. It exceeds the instances that
-	// are replaced in a graveLifetime by far, a lost zone included.
-	maxGraves = 4096
+	tombstoneLifetime = 10 * time.Minute
+	// maxTombstones bounds the remembered instances. It exceeds the instances that
+	// are replaced in a tombstoneLifetime by far, a lost zone included.
+	maxTombstones = 4096
 	// strikeLifetime and drainingLifetime are the lifetimes of those facts.
 	strikeLifetime   = 10 * time.Minute
 	drainingLifetime = 10 * time.Minute
@@ -63,7 +63,7 @@
 	case savorystep.FactUnknown:
 		return unknownLifetime
 	case factSuspicion:
-		return graveLifetime
+		return tombstoneLifetime
 	default:
 		return 0
 	}
--- a/peer/member.go
+++ b/peer/member.go
@@ -26,8 +26,8 @@
 	by       []savorystep.InstanceID
 }
 
-// A grave remembers a forgotten instance.
-type grave struct {
+// A tombstone remembers a forgotten instance.
+type tombstone struct {
 	instance savorystep.Instance
 	// sequence is that of the last known status. Only a greater one brings the
 	// instance back.
@@ -35,6 +35,6 @@
 	until    time.Time
 }
 
-// buriedForGood is the sequence of the grave of an instance that the platform
+// endedSequence is the sequence of the tombstone of an instance that the platform
 // lists as ended.
-const buriedForGood = math.MaxUint64
+const endedSequence = math.MaxUint64
--- a/peer/runoverlay.go
+++ b/peer/runoverlay.go
@@ -85,8 +85,8 @@
 		}
 	}
 	for _, instance := range e.listed {
-		_, buried := e.store.graves[instance.ID]
-		if e.store.members[instance.ID] == nil && !buried {
+		_, forgotten := e.store.tombstones[instance.ID]
+		if e.store.members[instance.ID] == nil && !forgotten {
 			candidates = append(candidates, instance)
 		}
 	}
@@ -148,8 +148,8 @@
 			lost = append(lost, m.status.Instance)
 		}
 	}
-	for id, g := range e.store.graves {
-		if g.sequence != buriedForGood && e.links[id] == nil {
+	for id, g := range e.store.tombstones {
+		if g.sequence != endedSequence && e.links[id] == nil {
 			lost = append(lost, g.instance)
 		}
 	}
@@ -268,7 +268,7 @@
 		switch {
 		case instance.ID == e.config.Self.ID:
 		case instance.State == savorystep.StateEnded:
-			e.store.bury(now, instance)
+			e.store.end(now, instance)
 		default:
 			e.listed = append(e.listed, instance)
 		}
--- a/peer/store.go
+++ b/peer/store.go
@@ -18,7 +18,7 @@
 	facts      map[savorystep.FactKind]map[factKey]*entry
 	members    map[savorystep.InstanceID]*member
 	suspicions map[savorystep.InstanceID]*suspicion
-	graves     map[savorystep.InstanceID]grave
+	tombstones map[savorystep.InstanceID]tombstone
 
 	// buckets holds the facts that all instances shall hear, digest the sum
 	// of the checksums of each bucket.
@@ -50,7 +50,7 @@
 		facts:      make(map[savorystep.FactKind]map[factKey]*entry),
 		members:    make(map[savorystep.InstanceID]*member),
 		suspicions: make(map[savorystep.InstanceID]*suspicion),
-		graves:     make(map[savorystep.InstanceID]grave),
+		tombstones: make(map[savorystep.InstanceID]tombstone),
 	}
 	for i := range s.buckets {
 		s.buckets[i] = make(map[factKey]*entry)
@@ -98,24 +98,24 @@
 // admit reports whether a fact may enter the store, and lets statuses and
 // suspicions take effect.
 func (s *store) admit(now time.Time, fact savorystep.Fact, old *entry) bool {
-	dead, buried := s.graves[fact.Instance]
+	dead, forgotten := s.tombstones[fact.Instance]
 	switch fact.Kind {
 	case savorystep.FactStatus:
-		if buried && fact.Sequence <= dead.sequence {
+		if forgotten && fact.Sequence <= dead.sequence {
 			return false
 		}
 		return s.admitStatus(now, fact)
 	case factSuspicion:
 		// A suspicion of this instance counts even from one that is forgotten
 		// here, so that both sides of a healed partition can refute.
-		return (!buried || fact.Subject == string(s.self)) && s.admitSuspicion(now, fact)
+		return (!forgotten || fact.Subject == string(s.self)) && s.admitSuspicion(now, fact)
 	case savorystep.FactRevision:
 		// Revisions travel in vectors.
 		return false
 	case savorystep.FactUnknown:
-		return !buried && (old != nil || s.makeRoom(fact, s.unknownQuota()))
+		return !forgotten && (old != nil || s.makeRoom(fact, s.unknownQuota()))
 	default:
-		return !buried && (old != nil || s.makeRoom(fact, maxSubjects))
+		return !forgotten && (old != nil || s.makeRoom(fact, maxSubjects))
 	}
 }
 
@@ -124,7 +124,7 @@
 	if err != nil || status.Instance.ID != fact.Instance || fact.Subject != "" {
 		return false
 	}
-	delete(s.graves, fact.Instance)
+	delete(s.tombstones, fact.Instance)
 	m := s.members[fact.Instance]
 	if m == nil {
 		m = &member{hash: hashID(fact.Instance)}
@@ -149,7 +149,7 @@
 	if m := s.members[subject]; m != nil && m.sequence > body.Sequence {
 		return false
 	}
-	if dead, buried := s.graves[subject]; buried && dead.sequence == buriedForGood {
+	if dead, forgotten := s.tombstones[subject]; forgotten && dead.sequence == endedSequence {
 		return false
 	}
 	current := s.suspicions[subject]
@@ -214,26 +214,26 @@
 	return id != s.self && current != nil && now.Sub(current.since) >= refuteWindow(len(s.members))
 }
 
-// bury forgets an instance that the platform lists as ended. The list never
+// end forgets an instance that the platform lists as ended. The list never
 // says so of a running instance, so no status brings it back.
-func (s *store) bury(now time.Time, instance savorystep.Instance) {
-	if dead, buried := s.graves[instance.ID]; instance.ID == s.self || (buried && dead.sequence == buriedForGood) {
+func (s *store) end(now time.Time, instance savorystep.Instance) {
+	if dead, forgotten := s.tombstones[instance.ID]; instance.ID == s.self || (forgotten && dead.sequence == endedSequence) {
 		return
 	}
 	s.forget(instance.ID)
 	s.clearSuspicion(instance.ID)
-	s.dig(instance.ID, grave{instance: instance, sequence: buriedForGood, until: now.Add(graveLifetime)})
+	s.addTombstone(instance.ID, tombstone{instance: instance, sequence: endedSequence, until: now.Add(tombstoneLifetime)})
 }
 
-// dig adds a grave. When there are too many, one is dropped.
-func (s *store) dig(id savorystep.InstanceID, g grave) {
-	if len(s.graves) >= maxGraves {
-		for other := range s.graves {
-			delete(s.graves, other)
+// addTombstone adds a tombstone. When there are too many, one is dropped.
+func (s *store) addTombstone(id savorystep.InstanceID, g tombstone) {
+	if len(s.tombstones) >= maxTombstones {
+		for other := range s.tombstones {
+			delete(s.tombstones, other)
 			break
 		}
 	}
-	s.graves[id] = g
+	s.tombstones[id] = g
 }
 
 // forget drops all facts of an instance.
@@ -257,7 +257,7 @@
 	for id, suspected := range s.suspicions {
 		m := s.members[id]
 		if m != nil && s.isLost(now, id) && now.Sub(suspected.since) >= refuteWindow(len(s.members))+forgetAfter {
-			s.dig(id, grave{instance: m.status.Instance, sequence: m.sequence, until: now.Add(graveLifetime)})
+			s.addTombstone(id, tombstone{instance: m.status.Instance, sequence: m.sequence, until: now.Add(tombstoneLifetime)})
 			s.forget(id)
 		}
 	}
@@ -268,9 +268,9 @@
 			}
 		}
 	}
-	for id, g := range s.graves {
+	for id, g := range s.tombstones {
 		if !now.Before(g.until) {
-			delete(s.graves, id)
+			delete(s.tombstones, id)
 			s.clearSuspicion(id)
 		}
 	}
--- a/standin/sleep.go
+++ b/sleep.go
@@ -1,12 +1,12 @@
-package standin
+package savorystep
 
 import (
 	"context"
 	"time"
 )
 
-// sleep waits and reports whether ctx outlasted the wait.
-func sleep(ctx context.Context, duration time.Duration) bool {
+// Sleep waits and reports whether ctx outlasted the wait.
+func Sleep(ctx context.Context, duration time.Duration) bool {
 	if duration <= 0 {
 		return ctx.Err() == nil
 	}
