--- a/caller/lookup_bench_test.go
+++ b/caller/lookup_bench_test.go
@@ -92,16 +92,21 @@
 	}
 }
 
+// newFleetRoster returns a roster over members in ten regions.
+func newFleetRoster(members int, refresh time.Duration) *caller.Roster {
+	all := make([]savorystep.Member, 0, members)
+	for i := range members {
+		all = append(all, newMember(fmt.Sprintf("m%04d", i), savorystep.Region(fmt.Sprintf("r%d", i%10)), 1))
+	}
+	return caller.NewRoster(caller.RosterConfig{Members: &fakeMembers{members: all}, Refresh: refresh})
+}
+
 // BenchmarkRanking measures one ranking of all members for a site, which is
 // made again when the set of eligible members has changed.
 func BenchmarkRanking(b *testing.B) {
 	for _, members := range []int{12, 150, 600, 2500} {
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
-			all := make([]savorystep.Member, 0, members)
-			for i := range members {
-				all = append(all, newMember(fmt.Sprintf("m%04d", i), savorystep.Region(fmt.Sprintf("r%d", i%10)), 1))
-			}
-			roster := caller.NewRoster(caller.RosterConfig{Members: &fakeMembers{members: all}, Refresh: time.Hour})
+			roster := newFleetRoster(members, time.Hour)
 			now := time.Unix(1000, 0)
 			b.ReportAllocs()
 			i := 0
@@ -138,11 +143,7 @@
 func BenchmarkRosterRefresh(b *testing.B) {
 	for _, members := range []int{12, 150, 600, 2500} {
 		b.Run(fmt.Sprintf("members=%d", members), func(b *testing.B) {
-			all := make([]savorystep.Member, 0, members)
-			for i := range members {
-				all = append(all, newMember(fmt.Sprintf("m%04d", i), savorystep.Region(fmt.Sprintf("r%d", i%10)), 1))
-			}
-			roster := caller.NewRoster(caller.RosterConfig{Members: &fakeMembers{members: all}, Refresh: time.Nanosecond})
+			roster := newFleetRoster(members, time.Nanosecond)
 			now := time.Unix(1000, 0)
 			b.ReportAllocs()
 			for b.Loop() {
