--- a/caller/limits.go
+++ b/caller/limits.go
@@ -14,6 +14,10 @@
 	Drain time.Duration
 	// Header is the largest request header in bytes.
 	Header int
+	// Linger is how long a stop still takes new requests, since callers may
+	// hold an answer that names this instance. It defaults to the lifetime of
+	// look-ups.
+	Linger time.Duration
 	// Lookups is the most look-ups per second.
 	Lookups float64
 	// Stall is how long a caller may stay silent while it sends a body or
@@ -43,6 +47,7 @@
 	setDefault(&l.Deadline, defaultDeadline)
 	setDefault(&l.Drain, defaultDrain)
 	setDefault(&l.Header, defaultHeader)
+	setDefault(&l.Linger, lookupLifetime)
 	setDefault(&l.Lookups, defaultLookups)
 	setDefault(&l.Stall, defaultStall)
 	return l
--- a/caller/server.go
+++ b/caller/server.go
@@ -107,7 +107,7 @@
 func (s *Server) drain(server *http.Server) error {
 	s.leaving.Store(true)
 	log.Infof("Leaving; %d requests in flight.", s.inFlight.Load())
-	time.Sleep(s.linger())
+	time.Sleep(s.Limits.Linger)
 	limited, cancel := context.WithTimeout(context.Background(), s.Limits.Drain)
 	defer cancel()
 	err := server.Shutdown(limited)
@@ -115,11 +115,6 @@
 	return err
 }
 
-// linger returns how long a leaving server still takes requests.
-func (s *Server) linger() time.Duration {
-	return min(lookupLifetime, s.Limits.Drain)
-}
-
 // serveHealth reports that the process works.
 func (s *Server) serveHealth(w http.ResponseWriter, _ *http.Request) {
 	w.WriteHeader(http.StatusNoContent)
--- a/cmd/container.go
+++ b/cmd/container.go
@@ -171,11 +171,11 @@
 	return upstream.New(upstream.Config{
 		Budgets:  budgets,
 		Clock:    config.Clock,
-		Dial:     config.Dial,
 		Facts:    exchange,
 		Recorder: ring,
 		Registry: client,
 		Self:     self,
+		Wrap:     config.Wrap,
 	})
 }
 
@@ -246,6 +246,7 @@
 			Connections: limits.Connections,
 			Drain:       limits.Drain,
 			Header:      int(limits.Header),
+			Linger:      config.Linger,
 			Lookups:     float64(limits.Lookups),
 		},
 		Ready:     log.Ready,
--- a/cmd/instanceconfig.go
+++ b/cmd/instanceconfig.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"time"
 
 	"savorystep"
 	"savorystep/operator"
@@ -13,8 +14,13 @@
 	Clock     savorystep.Clock
 	Settings  *operator.Settings
 	Listeners listeners
-	// Dial opens connections to upstreams and peers; nil means plain TCP.
+	// Linger is how long a stop still takes new requests; 0 means the
+	// lifetime of look-ups.
+	Linger time.Duration
+	// Dial opens connections to peers; nil means plain TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Wrap wraps connections to upstreams; nil means none.
+	Wrap func(made net.Conn, address string) net.Conn
 }
 
 // Listeners are the open listeners of an instance.
--- /dev/null
+++ b/cmd/site.go
@@ -0,0 +1,333 @@
+package cmd
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"savorystep"
+	"savorystep/entry"
+	"savorystep/operator"
+	"savorystep/platform"
+	"savorystep/standin"
+)
+
+// siteSecret and siteToken are the secrets of a site on loopback.
+const (
+	siteSecret = "loopback-peers-only"
+	siteToken  = "loopback-operators-only"
+)
+
+// A siteConfig configures a site.
+type siteConfig struct {
+	Shape standin.Shape
+	// Entries is how many entry instances run.
+	Entries int
+	// Mean is the mean service time of the upstreams; negative for none, so
+	// that requests name their own time.
+	Mean time.Duration
+	// Queue is how many requests wait at an endpoint before it sheds.
+	Queue int
+	// Latency is true if links have the latencies of the shape.
+	Latency bool
+	// Linger is how long a leaving entry still takes requests; 0 means the
+	// lifetime of look-ups.
+	Linger time.Duration
+	// Blocks are the client blocks by region.
+	Blocks []savorystep.Block
+}
+
+// A site is a whole system in one process on loopback: a platform, upstreams
+// and entries.
+type site struct {
+	config    siteConfig
+	links     *standin.Links
+	platform  *standin.Platform
+	address   savorystep.Address
+	entries   []*siteEntry
+	upstreams []*siteUpstream
+	ended     []<-chan error
+	stop      context.CancelFunc
+}
+
+// A siteEntry is an entry instance of a site.
+type siteEntry struct {
+	*instance
+	stop  context.CancelFunc
+	ended chan error
+	once  sync.Once
+	err   error
+}
+
+// A siteUpstream is an endpoint of a site.
+type siteUpstream struct {
+	*standin.Upstream
+	endpoint savorystep.Endpoint
+	client   *platform.Client
+	stop     context.CancelFunc
+	ended    <-chan error
+}
+
+// newSite starts a site and applies a record for each service.
+func newSite(ctx context.Context, config siteConfig) (*site, error) {
+	running, stop := context.WithCancel(context.WithoutCancel(ctx))
+	s := &site{config: config, links: standin.NewLinks(config.Shape), stop: stop}
+	if err := s.start(running); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+// start starts the parts of the site one after the other.
+func (s *site) start(ctx context.Context) error {
+	if err := s.startPlatform(ctx); err != nil {
+		return err
+	}
+	for _, service := range s.config.Shape.Services {
+		for _, endpoint := range s.config.Shape.Endpoints(service) {
+			if err := s.startUpstream(ctx, endpoint); err != nil {
+				return err
+			}
+		}
+	}
+	places := s.config.Shape.Places()
+	for i := range s.config.Entries {
+		if _, err := s.startEntry(ctx, places[i%len(places)]); err != nil {
+			return err
+		}
+	}
+	if err := s.waitReady(ctx); err != nil {
+		return err
+	}
+	return s.applyRecords(ctx)
+}
+
+// startPlatform starts the platform's stand-in.
+func (s *site) startPlatform(ctx context.Context) error {
+	listener, err := listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	s.address = savorystep.Address(listener.Addr().String())
+	s.platform = standin.NewPlatform(standin.PlatformConfig{})
+	s.ended = append(s.ended, s.platform.Serve(ctx, listener))
+	return nil
+}
+
+// startUpstream starts one endpoint and registers it.
+func (s *site) startUpstream(ctx context.Context, endpoint savorystep.Endpoint) error {
+	listener, err := listen(ctx, "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	endpoint.Address = savorystep.Address(listener.Addr().String())
+	s.links.Put(endpoint.Address, endpoint.Place)
+	running, stop := context.WithCancel(ctx)
+	served := standin.NewUpstream(standin.UpstreamConfig{
+		ConnectCost: s.config.Shape.Connect,
+		Connections: endpoint.Connections,
+		ID:          endpoint.ID,
+		Mean:        s.config.Mean,
+		Queue:       s.config.Queue,
+		Service:     endpoint.Service,
+		Slots:       endpoint.Slots,
+	})
+	u := &siteUpstream{
+		Upstream: served,
+		endpoint: endpoint,
+		client:   platform.New(platform.Config{Address: s.address}),
+		stop:     stop,
+		ended:    served.Serve(running, listener),
+	}
+	s.upstreams = append(s.upstreams, u)
+	return u.client.RegisterEndpoint(ctx, endpoint)
+}
+
+// startEntry starts one entry instance.
+func (s *site) startEntry(ctx context.Context, place savorystep.Place) (*siteEntry, error) {
+	var opened listeners
+	for _, to := range []*net.Listener{&opened.Caller, &opened.Operator, &opened.Peer} {
+		listener, err := listen(ctx, "127.0.0.1:0")
+		if err != nil {
+			opened.close()
+			return nil, err
+		}
+		*to = listener
+	}
+	config := instanceConfig{Clock: savorystep.SystemClock{}, Listeners: opened, Settings: s.settings(place, opened), Linger: s.config.Linger}
+	s.links.Put(config.Settings.Instance.Caller, place)
+	s.links.Put(config.Settings.Instance.Peer, place)
+	if s.config.Latency {
+		config.Dial = s.links.Dial(place)
+		config.Wrap = s.links.Wrap(place)
+	}
+	built, err := buildInstance(config)
+	if err != nil {
+		return nil, err
+	}
+	running, stop := context.WithCancel(ctx)
+	started := &siteEntry{instance: built, stop: stop, ended: make(chan error, 1)}
+	go func() { started.ended <- built.Run(running) }()
+	s.entries = append(s.entries, started)
+	return started, nil
+}
+
+// settings returns the settings of an entry.
+func (s *site) settings(place savorystep.Place, opened listeners) *operator.Settings {
+	seeds := make([]savorystep.Address, 0, len(s.entries))
+	for _, e := range s.entries {
+		seeds = append(seeds, e.self.Peer)
+	}
+	return &operator.Settings{
+		Blocks: s.config.Blocks,
+		Instance: operator.InstanceSettings{
+			Caller:   savorystep.Address(opened.Caller.Addr().String()),
+			Operator: savorystep.Address(opened.Operator.Addr().String()),
+			Peer:     savorystep.Address(opened.Peer.Addr().String()),
+			Region:   place.Region,
+			Zone:     place.Zone,
+		},
+		Limits: operator.LimitSettings{
+			Body:        1 << 30,
+			Connections: 20000,
+			Drain:       time.Minute,
+			Header:      16 << 10,
+			Lookups:     20000,
+		},
+		Operator: operator.AccessSettings{Token: siteToken},
+		Peer:     operator.PeerSettings{Rate: 50_000, Secret: siteSecret, Seeds: seeds},
+		Platform: operator.PlatformSettings{Address: s.address, Timeout: time.Second},
+	}
+}
+
+// waitReady waits until every entry is ready and sees all others.
+func (s *site) waitReady(ctx context.Context) error {
+	limited, cancel := context.WithTimeout(ctx, 20*time.Second)
+	defer cancel()
+	for {
+		if s.isReady() {
+			return nil
+		}
+		select {
+		case <-limited.Done():
+			return savorystep.NewError(savorystep.KindNotReady, "the entries are not ready after 20 s")
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// isReady reports whether every entry is ready and sees all others and the
+// endpoints.
+func (s *site) isReady() bool {
+	for _, e := range s.entries {
+		ready := 0
+		for _, member := range e.exchange.Members(time.Now()) {
+			if member.Ready {
+				ready++
+			}
+		}
+		if ready < len(s.entries) || !s.seesEndpoints(e) {
+			return false
+		}
+	}
+	return true
+}
+
+// seesEndpoints reports whether an entry knows endpoints of all services.
+func (s *site) seesEndpoints(e *siteEntry) bool {
+	for _, service := range s.config.Shape.Services {
+		known := 0
+		for _, load := range e.pool.Regions(service.Service, time.Now()) {
+			known += load.Usable
+		}
+		if known < service.Endpoints {
+			return false
+		}
+	}
+	return true
+}
+
+// applyRecords applies a record for each service and waits until all are in
+// force everywhere.
+func (s *site) applyRecords(ctx context.Context) error {
+	client := s.operatorClient()
+	var revision savorystep.Revision
+	for _, service := range s.config.Shape.Services {
+		record := s.config.Shape.Record(service)
+		outcome, err := client.Apply(ctx, operator.ApplyRequest{
+			ChangeInfo: operator.ChangeInfo{ID: operator.NewChangeID(), Author: "site"},
+			Record:     &record,
+		})
+		if err != nil {
+			return fmt.Errorf("apply the record of %s: %w", service.Service, err)
+		}
+		revision = outcome.Revision
+	}
+	return s.waitForce(ctx, client, revision)
+}
+
+// waitForce waits until a revision is in force at all entries.
+func (s *site) waitForce(ctx context.Context, client *operator.Client, revision savorystep.Revision) error {
+	progress, err := client.Wait(ctx, revision, 10*time.Second)
+	if err != nil {
+		return err
+	}
+	if !progress.Done {
+		return savorystep.NewError(savorystep.KindNotReady, "revision %d is in force on %d instances only", revision, progress.InForce())
+	}
+	return nil
+}
+
+// operatorClient returns an operators' client of all entries.
+func (s *site) operatorClient() *operator.Client {
+	servers := make([]string, 0, len(s.entries))
+	for _, e := range s.entries {
+		servers = append(servers, string(e.self.Operator))
+	}
+	return operator.NewClient(operator.ClientConfig{Servers: servers, Token: siteToken})
+}
+
+// client returns a client of the entries that calls from a region.
+func (s *site) client(region savorystep.Region) *entry.Client {
+	seeds := make([]savorystep.Address, 0, len(s.entries))
+	for _, e := range s.entries {
+		seeds = append(seeds, e.self.Caller)
+	}
+	config := entry.ClientConfig{Clock: savorystep.SystemClock{}, From: string(region), Seeds: seeds}
+	if s.config.Latency {
+		config.Dial = s.links.ClientDial(region)
+	}
+	return entry.New(config)
+}
+
+// Stop stops the entry gracefully and waits for its end.
+func (e *siteEntry) Stop() error {
+	e.once.Do(func() {
+		e.stop()
+		e.err = <-e.ended
+	})
+	return e.err
+}
+
+// Close stops all parts of the site.
+func (s *site) Close() {
+	var stopping sync.WaitGroup
+	for _, e := range s.entries {
+		stopping.Go(func() { _ = e.Stop() })
+	}
+	stopping.Wait()
+	for _, u := range s.upstreams {
+		u.client.Close()
+		u.stop()
+	}
+	s.stop()
+	for _, ended := range s.ended {
+		if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+			logServe.Warningf("A stand-in ended with an error: %v.", err)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/site_test.go
@@ -0,0 +1,29 @@
+package cmd
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"savorystep/entry"
+	"savorystep/standin"
+)
+
+// TestSitePath guards against a break anywhere on the path of a request, from
+// the look-up of a misspelled name to the whole answer.
+func TestSitePath(t *testing.T) {
+	s, err := newSite(t.Context(), siteConfig{Shape: standin.Huon(), Entries: 3, Mean: -1, Linger: time.Millisecond})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	client := s.client("hobart")
+	defer client.Close()
+	response, err := client.Send(t.Context(), entry.Request{ID: "r1", Name: "paterns", Method: http.MethodGet, Path: "/work/1000"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response.Status != http.StatusOK {
+		t.Errorf("status = %d, body = %s", response.Status, response.Body)
+	}
+}
--- a/standin/links.go
+++ b/standin/links.go
@@ -56,6 +56,20 @@
 	return l.dial(func(to savorystep.Place) time.Duration { return l.Latency(from, to) })
 }
 
+// Wrap returns a function that adds the latency between a place and that of the
+// address to a connection.
+func (l *Links) Wrap(from savorystep.Place) func(made net.Conn, address string) net.Conn {
+	return func(made net.Conn, address string) net.Conn {
+		l.mu.RLock()
+		place, ok := l.places[address]
+		l.mu.RUnlock()
+		if !ok || l.Latency(from, place) <= 0 {
+			return made
+		}
+		return NewDelayedConn(made, l.Latency(from, place))
+	}
+}
+
 // A DialFunc opens connections.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
--- /dev/null
+++ b/standin/sleep.go
@@ -0,0 +1,21 @@
+package standin
+
+import (
+	"context"
+	"time"
+)
+
+// sleep waits and reports whether ctx outlasted the wait.
+func sleep(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/upstream/config.go
+++ b/upstream/config.go
@@ -1,6 +1,10 @@
 package upstream
 
-import "savorystep"
+import (
+	"net"
+
+	"savorystep"
+)
 
 // A Config configures a Pool. Facts, Budgets and Recorder may be nil: without
 // Facts the Pool knows only its own requests, without Budgets records with
@@ -15,4 +19,7 @@
 	// Self is this instance.
 	Self   savorystep.Instance
 	Limits Limits
+	// Wrap, if not nil, wraps each new connection to an address, for example
+	// to add the latency of a link.
+	Wrap func(made net.Conn, address string) net.Conn
 }
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -1,10 +1,16 @@
 package upstream
 
-import "time"
+import (
+	"net"
+	"time"
+)
 
 // Limits are the limits of a Pool. Zero values take the defaults given with
 // the fields.
 type Limits struct {
+	// wrap is Config.Wrap.
+	wrap func(made net.Conn, address string) net.Conn
+
 	// Poll is the interval of reading the platform's list; 1 s by default.
 	Poll time.Duration
 	// Tick is the interval of checks on silence and queues and of publishing
--- a/upstream/link.go
+++ b/upstream/link.go
@@ -42,6 +42,9 @@
 		if err != nil {
 			return nil, err
 		}
+		if limits.wrap != nil {
+			raw = limits.wrap(raw, address)
+		}
 		made := &conn{Conn: raw, base: base, born: base.now()}
 		made.activity.Store(made.born)
 		return made, nil
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -51,6 +51,7 @@
 		byID:   make(map[savorystep.EndpointID]*group),
 		heard:  make(map[savorystep.InstanceID]time.Time),
 	}
+	p.limits.wrap = config.Wrap
 	p.subscribe()
 	return p
 }
