--- /dev/null
+++ b/cmd/demo.go
@@ -0,0 +1,292 @@
+package cmd
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"savorystep"
+	"savorystep/entry"
+	"savorystep/operator"
+	"savorystep/peer"
+	"savorystep/standin"
+)
+
+const (
+	// demoLinger is shorter than the lifetime of look-ups, since the demo's
+	// clients go to another entry when one is gone.
+	demoLinger = 500 * time.Millisecond
+	// demoEvents is how many events of the timeline are printed.
+	demoEvents = 14
+	// demoForce is the longest that a change may take to be in force.
+	demoForce = 5 * time.Second
+)
+
+// A demo shows the main job on one site.
+type demo struct {
+	*site
+	out io.Writer
+}
+
+// newDemo starts a site and prints what it consists of.
+func newDemo(ctx context.Context, out io.Writer, shape standin.Shape) (*demo, error) {
+	s, err := newSite(ctx, siteConfig{Shape: shape, Entries: 3, Mean: -1, Queue: 1, Linger: demoLinger})
+	if err != nil {
+		return nil, err
+	}
+	fmt.Fprintf(out, "\nSite %s: %d entries, %d endpoints of %d services.\n",
+		shape.Name, len(s.entries), len(s.upstreams), len(shape.Services))
+	return &demo{site: s, out: out}, nil
+}
+
+// run runs the steps and returns how many failed.
+func (d *demo) run(ctx context.Context, steps ...func(ctx context.Context) error) int {
+	failed := 0
+	for _, step := range steps {
+		if err := step(ctx); err != nil {
+			failed++
+			fmt.Fprintf(d.out, "  FAILED: %v\n", err)
+		}
+	}
+	return failed
+}
+
+// printf prints the outcome of a check that held.
+func (d *demo) printf(format string, args ...any) {
+	fmt.Fprintf(d.out, "  ok: "+format+"\n", args...)
+}
+
+// showNames shows a known misspelling, an unknown name and its correction.
+func (d *demo) showNames(ctx context.Context) error {
+	client := d.client("recife", 0)
+	defer client.Close()
+	response, err := client.Send(ctx, demoRequest("names-1", "statsu"))
+	if err != nil {
+		return err
+	}
+	d.printf("the misspelled name statsu was answered by %s", response.Header.Get(savorystep.HeaderEndpoint))
+	_, err = client.Send(ctx, demoRequest("names-2", "stauts"))
+	var refusal *savorystep.Error
+	if !errors.As(err, &refusal) || refusal.Kind != savorystep.KindUnknownName {
+		return fmt.Errorf("the unknown name stauts gave %w", err)
+	}
+	d.printf("the unknown name stauts was refused as not run, with the suggestions %v", refusal.Suggestions)
+	return d.showCorrection(ctx)
+}
+
+// showCorrection corrects the unknown name and waits until it is in force.
+func (d *demo) showCorrection(ctx context.Context) error {
+	operators := d.operatorClient()
+	start := time.Now()
+	outcome, err := operators.Correct(ctx, operator.CorrectRequest{
+		ChangeInfo: operator.ChangeInfo{ID: operator.NewChangeID(), Author: "demo"},
+		Name:       "stauts",
+		Service:    "status",
+	})
+	if err != nil {
+		return err
+	}
+	progress, err := operators.Wait(ctx, outcome.Revision, demoForce)
+	if err != nil {
+		return err
+	}
+	if !progress.Done {
+		return fmt.Errorf("revision %d is in force on %d instances only", outcome.Revision, progress.InForce())
+	}
+	took := time.Since(start).Round(time.Millisecond)
+	for _, e := range d.entries {
+		one := entry.New(entry.ClientConfig{
+			Clock: savorystep.SystemClock{}, From: "natal", Seeds: []savorystep.Address{e.self.Caller},
+		})
+		lookup, err := one.Lookup(ctx, "stauts")
+		one.Close()
+		if err != nil || lookup.Service != "status" {
+			return fmt.Errorf("entry %s resolves stauts to %q: %w", e.self.ID, lookup.Service, err)
+		}
+	}
+	d.printf("the correction of stauts is revision %d, in force on %d of %d entries after %s",
+		outcome.Revision, progress.InForce(), len(d.entries), took)
+	return nil
+}
+
+// showKey sends a keyed request twice and checks that it ran once.
+func (d *demo) showKey(ctx context.Context) error {
+	client := d.client("natal", 0)
+	defer client.Close()
+	request := demoRequest("renewal-1", "renewals")
+	request.Method = http.MethodPost
+	request.Key = "renewal-of-march"
+	first, err := client.Send(ctx, request)
+	if err != nil {
+		return err
+	}
+	request.ID = "renewal-2"
+	second, err := client.Send(ctx, request)
+	if err != nil {
+		return err
+	}
+	runs := 0
+	for _, u := range d.upstreams {
+		runs += u.Runs().Keys[request.Key]
+	}
+	if runs != 1 || !bytes.Equal(first.Body, second.Body) {
+		return fmt.Errorf("the renewal ran %d times", runs)
+	}
+	d.printf("a renewal that was sent twice ran once, and both got the same answer")
+	return nil
+}
+
+// showShift moves half of a region's traffic under a cap and checks the cap at
+// the upstreams.
+func (d *demo) showShift(ctx context.Context) error {
+	shape := d.config.Shape
+	limit := savorystep.Slots(4)
+	growth := 50
+	outcome, err := d.operatorClient().Shift(ctx, operator.ShiftRequest{
+		ChangeInfo: operator.ChangeInfo{ID: operator.NewChangeID(), Author: "demo"},
+		Service:    "status", From: shape.Drained, To: shape.Target, Percent: 50, Cap: &limit, Growth: &growth,
+	})
+	if err != nil {
+		return err
+	}
+	if err := d.waitForce(ctx, d.operatorClient(), outcome.Revision); err != nil {
+		return err
+	}
+	d.probe.reset()
+	result := d.sendLoad(ctx, "shift", "status", shape.Drained, 300, 3*time.Second)
+	moved := d.probe.flow(siteFlow{service: "status", from: shape.Drained, to: shape.Target})
+	if moved.most > int(limit) || moved.total == 0 || result.Wrong > 0 {
+		return fmt.Errorf("%d moved requests, %d at once with a cap of %d, %d wrong answers", moved.total, moved.most, limit, result.Wrong)
+	}
+	d.printf("a shift of 50%% from %s to %s moved %d of %d requests, at most %d at once with a cap of %d",
+		shape.Drained, shape.Target, moved.total, result.Sent, moved.most, limit)
+	return nil
+}
+
+// showDrain drains a region under load and checks when the last new request
+// came.
+func (d *demo) showDrain(ctx context.Context) error {
+	shape := d.config.Shape
+	growth := 100
+	var result *entry.LoadResult
+	var running sync.WaitGroup
+	running.Go(func() { result = d.sendLoad(ctx, "drain", "stock", shape.Drained, 200, 4*time.Second) })
+	time.Sleep(500 * time.Millisecond)
+	start := time.Now()
+	outcomes, err := d.operatorClient().Drain(ctx, operator.DrainRequest{
+		ChangeInfo: operator.ChangeInfo{ID: operator.NewChangeID(), Author: "demo"},
+		Region:     shape.Drained, Growth: &growth,
+	})
+	if err != nil {
+		running.Wait()
+		return err
+	}
+	running.Wait()
+	last := d.probe.lastNew("stock", shape.Drained).Sub(start).Round(time.Millisecond)
+	left := d.probe.runningIn("stock", shape.Drained)
+	if last > demoForce || left > 0 || result.Wrong > 0 || len(result.Refused) > 0 {
+		return fmt.Errorf("the last new request came %s after the drain, %d still run, refused: %v", last, left, result.Refused)
+	}
+	d.printf("the drain of %s changed %d services; its last new request came %s after the order, none of %d was refused",
+		shape.Drained, len(outcomes), last, result.Sent)
+	return nil
+}
+
+// showStop stops an entry in the middle of an upload.
+func (d *demo) showStop(ctx context.Context) error {
+	const half = 4 << 20
+	leaving := d.entries[len(d.entries)-1]
+	reader, writer := io.Pipe()
+	url := fmt.Sprintf("http://%s/s/claims/echo", leaving.self.Caller)
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, url, reader)
+	if err != nil {
+		return err
+	}
+	request.ContentLength = 2 * half
+	stopped := make(chan error, 1)
+	go func() {
+		part := make([]byte, half)
+		_, _ = writer.Write(part)
+		go func() { stopped <- leaving.Stop() }()
+		time.Sleep(demoLinger)
+		_, _ = writer.Write(part)
+		_ = writer.Close()
+	}()
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("the upload was interrupted: %w", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil || response.StatusCode != http.StatusOK {
+		return fmt.Errorf("the upload got status %d and %s: %w", response.StatusCode, body, err)
+	}
+	if err := <-stopped; err != nil {
+		return err
+	}
+	d.printf("an entry was told to stop in the middle of an upload of 8 MiB, finished it and ended")
+	return nil
+}
+
+// sendLoad sends requests of one region to a service.
+func (d *demo) sendLoad(
+	ctx context.Context,
+	prefix string,
+	service savorystep.Service,
+	from savorystep.Region,
+	perSecond float64,
+	length time.Duration,
+) *entry.LoadResult {
+	var targets []entry.LoadTarget
+	var streams []entry.Stream
+	const clients = 32
+	for i := range clients {
+		client := d.client(from, i)
+		defer client.Close()
+		stream := entry.Stream{Rate: perSecond / clients, Work: 10 * time.Millisecond, Spread: 0.5}
+		streams = append(streams, stream)
+		targets = append(targets, entry.LoadTarget{Stream: stream, Client: client, Name: savorystep.Name(service), Region: from})
+	}
+	return entry.NewLoad(entry.LoadConfig{
+		Arrivals: entry.NewArrivals(1, length, streams),
+		Clock:    savorystep.SystemClock{},
+		Path:     func(work time.Duration) string { return fmt.Sprintf("/work/%d", work.Microseconds()) },
+		Prefix:   prefix + "-",
+		Targets:  targets,
+		Timeout:  5 * time.Second,
+	}).Run(ctx)
+}
+
+// printTimeline prints the last events of all entries.
+func (d *demo) printTimeline() {
+	lists := make([][]savorystep.Event, 0, len(d.entries))
+	for _, e := range d.entries {
+		lists = append(lists, e.ring.Events())
+	}
+	events := peer.MergeTimelines(lists...)
+	shown := events[max(0, len(events)-demoEvents):]
+	fmt.Fprintf(d.out, "Timeline, the last %d of %d events:\n", len(shown), len(events))
+	for _, event := range shown {
+		at := time.Unix(0, event.Stamp.Wall).UTC().Format("15:04:05.000")
+		fmt.Fprintf(d.out, "  %s  %-22s %-10s %s\n", at, event.Instance, event.Kind, event.Text)
+	}
+}
+
+// printAddresses prints the addresses of the site.
+func (d *demo) printAddresses() {
+	for _, e := range d.entries[:len(d.entries)-1] {
+		fmt.Fprintf(d.out, "curl 'http://%s/v1/lookup?name=statsu&from=recife'\n", e.self.Caller)
+		fmt.Fprintf(d.out, "curl -H 'Savorystep-From: recife' http://%s/s/statsu/echo\n", e.self.Caller)
+		fmt.Fprintf(d.out, "savorystep status --server %s --token %s\n", e.self.Operator, siteToken)
+	}
+}
+
+// demoRequest returns a short request.
+func demoRequest(id savorystep.RequestID, name savorystep.Name) entry.Request {
+	return entry.Request{ID: id, Name: name, Method: http.MethodGet, Path: "/work/1000", Timeout: 5 * time.Second}
+}
--- /dev/null
+++ b/cmd/democmd.go
@@ -0,0 +1,59 @@
+package cmd
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"savorystep"
+	"savorystep/standin"
+)
+
+// newDemoCmd returns the demo command.
+func newDemoCmd() *cobra.Command {
+	var stay bool
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Show the main job on stand-ins in one process",
+		Long: "Show the main job on stand-ins in one process on loopback: a misspelled name, a\n" +
+			"correction, a keyed request, a capped shift, a drain and a graceful stop. The\n" +
+			"exit code is 0 only if every check held.",
+		Example: "  savorystep demo\n  savorystep demo --stay",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runDemoCmd(cmd.Context(), cmd.OutOrStdout(), stay)
+		},
+	}
+	cmd.Flags().BoolVar(&stay, "stay", false, "leave the first site running and print its addresses")
+	return cmd
+}
+
+// runDemoCmd runs the demo on both sites' shapes.
+func runDemoCmd(ctx context.Context, out io.Writer, stay bool) error {
+	failed := 0
+	corrente, err := newDemo(ctx, out, standin.Corrente())
+	if err != nil {
+		return err
+	}
+	defer corrente.Close()
+	failed += corrente.run(ctx, corrente.showNames, corrente.showKey, corrente.showShift, corrente.showStop)
+	corrente.printTimeline()
+	huon, err := newDemo(ctx, out, standin.Huon())
+	if err != nil {
+		return err
+	}
+	defer huon.Close()
+	failed += huon.run(ctx, huon.showDrain)
+	huon.printTimeline()
+	if failed > 0 {
+		return savorystep.NewError(savorystep.KindInternal, "%d checks of the demo failed", failed)
+	}
+	fmt.Fprintln(out, "All checks held.")
+	if stay {
+		corrente.printAddresses()
+		<-ctx.Done()
+	}
+	return nil
+}
--- a/cmd/site.go
+++ b/cmd/site.go
@@ -36,8 +36,6 @@
 	// Linger is how long a leaving entry still takes requests; 0 means the
 	// lifetime of look-ups.
 	Linger time.Duration
-	// Blocks are the client blocks by region.
-	Blocks []savorystep.Block
 }
 
 // A site is a whole system in one process on loopback: a platform, upstreams
@@ -46,6 +44,7 @@
 	config    siteConfig
 	links     *standin.Links
 	platform  *standin.Platform
+	probe     *siteProbe
 	address   savorystep.Address
 	entries   []*siteEntry
 	upstreams []*siteUpstream
@@ -74,7 +73,7 @@
 // newSite starts a site and applies a record for each service.
 func newSite(ctx context.Context, config siteConfig) (*site, error) {
 	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	s := &site{config: config, links: standin.NewLinks(config.Shape), stop: stop}
+	s := &site{config: config, links: standin.NewLinks(config.Shape), probe: newSiteProbe(config.Shape), stop: stop}
 	if err := s.start(running); err != nil {
 		s.Close()
 		return nil, err
@@ -132,6 +131,7 @@
 		Connections: endpoint.Connections,
 		ID:          endpoint.ID,
 		Mean:        s.config.Mean,
+		Observe:     s.probe.observer(endpoint),
 		Queue:       s.config.Queue,
 		Service:     endpoint.Service,
 		Slots:       endpoint.Slots,
@@ -183,7 +183,7 @@
 		seeds = append(seeds, e.self.Peer)
 	}
 	return &operator.Settings{
-		Blocks: s.config.Blocks,
+		Blocks: siteBlocks(s.config.Shape),
 		Instance: operator.InstanceSettings{
 			Caller:   savorystep.Address(opened.Caller.Addr().String()),
 			Operator: savorystep.Address(opened.Operator.Addr().String()),
@@ -291,13 +291,18 @@
 	return operator.NewClient(operator.ClientConfig{Servers: servers, Token: siteToken})
 }
 
-// client returns a client of the entries that calls from a region.
-func (s *site) client(region savorystep.Region) *entry.Client {
+// client returns a client in a region. Clients with different numbers are in
+// different blocks.
+func (s *site) client(region savorystep.Region, number int) *entry.Client {
 	seeds := make([]savorystep.Address, 0, len(s.entries))
-	for _, e := range s.entries {
-		seeds = append(seeds, e.self.Caller)
+	for i := range s.entries {
+		seeds = append(seeds, s.entries[(i+number)%len(s.entries)].self.Caller)
+	}
+	config := entry.ClientConfig{
+		Clock: savorystep.SystemClock{},
+		From:  siteAddress(s.config.Shape, region, number).String(),
+		Seeds: seeds,
 	}
-	config := entry.ClientConfig{Clock: savorystep.SystemClock{}, From: string(region), Seeds: seeds}
 	if s.config.Latency {
 		config.Dial = s.links.ClientDial(region)
 	}
--- a/standin/upstreamconfig.go
+++ b/standin/upstreamconfig.go
@@ -1,6 +1,7 @@
 package standin
 
 import (
+	"net/http"
 	"time"
 
 	"savorystep"
@@ -36,6 +37,8 @@
 	// ColdFactor multiplies the service time of the first request after a cold
 	// start and falls to 1 with each request; 4 by default.
 	ColdFactor float64
+	// Observe, if not nil, is called when a request begins and ends to run.
+	Observe func(r *http.Request, running bool)
 	// Exit ends the process in a crash. If it is nil, a crash closes the
 	// listener and all its connections.
 	Exit func()
--- a/standin/upstreamhandlers.go
+++ b/standin/upstreamhandlers.go
@@ -116,7 +116,9 @@
 		u.Crash()
 		return
 	}
+	u.observe(r, true)
 	err := u.work(ctx, r, &answer, service+extra)
+	u.observe(r, false)
 	<-u.slots
 	if err != nil {
 		u.countCancelled()
@@ -127,6 +129,13 @@
 	u.answer(w, answer, size)
 }
 
+// observe tells the observer that a request begins or ends to run.
+func (u *Upstream) observe(r *http.Request, running bool) {
+	if u.config.Observe != nil {
+		u.config.Observe(r, running)
+	}
+}
+
 // travelIn adds the latency of the way in and reports whether the caller is
 // still there.
 func (u *Upstream) travelIn(r *http.Request) bool {
