--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return nil, err
 	}
-	fmt.Fprintf(out, "\nSite %s: %d entries, %d endpoints of %d services.\n",
+	printf(out, "\nSite %s: %d entries, %d endpoints of %d services.\n",
 		shape.Name, len(s.entries), len(s.upstreams), len(shape.Services))
 	return &demo{site: s, out: out}, nil
 }
@@ -50,7 +50,7 @@
 	for _, step := range steps {
 		if err := step(ctx); err != nil {
 			failed++
-			fmt.Fprintf(d.out, "  FAILED: %v\n", err)
+			printf(d.out, "  FAILED: %v\n", err)
 		}
 	}
 	return failed
@@ -58,7 +58,7 @@
 
 // printf prints the outcome of a check that held.
 func (d *demo) printf(format string, args ...any) {
-	fmt.Fprintf(d.out, "  ok: "+format+"\n", args...)
+	printf(d.out, "  ok: "+format+"\n", args...)
 }
 
 // showNames shows a known misspelling, an unknown name and its correction.
@@ -242,15 +242,15 @@
 	perSecond float64,
 	length time.Duration,
 ) *entry.LoadResult {
-	var targets []entry.LoadTarget
-	var streams []entry.Stream
 	const clients = 32
+	targets := make([]entry.LoadTarget, 0, clients)
+	streams := make([]entry.Stream, 0, clients)
 	for i := range clients {
 		client := d.client(from, i)
 		defer client.Close()
 		stream := entry.Stream{Rate: perSecond / clients, Work: 10 * time.Millisecond, Spread: 0.5}
 		streams = append(streams, stream)
-		targets = append(targets, entry.LoadTarget{Stream: stream, Client: client, Name: savorystep.Name(service), Region: from})
+		targets = append(targets, entry.LoadTarget{Stream: stream, Sender: client, Name: savorystep.Name(service), Region: from})
 	}
 	return entry.NewLoad(entry.LoadConfig{
 		Arrivals: entry.NewArrivals(1, length, streams),
@@ -270,19 +270,19 @@
 	}
 	events := peer.MergeTimelines(lists...)
 	shown := events[max(0, len(events)-demoEvents):]
-	fmt.Fprintf(d.out, "Timeline, the last %d of %d events:\n", len(shown), len(events))
+	printf(d.out, "Timeline, the last %d of %d events:\n", len(shown), len(events))
 	for _, event := range shown {
 		at := time.Unix(0, event.Stamp.Wall).UTC().Format("15:04:05.000")
-		fmt.Fprintf(d.out, "  %s  %-22s %-10s %s\n", at, event.Instance, event.Kind, event.Text)
+		printf(d.out, "  %s  %-22s %-10s %s\n", at, event.Instance, event.Kind, event.Text)
 	}
 }
 
 // printAddresses prints the addresses of the site.
 func (d *demo) printAddresses() {
 	for _, e := range d.entries[:len(d.entries)-1] {
-		fmt.Fprintf(d.out, "curl 'http://%s/v1/lookup?name=statsu&from=recife'\n", e.self.Caller)
-		fmt.Fprintf(d.out, "curl -H 'Savorystep-From: recife' http://%s/s/statsu/echo\n", e.self.Caller)
-		fmt.Fprintf(d.out, "savorystep status --server %s --token %s\n", e.self.Operator, siteToken)
+		printf(d.out, "curl 'http://%s/v1/lookup?name=statsu&from=recife'\n", e.self.Caller)
+		printf(d.out, "curl -H 'Savorystep-From: recife' http://%s/s/statsu/echo\n", e.self.Caller)
+		printf(d.out, "savorystep status --server %s --token %s\n", e.self.Operator, siteToken)
 	}
 }
 
--- a/cmd/democmd.go
+++ b/cmd/democmd.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 
 	"github.com/spf13/cobra"
@@ -50,7 +49,7 @@
 	if failed > 0 {
 		return savorystep.NewError(savorystep.KindInternal, "%d checks of the demo failed", failed)
 	}
-	fmt.Fprintln(out, "All checks held.")
+	printf(out, "All checks held.\n")
 	if stay {
 		corrente.printAddresses()
 		<-ctx.Done()
--- /dev/null
+++ b/cmd/loadcmd.go
@@ -0,0 +1,209 @@
+package cmd
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"savorystep"
+	"savorystep/entry"
+	"savorystep/standin"
+)
+
+const (
+	// loadClients is how many clients each region has, in different blocks.
+	loadClients = 16
+	// loadSpread is the standard deviation of the logarithm of the work.
+	loadSpread = 0.5
+	// loadTimeout is the deadline of each request.
+	loadTimeout = 3 * time.Second
+)
+
+// loadFlags are the flags of the load command.
+type loadFlags struct {
+	direct   bool
+	entries  int
+	length   time.Duration
+	load     float64
+	scenario string
+	seed     uint64
+	site     string
+	work     time.Duration
+}
+
+// newLoadCmd returns the load command.
+func newLoadCmd() *cobra.Command {
+	var flags loadFlags
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Measure a site on stand-ins under load and faults",
+		Long: "Measure a site on stand-ins under load and faults, in one process on loopback\n" +
+			"with the site's link latencies. Arrivals are open-loop from a fixed seed; the\n" +
+			"report is JSON. The ideal is one queue with exact knowledge for each service\n" +
+			"and region.\n\nThe scenario begins at a third of the length:\n" +
+			"  calm      nothing happens\n" +
+			"  drain     the site's first region is drained\n" +
+			"  kill      an entry dies\n" +
+			"  outage    the platform is down\n" +
+			"  overload  nothing happens; use it with --load 2\n" +
+			"  quiet     load pages hang and the platform's list is frozen",
+		Example: "  savorystep load --site corrente --scenario calm --load 0.8\n" +
+			"  savorystep load --site huon --scenario drain --load 0.5 --length 20s",
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			return runLoadCmd(cmd.Context(), cmd.OutOrStdout(), flags)
+		},
+	}
+	set := cmd.Flags()
+	set.BoolVar(&flags.direct, "direct", false, "send straight to endpoints of the caller's region, without entries")
+	set.IntVar(&flags.entries, "entries", 10, "number of entry instances")
+	set.DurationVar(&flags.length, "length", 15*time.Second, "length of the load")
+	set.Float64Var(&flags.load, "load", 0.6, "offered load as a part of all slots")
+	set.StringVar(&flags.scenario, "scenario", string(scenarioCalm), "what happens during the load")
+	set.Uint64Var(&flags.seed, "seed", 1, "seed of the arrivals")
+	set.StringVar(&flags.site, "site", "corrente", "shape of the site, corrente or huon")
+	set.DurationVar(&flags.work, "work", 100*time.Millisecond, "mean time that an upstream runs a request")
+	return cmd
+}
+
+// runLoadCmd runs a load and prints the report.
+func runLoadCmd(ctx context.Context, out io.Writer, flags loadFlags) error {
+	shape, err := shapeByName(flags.site)
+	if err != nil {
+		return err
+	}
+	scenario := loadScenario(flags.scenario)
+	if !slices.Contains(loadScenarios, scenario) {
+		return savorystep.NewError(savorystep.KindBadRequest, "scenario %q is none of %v", flags.scenario, loadScenarios)
+	}
+	s, err := newSite(ctx, siteConfig{Shape: shape, Entries: flags.entries, Mean: -1, Queue: 1, Latency: true, Linger: time.Millisecond})
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	report, err := measureLoad(ctx, s, flags, scenario)
+	if err != nil {
+		return err
+	}
+	encoder := json.NewEncoder(out)
+	encoder.SetIndent("", "  ")
+	return encoder.Encode(report)
+}
+
+// shapeByName returns the shape of a site.
+func shapeByName(name string) (standin.Shape, error) {
+	for _, shape := range []standin.Shape{standin.Corrente(), standin.Huon()} {
+		if shape.Name == name {
+			return shape, nil
+		}
+	}
+	return standin.Shape{}, savorystep.NewError(savorystep.KindBadRequest, "site %q is not corrente or huon", name)
+}
+
+// measureLoad runs the load and the scenario.
+func measureLoad(ctx context.Context, s *site, flags loadFlags, scenario loadScenario) (*loadReport, error) {
+	report := &loadReport{
+		Site: flags.site, Scenario: flags.scenario, Way: "entries", Entries: flags.entries,
+		Seed: flags.seed, Seconds: flags.length.Seconds(), Load: flags.load,
+	}
+	if flags.direct {
+		report.Way = "direct"
+	}
+	targets, streams := loadTargets(s, flags)
+	arrivals := entry.NewArrivals(flags.seed, flags.length, streams)
+	stop := make(chan struct{})
+	var background sync.WaitGroup
+	var scenarioErr error
+	background.Go(func() { report.watch(s, stop) })
+	background.Go(func() { scenarioErr = scenario.run(ctx, s, flags.length, report) })
+	result := entry.NewLoad(entry.LoadConfig{
+		Arrivals: arrivals,
+		Clock:    savorystep.SystemClock{},
+		Path:     func(work time.Duration) string { return fmt.Sprintf("/work/%d", work.Microseconds()) },
+		Prefix:   "load-",
+		Refused: func(target entry.LoadTarget, kind savorystep.Kind) {
+			report.countRefusal(kind, s.hasFreeSlot(savorystep.Service(target.Name)))
+		},
+		Targets: targets,
+		Timeout: loadTimeout,
+		Warmup:  flags.length / 10,
+	}).Run(ctx)
+	close(stop)
+	background.Wait()
+	report.fill(result, idealTimes(s.config.Shape, targets, arrivals, flags.length/10))
+	report.Goodput = goodput(s.config.Shape, result, flags)
+	report.Sheds = s.countSheds()
+	report.fillDrain(s)
+	return report, scenarioErr
+}
+
+// loadTargets returns the streams of all services and regions. Each region
+// gets load in proportion to its slots.
+func loadTargets(s *site, flags loadFlags) ([]entry.LoadTarget, []entry.Stream) {
+	shape := s.config.Shape
+	count := len(shape.Regions) * len(shape.Services) * loadClients
+	targets := make([]entry.LoadTarget, 0, count)
+	streams := make([]entry.Stream, 0, count)
+	for _, region := range shape.Regions {
+		for number := range loadClients {
+			client := s.client(region, number)
+			for _, service := range shape.Services {
+				slots := regionSlots(shape, service, region)
+				stream := entry.Stream{
+					Rate:   flags.load * float64(slots) / flags.work.Seconds() / loadClients,
+					Work:   flags.work,
+					Spread: loadSpread,
+				}
+				target := entry.LoadTarget{
+					Stream: stream, Sender: client, Name: savorystep.Name(service.Service), Keyed: service.Unsafe, Region: region,
+				}
+				if flags.direct {
+					target.Sender = s.direct(region, service.Service)
+				}
+				streams = append(streams, stream)
+				targets = append(targets, target)
+			}
+		}
+	}
+	return targets, streams
+}
+
+// idealTimes returns the times of a queue with exact knowledge before the
+// slots of each service and region, with the links to the region and back.
+func idealTimes(shape standin.Shape, targets []entry.LoadTarget, arrivals []entry.Arrival, warmup time.Duration) []time.Duration {
+	var times []time.Duration
+	links := 2 * shape.ClientLatency
+	for _, service := range shape.Services {
+		for _, region := range shape.Regions {
+			var own []entry.Arrival
+			for _, arrival := range arrivals {
+				target := targets[arrival.Stream]
+				if target.Region == region && target.Name == savorystep.Name(service.Service) {
+					own = append(own, arrival)
+				}
+			}
+			for i, took := range entry.CentralQueue(own, regionSlots(shape, service, region)) {
+				if own[i].At >= warmup {
+					times = append(times, took+links)
+				}
+			}
+		}
+	}
+	return times
+}
+
+// goodput returns the work answered in time as a part of all slots.
+func goodput(shape standin.Shape, result *entry.LoadResult, flags loadFlags) float64 {
+	slots := 0
+	for _, service := range shape.Services {
+		slots += service.Endpoints * int(service.Slots)
+	}
+	counted := flags.length - flags.length/10
+	return float64(result.Answered()) * flags.work.Seconds() / counted.Seconds() / float64(slots)
+}
--- /dev/null
+++ b/cmd/loadreport.go
@@ -0,0 +1,125 @@
+package cmd
+
+import (
+	"sync"
+	"time"
+
+	"savorystep"
+	"savorystep/entry"
+)
+
+// A loadReport is the outcome of one run of the load command. Times are in
+// milliseconds, rates in requests per second.
+type loadReport struct {
+	Site     string  `json:"site"`
+	Scenario string  `json:"scenario"`
+	Way      string  `json:"way"`
+	Entries  int     `json:"entries"`
+	Seed     uint64  `json:"seed"`
+	Seconds  float64 `json:"seconds"`
+	// Load is the offered load as a part of all slots.
+	Load float64 `json:"load"`
+	Sent int     `json:"sent"`
+	Rate float64 `json:"rate"`
+	// Answered and Wrong count answers, Refused requests by error kind.
+	Answered int            `json:"answered"`
+	Wrong    int            `json:"wrong"`
+	Refused  map[string]int `json:"refused"`
+	// RefusedFree counts requests that were refused while a region with a
+	// share had a free slot of the service.
+	RefusedFree int     `json:"refusedFree"`
+	P50         float64 `json:"p50"`
+	P99         float64 `json:"p99"`
+	P999        float64 `json:"p999"`
+	// Ideal50 and Ideal99 are those of one queue with exact knowledge before
+	// the slots of each service and region, plus the shortest links.
+	Ideal50 float64 `json:"ideal50"`
+	Ideal99 float64 `json:"ideal99"`
+	Ratio50 float64 `json:"ratio50"`
+	Ratio99 float64 `json:"ratio99"`
+	// Goodput is the work answered in time as a part of all slots.
+	Goodput float64 `json:"goodput"`
+	// Headroom is the least share of free slots, over time, of the tightest
+	// service and region.
+	Headroom float64 `json:"headroom"`
+	Tightest string  `json:"tightest"`
+	// Sheds counts requests that endpoints shed.
+	Sheds int `json:"sheds"`
+	// Sendings is the mean number of times that a request was sent to an entry.
+	Sendings float64 `json:"sendings"`
+	// LastNew and Idle are the times from a drain's order to the last new
+	// request in the region and to its last running one.
+	LastNew float64 `json:"lastNew,omitempty"`
+	Idle    float64 `json:"idle,omitempty"`
+
+	mu      sync.Mutex
+	ordered time.Time
+}
+
+// fill takes the figures from the result of a load.
+func (r *loadReport) fill(result *entry.LoadResult, ideal []time.Duration) {
+	r.Sent = result.Sent
+	r.Rate = float64(result.Sent) / result.Length.Seconds()
+	r.Answered = result.Answered()
+	r.Wrong = result.Wrong
+	r.Refused = result.Refused
+	r.P50 = result.Millis(50)
+	r.P99 = result.Millis(99)
+	r.P999 = result.Millis(99.9)
+	r.Ideal50 = entry.Percentile(ideal, 50)
+	r.Ideal99 = entry.Percentile(ideal, 99)
+	r.Ratio50 = ratio(r.P50, r.Ideal50)
+	r.Ratio99 = ratio(r.P99, r.Ideal99)
+	if r.Answered > 0 {
+		r.Sendings = float64(result.Sendings) / float64(r.Answered)
+	}
+}
+
+// ratio returns a quotient, 0 if it has no value.
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return 0
+	}
+	return a / b
+}
+
+// countRefusal counts a refusal and whether slots were free.
+func (r *loadReport) countRefusal(kind savorystep.Kind, free bool) {
+	if !free || kind == savorystep.KindDeadlineExceeded {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.RefusedFree++
+}
+
+// watch samples the free slots until stop is closed. The drained region does
+// not count.
+func (r *loadReport) watch(on *site, stop <-chan struct{}) {
+	r.Headroom = 1
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+			r.sample(on)
+		}
+	}
+}
+
+// sample takes one sample of the free slots.
+func (r *loadReport) sample(on *site) {
+	shape := on.config.Shape
+	for _, service := range shape.Services {
+		for _, region := range shape.Regions {
+			slots := regionSlots(shape, service, region)
+			free := 1 - float64(on.probe.runningIn(service.Service, region))/float64(slots)
+			if free < r.Headroom {
+				r.Headroom = free
+				r.Tightest = string(service.Service) + "/" + string(region)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/loadscenario.go
@@ -0,0 +1,85 @@
+package cmd
+
+import (
+	"context"
+	"time"
+
+	"savorystep"
+	"savorystep/operator"
+	"savorystep/standin"
+)
+
+// A loadScenario is what happens during a load.
+type loadScenario string
+
+// The scenarios of the load command.
+const (
+	scenarioCalm     loadScenario = "calm"
+	scenarioDrain    loadScenario = "drain"
+	scenarioKill     loadScenario = "kill"
+	scenarioOutage   loadScenario = "outage"
+	scenarioOverload loadScenario = "overload"
+	scenarioQuiet    loadScenario = "quiet"
+)
+
+// loadScenarios lists the scenarios for the help text and checks.
+var loadScenarios = []loadScenario{
+	scenarioCalm, scenarioDrain, scenarioKill, scenarioOutage, scenarioOverload, scenarioQuiet,
+}
+
+// run makes the scenario happen: at a third of the load's length it begins.
+func (s loadScenario) run(ctx context.Context, on *site, length time.Duration, report *loadReport) error {
+	if !sleepFor(ctx, length/3) {
+		return nil
+	}
+	switch s {
+	case scenarioCalm, scenarioOverload:
+	case scenarioDrain:
+		return drainSite(ctx, on, report)
+	case scenarioKill:
+		on.entries[0].Kill()
+	case scenarioOutage:
+		on.platform.SetFaults(standin.PlatformFaults{Down: true})
+	case scenarioQuiet:
+		for _, u := range on.upstreams {
+			u.SetFaults(standin.UpstreamFaults{PageStop: true})
+		}
+		on.platform.SetFaults(standin.PlatformFaults{Frozen: true})
+	}
+	return nil
+}
+
+// drainSite drains the site's region and notes the time.
+func drainSite(ctx context.Context, on *site, report *loadReport) error {
+	growth := 20
+	report.ordered = time.Now()
+	_, err := on.operatorClient().Drain(ctx, operator.DrainRequest{
+		ChangeInfo: operator.ChangeInfo{ID: operator.NewChangeID(), Author: "load"},
+		Region:     on.config.Shape.Drained,
+		Growth:     &growth,
+	})
+	return err
+}
+
+// sleepFor waits and reports whether ctx outlasted the wait.
+func sleepFor(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// regionSlots counts the slots of a service in a region.
+func regionSlots(shape standin.Shape, service standin.ServiceShape, region savorystep.Region) int {
+	slots := 0
+	for _, endpoint := range shape.Endpoints(service) {
+		if endpoint.Place.Region == region {
+			slots += int(endpoint.Slots)
+		}
+	}
+	return slots
+}
--- a/cmd/site.go
+++ b/cmd/site.go
@@ -55,6 +55,7 @@
 // A siteEntry is an entry instance of a site.
 type siteEntry struct {
 	*instance
+	conns *siteConns
 	stop  context.CancelFunc
 	ended chan error
 	once  sync.Once
@@ -161,21 +162,38 @@
 	config := instanceConfig{Clock: savorystep.SystemClock{}, Listeners: opened, Settings: s.settings(place, opened), Linger: s.config.Linger}
 	s.links.Put(config.Settings.Instance.Caller, place)
 	s.links.Put(config.Settings.Instance.Peer, place)
-	if s.config.Latency {
-		config.Dial = s.links.Dial(place)
-		config.Wrap = s.links.Wrap(place)
-	}
+	conns := newSiteConns()
+	config.Listeners = conns.listeners(opened)
+	config.Dial = conns.dial(s.dial(place))
+	config.Wrap = conns.wrap(s.wrap(place))
 	built, err := buildInstance(config)
 	if err != nil {
 		return nil, err
 	}
 	running, stop := context.WithCancel(ctx)
-	started := &siteEntry{instance: built, stop: stop, ended: make(chan error, 1)}
+	started := &siteEntry{instance: built, conns: conns, stop: stop, ended: make(chan error, 1)}
 	go func() { started.ended <- built.Run(running) }()
 	s.entries = append(s.entries, started)
 	return started, nil
 }
 
+// dial returns the dial function of an entry towards peers.
+func (s *site) dial(place savorystep.Place) standin.DialFunc {
+	if s.config.Latency {
+		return s.links.Dial(place)
+	}
+	var dialer net.Dialer
+	return dialer.DialContext
+}
+
+// wrap returns the wrap function of an entry's connections to upstreams.
+func (s *site) wrap(place savorystep.Place) func(made net.Conn, address string) net.Conn {
+	if s.config.Latency {
+		return s.links.Wrap(place)
+	}
+	return func(made net.Conn, _ string) net.Conn { return made }
+}
+
 // settings returns the settings of an entry.
 func (s *site) settings(place savorystep.Place, opened listeners) *operator.Settings {
 	seeds := make([]savorystep.Address, 0, len(s.entries))
@@ -318,6 +336,12 @@
 	return e.err
 }
 
+// Kill breaks all connections of the entry and lets it open no more, as the
+// death of its process would.
+func (e *siteEntry) Kill() {
+	e.conns.kill()
+}
+
 // Close stops all parts of the site.
 func (s *site) Close() {
 	var stopping sync.WaitGroup
--- /dev/null
+++ b/cmd/siteload.go
@@ -0,0 +1,68 @@
+package cmd
+
+import (
+	"time"
+
+	"savorystep"
+	"savorystep/entry"
+)
+
+// direct returns a sender straight to the endpoints of a service in a region.
+func (s *site) direct(region savorystep.Region, service savorystep.Service) entry.Sender {
+	var endpoints []savorystep.Endpoint
+	for _, u := range s.upstreams {
+		if u.endpoint.Service == service && u.endpoint.Place.Region == region {
+			endpoints = append(endpoints, u.endpoint)
+		}
+	}
+	return entry.NewDirect(entry.ClientConfig{
+		Clock: savorystep.SystemClock{},
+		Dial:  s.links.ClientDial(region),
+	}, endpoints)
+}
+
+// hasFreeSlot reports whether a service has a free slot in any region.
+func (s *site) hasFreeSlot(service savorystep.Service) bool {
+	for _, shape := range s.config.Shape.Services {
+		if shape.Service != service {
+			continue
+		}
+		for _, region := range s.config.Shape.Regions {
+			if s.probe.runningIn(service, region) < regionSlots(s.config.Shape, shape, region) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// countSheds returns how many requests all endpoints shed.
+func (s *site) countSheds() int {
+	sheds := 0
+	for _, u := range s.upstreams {
+		sheds += u.Runs().Shed
+	}
+	return sheds
+}
+
+// fillDrain takes the times of a drain from the probe.
+func (r *loadReport) fillDrain(s *site) {
+	if r.ordered.IsZero() {
+		return
+	}
+	var lastNew, idle time.Time
+	for _, service := range s.config.Shape.Services {
+		lastNew = later(lastNew, s.probe.lastNew(service.Service, s.config.Shape.Drained))
+		idle = later(idle, s.probe.lastEnd(service.Service, s.config.Shape.Drained))
+	}
+	r.LastNew = float64(lastNew.Sub(r.ordered).Milliseconds())
+	r.Idle = float64(idle.Sub(r.ordered).Milliseconds())
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/cmd/siteprobe.go
+++ b/cmd/siteprobe.go
@@ -16,6 +16,7 @@
 	mu     sync.Mutex
 	flows  map[siteFlow]*flowCount
 	latest map[flowTarget]time.Time
+	ended  map[flowTarget]time.Time
 }
 
 // A siteFlow is the traffic of one service from the callers of a region to the
@@ -42,6 +43,7 @@
 		shape:  shape,
 		flows:  make(map[siteFlow]*flowCount),
 		latest: make(map[flowTarget]time.Time),
+		ended:  make(map[flowTarget]time.Time),
 	}
 }
 
@@ -62,14 +64,16 @@
 		count = &flowCount{}
 		p.flows[flow] = count
 	}
+	target := flowTarget{service: endpoint.Service, region: endpoint.Place.Region}
 	if !running {
 		count.running--
+		p.ended[target] = time.Now()
 		return
 	}
 	count.running++
 	count.total++
 	count.most = max(count.most, count.running)
-	p.latest[flowTarget{service: endpoint.Service, region: endpoint.Place.Region}] = time.Now()
+	p.latest[target] = time.Now()
 }
 
 // reset forgets the counts of requests that have ended.
@@ -100,6 +104,13 @@
 	return p.latest[flowTarget{service: service, region: region}]
 }
 
+// lastEnd returns when the last request of a service ended in a region.
+func (p *siteProbe) lastEnd(service savorystep.Service, region savorystep.Region) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended[flowTarget{service: service, region: region}]
+}
+
 // runningIn returns how many requests of a service run in a region.
 func (p *siteProbe) runningIn(service savorystep.Service, region savorystep.Region) int {
 	p.mu.Lock()
--- a/entry/load.go
+++ b/entry/load.go
@@ -24,8 +24,11 @@
 	Arrivals []Arrival
 	Clock    savorystep.Clock
 	// Path returns the path of the request with the given work.
-	Path    func(work time.Duration) string
-	Prefix  string
+	Path func(work time.Duration) string
+	// Prefix begins the request ids.
+	Prefix string
+	// Refused, if not nil, is called for each refused request.
+	Refused func(target LoadTarget, kind savorystep.Kind)
 	Targets []LoadTarget
 	// Timeout is the deadline of each request.
 	Timeout time.Duration
@@ -71,11 +74,14 @@
 	if target.Keyed {
 		request.Key = savorystep.IdempotencyKey("key-" + string(request.ID))
 	}
-	response, err := target.Client.Send(ctx, request)
+	response, err := target.Sender.Send(ctx, request)
 	took := l.config.Clock.Now().Sub(due)
 	if arrival.At < l.config.Warmup {
 		return
 	}
+	if err != nil && l.config.Refused != nil {
+		l.config.Refused(target, savorystep.KindOf(err))
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err != nil {
--- a/entry/loadtarget.go
+++ b/entry/loadtarget.go
@@ -9,7 +9,7 @@
 // A LoadTarget says where the requests of a stream go.
 type LoadTarget struct {
 	Stream
-	Client *Client
+	Sender Sender
 	// Name is what the client calls the service.
 	Name savorystep.Name
 	// Keyed requests are sent with an idempotency key.
--- a/entry/send.go
+++ b/entry/send.go
@@ -73,9 +73,17 @@
 	if err != nil {
 		return nil, err
 	}
+	return c.exchange(ctx, outgoing, entry, &sent)
+}
+
+// exchange sends an HTTP request and reads the whole answer. sent says whether
+// the request got a connection; nil stands for yes.
+func (c *Client) exchange(
+	ctx context.Context, outgoing *http.Request, entry savorystep.Entry, sent *atomic.Bool,
+) (*Response, error) {
 	response, err := c.http.Do(outgoing)
 	if err != nil {
-		return nil, sendError(ctx, err, entry, sent.Load())
+		return nil, sendError(ctx, err, entry, sent == nil || sent.Load())
 	}
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBody+1))
