--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -255,7 +255,7 @@
 	return entry.NewLoad(entry.LoadConfig{
 		Arrivals: entry.NewArrivals(1, length, streams),
 		Clock:    savorystep.SystemClock{},
-		Path:     func(work time.Duration) string { return fmt.Sprintf("/work/%d", work.Microseconds()) },
+		Path:     func(work time.Duration) string { return fmt.Sprintf("/run/%d", work.Microseconds()) },
 		Prefix:   prefix + "-",
 		Targets:  targets,
 		Timeout:  5 * time.Second,
@@ -288,5 +288,5 @@
 
 // demoRequest returns a short request.
 func demoRequest(id savorystep.RequestID, name savorystep.Name) entry.Request {
-	return entry.Request{ID: id, Name: name, Method: http.MethodGet, Path: "/work/1000", Timeout: 5 * time.Second}
+	return entry.Request{ID: id, Name: name, Method: http.MethodGet, Path: "/run/1000", Timeout: 5 * time.Second}
 }
--- a/cmd/loadcmd.go
+++ b/cmd/loadcmd.go
@@ -130,7 +130,7 @@
 	result := entry.NewLoad(entry.LoadConfig{
 		Arrivals: arrivals,
 		Clock:    savorystep.SystemClock{},
-		Path:     func(work time.Duration) string { return fmt.Sprintf("/work/%d", work.Microseconds()) },
+		Path:     func(work time.Duration) string { return fmt.Sprintf("/run/%d", work.Microseconds()) },
 		Prefix:   "load-",
 		Refused: func(target entry.LoadTarget, kind savorystep.Kind) {
 			report.countRefusal(kind, s.hasFreeSlot(savorystep.Service(target.Name)))
--- a/standin/upstreamhandlers.go
+++ b/standin/upstreamhandlers.go
@@ -44,7 +44,7 @@
 		}
 		u.run(w, r, 0, time.Duration(millis)*time.Millisecond)
 	})
-	router.HandleFunc("/work/{micros}", func(w http.ResponseWriter, r *http.Request) {
+	router.HandleFunc("/run/{micros}", func(w http.ResponseWriter, r *http.Request) {
 		micros, err := strconv.Atoi(chi.URLParam(r, "micros"))
 		if err != nil || micros < 0 {
 			http.Error(w, "the time is out of range", http.StatusBadRequest)
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -201,11 +201,12 @@
 }
 
 // died counts a strike and tells the peers, at most for the time of a push. The
-// death of an attempt that began before the last strike was known counts for
-// nothing: when a zone fails, endpoints die together, whatever they run.
+// death of an attempt that began before the last strike that this instance saw
+// itself counts for nothing: when a zone fails, endpoints die together, whatever
+// they run.
 func (t *turn) died(endpoint savorystep.EndpointID) {
 	q, key := t.quarantine, t.request.Fingerprint
-	if q.strikes.knownSince(key, t.start()) {
+	if q.strikes.ownSince(key, t.start()) {
 		log.Warningf("endpoint %s died with request %s, which began before the last strike", endpoint, t.request.ID)
 		return
 	}
--- a/upstream/quarantine_test.go
+++ b/upstream/quarantine_test.go
@@ -189,3 +189,22 @@
 		readAll(t, response)
 	}
 }
+
+// TestLateStrikeCounts guards against a third dead upstream when an entry hears
+// of the first death only after it let the request through again: the death
+// that it then sees itself must count.
+func TestLateStrikeCounts(t *testing.T) {
+	s := newSite(t)
+	a := s.add("a", "natal", standin.UpstreamConfig{})
+	a.SetFaults(standin.UpstreamFaults{Hold: true})
+	entry := entryAt(s, "entry-1", true)
+	peer := s.bus.join("entry-2")
+	ended := make(chan ending, 1)
+	s.start(entry, post("r1", "/poison"), ended)
+	s.eventually("the request runs", func() bool { return a.Load().Busy == 1 })
+	peer.Publish(savorystep.FactStrike, "7", savorystep.StrikeFact{Endpoints: []savorystep.EndpointID{"elsewhere"}})
+	a.Crash()
+	<-ended
+	_, err := entry.Forward(t.Context(), post("r2", "/poison"))
+	wantError(t, err, savorystep.KindQuarantined)
+}
--- a/upstream/retrierconfig.go
+++ b/upstream/retrierconfig.go
@@ -9,7 +9,9 @@
 	Attempts int
 	// Percent is how many retries are allowed per 100 requests; 10 by default.
 	Percent int
-	// Burst is how many retries may be saved up; 10 by default.
+	// Burst is how many retries may be saved up; 64 by default, about the
+	// requests that an entry has in flight when many connections fall silent
+	// at once.
 	Burst int
 	// Replay bounds the bytes of a request body kept for a retry; 64 KiB by
 	// default. A longer body is sent again only if it was not yet read beyond
@@ -23,7 +25,7 @@
 func (c RetrierConfig) withDefaults() RetrierConfig {
 	setDefault(&c.Attempts, 3)
 	setDefault(&c.Percent, 10)
-	setDefault(&c.Burst, 10)
+	setDefault(&c.Burst, 64)
 	setDefault(&c.Replay, 64<<10)
 	return c
 }
--- a/upstream/strikes.go
+++ b/upstream/strikes.go
@@ -27,8 +27,10 @@
 type struck struct {
 	// deaths holds when the death of each endpoint was heard.
 	deaths map[savorystep.EndpointID]time.Time
-	// own lists the endpoints that this instance states.
-	own []savorystep.EndpointID
+	// own lists the endpoints that this instance states, the last one since
+	// ownLast.
+	own     []savorystep.EndpointID
+	ownLast time.Time
 }
 
 func newStrikes() *strikes {
@@ -68,6 +70,7 @@
 	s.count(key, now)
 	known := s.note(key, endpoint, now)
 	known.own = append(known.own, endpoint)
+	known.ownLast = now
 	return append([]savorystep.EndpointID(nil), known.own...)
 }
 
@@ -114,13 +117,14 @@
 	return true
 }
 
-// knownSince reports whether a strike of a fingerprint was heard at or after
-// the given time.
-func (s *strikes) knownSince(key savorystep.Fingerprint, at time.Time) bool {
+// ownSince reports whether this instance saw a death with a fingerprint at or
+// after the given time. Deaths that peers saw do not count here: they may be
+// heard late, after the attempt that they should have kept back.
+func (s *strikes) ownSince(key savorystep.Fingerprint, at time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	last := s.last(key)
-	return !last.IsZero() && !last.Before(at)
+	known := s.byKey[key]
+	return known != nil && !known.ownLast.IsZero() && !known.ownLast.Before(at)
 }
 
 // last returns when the last strike of a fingerprint was heard, or zero. The
