Move the grants, keys and configuration log to package store

Ruled out: splitting the package by subject (ledger, keys, log) in the same step; they share the client's error handling and their test fakes.

The tests of store and cmd pass as before (go test ./store ./cmd -short).

--- a/cmd/container.go
+++ b/cmd/container.go
@@ -13,7 +13,7 @@
 	"savorystep"
 	"savorystep/caller"
 	"savorystep/peer"
-	"savorystep/platform"
+	"savorystep/store"
 	"savorystep/upstream"
 )
 
@@ -84,9 +84,9 @@
 }
 
 // newPlatformClient returns the client of the platform.
-func newPlatformClient(config instanceConfig) *platform.Client {
+func newPlatformClient(config instanceConfig) *store.Client {
 	settings := config.Settings.Platform
-	return platform.New(platform.Config{
+	return store.New(store.Config{
 		Address: settings.Address,
 		Clock:   config.Clock,
 		Timeout: settings.Timeout,
@@ -99,7 +99,7 @@
 	self savorystep.Instance,
 	hlc *peer.HLC,
 	ring *peer.Ring,
-	client *platform.Client,
+	client *store.Client,
 	groups *factGroups,
 ) *peer.Exchange {
 	settings := config.Settings.Peer
@@ -118,7 +118,7 @@
 }
 
 // newListCache returns the platform's lists with those of peers to fall back on.
-func newListCache(config instanceConfig, client *platform.Client, exchange *peer.Exchange) *peer.ListCache {
+func newListCache(config instanceConfig, client *store.Client, exchange *peer.Exchange) *peer.ListCache {
 	list := peer.ListCacheConfig{
 		Members:  exchange,
 		Registry: client,
@@ -134,11 +134,11 @@
 // newLog returns the configuration log.
 func newLog(
 	config instanceConfig,
-	client *platform.Client,
+	client *store.Client,
 	exchange *peer.Exchange,
 	ring *peer.Ring,
-) *platform.Log {
-	log := platform.NewLog(platform.LogConfig{
+) *store.Log {
+	log := store.NewLog(store.LogConfig{
 		Clock:        config.Clock,
 		Facts:        exchange,
 		Members:      exchange,
@@ -155,12 +155,12 @@
 func newBudgets(
 	config instanceConfig,
 	self savorystep.Instance,
-	client *platform.Client,
+	client *store.Client,
 	ring *peer.Ring,
-) *platform.Budgets {
-	return platform.NewBudgets(platform.BudgetsConfig{
+) *store.Budgets {
+	return store.NewBudgets(store.BudgetsConfig{
 		Clock:        config.Clock,
-		LedgerConfig: platform.LedgerConfig{Self: self.ID},
+		LedgerConfig: store.LedgerConfig{Self: self.ID},
 		Recorder:     ring,
 		Registry:     client,
 		Table:        client,
@@ -169,8 +169,8 @@
 }
 
 // newKeys returns the ledger of idempotency keys.
-func newKeys(config instanceConfig, client *platform.Client) *platform.Keys {
-	return platform.NewKeys(platform.KeysConfig{
+func newKeys(config instanceConfig, client *store.Client) *store.Keys {
+	return store.NewKeys(store.KeysConfig{
 		Clock:   config.Clock,
 		Objects: client.Objects(),
 		Table:   client,
@@ -181,7 +181,7 @@
 func newPool(
 	config instanceConfig,
 	self savorystep.Instance,
-	budgets *platform.Budgets,
+	budgets *store.Budgets,
 	exchange *peer.Exchange,
 	groups *factGroups,
 	lists *peer.ListCache,
@@ -207,7 +207,7 @@
 	config instanceConfig,
 	self savorystep.Instance,
 	exchange *peer.Exchange,
-	keys *platform.Keys,
+	keys *store.Keys,
 	pool *upstream.Pool,
 	ring *peer.Ring,
 ) *upstream.Keyed {
@@ -226,7 +226,7 @@
 	config instanceConfig,
 	self savorystep.Instance,
 	exchange *peer.Exchange,
-	log *platform.Log,
+	log *store.Log,
 	pool *upstream.Pool,
 ) *caller.Steering {
 	steering := caller.NewSteering(caller.SteeringConfig{
@@ -254,7 +254,7 @@
 	config instanceConfig,
 	forwarder *upstream.Keyed,
 	lists *peer.ListCache,
-	log *platform.Log,
+	log *store.Log,
 	registry *prometheus.Registry,
 	ring *peer.Ring,
 	steering *caller.Steering,
--- a/cmd/instance.go
+++ b/cmd/instance.go
@@ -15,7 +15,7 @@
 	"savorystep/caller"
 	"savorystep/operator"
 	"savorystep/peer"
-	"savorystep/platform"
+	"savorystep/store"
 	"savorystep/upstream"
 )
 
@@ -35,14 +35,14 @@
 type instance struct {
 	config    instanceConfig
 	self      savorystep.Instance
-	budgets   *platform.Budgets
+	budgets   *store.Budgets
 	caller    *caller.Server
-	client    *platform.Client
+	client    *store.Client
 	exchange  *peer.Exchange
 	forwarder *upstream.Keyed
-	keys      *platform.Keys
+	keys      *store.Keys
 	lists     *peer.ListCache
-	log       *platform.Log
+	log       *store.Log
 	operator  *operatorHandler
 	pool      *upstream.Pool
 	ring      *peer.Ring
@@ -55,14 +55,14 @@
 func newInstance(
 	config instanceConfig,
 	self savorystep.Instance,
-	budgets *platform.Budgets,
+	budgets *store.Budgets,
 	server *caller.Server,
-	client *platform.Client,
+	client *store.Client,
 	exchange *peer.Exchange,
 	forwarder *upstream.Keyed,
-	keys *platform.Keys,
+	keys *store.Keys,
 	lists *peer.ListCache,
-	log *platform.Log,
+	log *store.Log,
 	operator *operatorHandler,
 	pool *upstream.Pool,
 	registry *prometheus.Registry,
--- a/cmd/operatorhandler.go
+++ b/cmd/operatorhandler.go
@@ -9,7 +9,7 @@
 	"savorystep/caller"
 	"savorystep/operator"
 	"savorystep/peer"
-	"savorystep/platform"
+	"savorystep/store"
 	"savorystep/upstream"
 )
 
@@ -26,7 +26,7 @@
 	self savorystep.Instance,
 	exchange *peer.Exchange,
 	lists *peer.ListCache,
-	log *platform.Log,
+	log *store.Log,
 	pool *upstream.Pool,
 	registry *prometheus.Registry,
 	ring *peer.Ring,
@@ -56,7 +56,7 @@
 }
 
 // readyError returns why the instance is not ready, nil if it is.
-func readyError(log *platform.Log, lists *peer.ListCache) error {
+func readyError(log *store.Log, lists *peer.ListCache) error {
 	if !log.Ready() {
 		return savorystep.NewError(savorystep.KindNotReady, "the configuration is not known to be current")
 	}
--- a/cmd/proof_test.go
+++ b/cmd/proof_test.go
@@ -14,8 +14,8 @@
 	"time"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // A proofSystem has entries in processes of their own. The platform and the
@@ -113,7 +113,7 @@
 	})
 	p.endpoints[endpoint.ID] = u
 	u.Serve(ctx, listener)
-	client := platform.New(platform.Config{Address: p.address})
+	client := store.New(store.Config{Address: p.address})
 	p.t.Cleanup(client.Close)
 	if err := client.RegisterEndpoint(ctx, endpoint); err != nil {
 		p.t.Fatal(err)
--- a/cmd/site.go
+++ b/cmd/site.go
@@ -10,8 +10,8 @@
 	"savorystep"
 	"savorystep/entry"
 	"savorystep/operator"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // siteSecret and siteToken are the secrets of a site on loopback.
@@ -57,7 +57,7 @@
 type siteUpstream struct {
 	*standin.Upstream
 	endpoint savorystep.Endpoint
-	client   *platform.Client
+	client   *store.Client
 	stop     context.CancelFunc
 	ended    <-chan error
 }
@@ -131,7 +131,7 @@
 	u := &siteUpstream{
 		Upstream: served,
 		endpoint: endpoint,
-		client:   platform.New(platform.Config{Address: s.address}),
+		client:   store.New(store.Config{Address: s.address}),
 		stop:     stop,
 		ended:    served.Serve(running, listener),
 	}
--- a/cmd/standinupstreamcmd.go
+++ b/cmd/standinupstreamcmd.go
@@ -10,8 +10,8 @@
 	"github.com/spf13/cobra"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // upstreamDrainTime is how long a leaving upstream waits between telling the
@@ -67,7 +67,7 @@
 	if err != nil {
 		return err
 	}
-	client := platform.New(platform.Config{Address: savorystep.Address(flags.platform)})
+	client := store.New(store.Config{Address: savorystep.Address(flags.platform)})
 	defer client.Close()
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
--- a/platform/budgets_bench_test.go
+++ b/store/budgets_bench_test.go
@@ -1,20 +1,20 @@
-package platform_test
+package store_test
 
 import (
 	"testing"
 	"time"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // grantedBudgets returns Budgets that hold a large grant.
-func grantedBudgets(b *testing.B) *platform.Budgets {
+func grantedBudgets(b *testing.B) *store.Budgets {
 	b.Helper()
-	config := platform.BudgetsConfig{Table: standin.NewTable(), Tick: 10 * time.Millisecond}
+	config := store.BudgetsConfig{Table: standin.NewTable(), Tick: 10 * time.Millisecond}
 	config.Self = "a"
-	budgets := platform.NewBudgets(config)
+	budgets := store.NewBudgets(config)
 	budgets.Start(b.Context())
 	const limit = 1000
 	var holds []savorystep.Hold
@@ -69,9 +69,9 @@
 
 // BenchmarkBudgetsRefused measures an Acquire that finds no free unit.
 func BenchmarkBudgetsRefused(b *testing.B) {
-	config := platform.BudgetsConfig{Table: standin.NewTable()}
+	config := store.BudgetsConfig{Table: standin.NewTable()}
 	config.Self = "a"
-	budgets := platform.NewBudgets(config)
+	budgets := store.NewBudgets(config)
 	now := time.Now()
 	b.ReportAllocs()
 	for b.Loop() {
--- a/platform/budgets_test.go
+++ b/store/budgets_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -9,8 +9,8 @@
 	"time"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 const testBudget = savorystep.BudgetName("region/status/natal")
@@ -27,9 +27,9 @@
 }
 
 // startBudgets runs Budgets until the returned function stops them.
-func startBudgets(t *testing.T, config platform.BudgetsConfig) (*platform.Budgets, func()) {
+func startBudgets(t *testing.T, config store.BudgetsConfig) (*store.Budgets, func()) {
 	t.Helper()
-	budgets := platform.NewBudgets(config)
+	budgets := store.NewBudgets(config)
 	ctx, cancel := context.WithCancel(t.Context())
 	done := budgets.Start(ctx)
 	stop := func() {
@@ -48,9 +48,9 @@
 	const limit = 40
 	ids := []savorystep.InstanceID{"a", "b", "c"}
 	stops := make([]func(), 0, len(ids))
-	all := make([]*platform.Budgets, 0, len(ids))
+	all := make([]*store.Budgets, 0, len(ids))
 	for _, id := range ids {
-		config := platform.BudgetsConfig{Table: table, Tick: 10 * time.Millisecond}
+		config := store.BudgetsConfig{Table: table, Tick: 10 * time.Millisecond}
 		config.Self = id
 		config.Lifetime = 3 * time.Second
 		budgets, stop := startBudgets(t, config)
@@ -96,7 +96,7 @@
 func TestBudgetsConcurrent(t *testing.T) {
 	const limit, callers = 30, 16
 	table := standin.NewTable()
-	config := platform.BudgetsConfig{Table: table, Tick: time.Millisecond}
+	config := store.BudgetsConfig{Table: table, Tick: time.Millisecond}
 	config.Self = "a"
 	config.Lifetime = 300 * time.Millisecond
 	budgets, stop := startBudgets(t, config)
--- a/platform/budgetworker.go
+++ b/store/budgetworker.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"context"
@@ -13,7 +13,7 @@
 	"savorystep"
 )
 
-const budgetLog = savorystep.Logger("platform")
+const budgetLog = savorystep.Logger("store")
 
 // maxCommitRounds bounds how often a transaction is sent again without the
 // rows that conflicted. Budgets that still conflict wait for the next round.
--- a/platform/client.go
+++ b/store/client.go
@@ -1,4 +1,4 @@
-package platform
+package store
 
 import (
 	"bytes"
@@ -13,7 +13,7 @@
 )
 
 // log prefixes the lines of this package.
-const log = savorystep.Logger("platform")
+const log = savorystep.Logger("store")
 
 // maxResponse bounds a response in bytes. A page of rows with the largest
 // stored answers stays below it.
--- a/platform/client_test.go
+++ b/store/client_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -11,15 +11,15 @@
 	"time"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // clientOf returns a client of a handler.
-func clientOf(t *testing.T, handler http.HandlerFunc) *platform.Client {
+func clientOf(t *testing.T, handler http.HandlerFunc) *store.Client {
 	t.Helper()
 	server := httptest.NewServer(handler)
-	client := platform.New(platform.Config{
+	client := store.New(store.Config{
 		Address: savorystep.Address(strings.TrimPrefix(server.URL, "http://")),
 		Timeout: 500 * time.Millisecond,
 	})
@@ -34,17 +34,17 @@
 // TestClientMalformed guards against answers that are taken for what they are
 // not: each malformed one gives PlatformDown with a detail.
 func TestClientMalformed(t *testing.T) {
-	commit := func(c *platform.Client) error {
+	commit := func(c *store.Client) error {
 		_, err := c.Commit(context.Background(), savorystep.Txn{Conditions: []savorystep.Condition{{Key: "a", Version: 3}}})
 		return err
 	}
-	get := func(c *platform.Client) error { _, err := c.Get(context.Background(), "a"); return err }
-	scan := func(c *platform.Client) error { _, err := c.Scan(context.Background(), "a/", "a/b", 2); return err }
-	instances := func(c *platform.Client) error { _, err := c.Instances(context.Background()); return err }
-	endpoints := func(c *platform.Client) error { _, err := c.Endpoints(context.Background()); return err }
+	get := func(c *store.Client) error { _, err := c.Get(context.Background(), "a"); return err }
+	scan := func(c *store.Client) error { _, err := c.Scan(context.Background(), "a/", "a/b", 2); return err }
+	instances := func(c *store.Client) error { _, err := c.Instances(context.Background()); return err }
+	endpoints := func(c *store.Client) error { _, err := c.Endpoints(context.Background()); return err }
 	cases := []struct {
 		name, body, detail string
-		call               func(*platform.Client) error
+		call               func(*store.Client) error
 	}{
 		{name: "commit cut short", body: `{"version":`, detail: "malformed commit", call: commit},
 		{name: "commit empty", body: `{}`, detail: "neither a version nor conflicts", call: commit},
@@ -114,7 +114,7 @@
 	p.SetFaults(standin.PlatformFaults{Down: true})
 	_, err := client.Commit(t.Context(), txn)
 	wantKind(t, err, savorystep.KindPlatformDown)
-	if !errors.Is(err, platform.ErrRefused) {
+	if !errors.Is(err, store.ErrRefused) {
 		t.Errorf("a refused commit gives %v", err)
 	}
 	p.SetFaults(standin.PlatformFaults{Slow: 5000})
@@ -123,7 +123,7 @@
 	p.SetFaults(standin.PlatformFaults{Lose: 1})
 	_, err = client.Commit(t.Context(), txn)
 	wantKind(t, err, savorystep.KindPlatformDown)
-	if errors.Is(err, platform.ErrRefused) || version() != 1 {
+	if errors.Is(err, store.ErrRefused) || version() != 1 {
 		t.Errorf("a lost answer gives %v at version %d", err, version())
 	}
 	p.SetFaults(standin.PlatformFaults{Late: 2000})
@@ -224,7 +224,7 @@
 		if status < 200 || status > 999 {
 			t.Skip()
 		}
-		client := platform.New(platform.Config{Address: "platform", Transport: fixedTransport{body: body, status: status}})
+		client := store.New(store.Config{Address: "platform", Transport: fixedTransport{body: body, status: status}})
 		if row, err := client.Get(t.Context(), "a/b"); err == nil && (row.Key != "a/b" || row.Version == 0 && row.Value != nil && len(row.Value) > 0) {
 			t.Errorf("Get = %+v", row)
 		} else if err != nil {
--- a/platform/fakes_test.go
+++ b/store/fakes_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"bytes"
--- a/platform/keyplan_test.go
+++ b/store/keyplan_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	"pgregory.net/rapid"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // A keyPlan is a run of the key ledger: sends of keyed requests, faults and
@@ -106,7 +106,7 @@
 
 // A keyNode is one instance.
 type keyNode struct {
-	keys   *platform.Keys
+	keys   *store.Keys
 	ctx    context.Context //nolint:containedctx // The life of a simulated process.
 	cancel context.CancelFunc
 	done   <-chan error
@@ -114,7 +114,7 @@
 
 func (w *keyWorld) newNode() *keyNode {
 	ctx, cancel := context.WithCancel(context.Background())
-	keys := platform.NewKeys(platform.KeysConfig{Table: w.faulty, Objects: w.objects, Inline: 64})
+	keys := store.NewKeys(store.KeysConfig{Table: w.faulty, Objects: w.objects, Inline: 64})
 	return &keyNode{keys: keys, ctx: ctx, cancel: cancel, done: keys.Start(ctx)}
 }
 
--- a/platform/keys_test.go
+++ b/store/keys_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -10,20 +10,20 @@
 	"time"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // newKeys returns a running key ledger.
-func newKeys(t *testing.T, table savorystep.Table, objects savorystep.Objects) *platform.Keys {
+func newKeys(t *testing.T, table savorystep.Table, objects savorystep.Objects) *store.Keys {
 	t.Helper()
-	keys := platform.NewKeys(platform.KeysConfig{Table: table, Objects: objects})
+	keys := store.NewKeys(store.KeysConfig{Table: table, Objects: objects})
 	start(t, keys)
 	return keys
 }
 
 // begin asks for the permission of a key within a time.
-func begin(t *testing.T, keys *platform.Keys, key string, within time.Duration) (savorystep.Attempt, error) {
+func begin(t *testing.T, keys *store.Keys, key string, within time.Duration) (savorystep.Attempt, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), within)
 	defer cancel()
@@ -31,7 +31,7 @@
 }
 
 // mustBegin asks for a permission that must be given.
-func mustBegin(t *testing.T, keys *platform.Keys, key string) savorystep.Attempt {
+func mustBegin(t *testing.T, keys *store.Keys, key string) savorystep.Attempt {
 	t.Helper()
 	attempt, err := begin(t, keys, key, time.Minute)
 	if err != nil || attempt.Answer() != nil {
@@ -268,7 +268,7 @@
 		if granted != 499 {
 			t.Errorf("%d permissions for 499 free keys", granted)
 		}
-		if commits > 60 || largest > platform.DefaultBatch {
+		if commits > 60 || largest > store.DefaultBatch {
 			t.Errorf("%d transactions, the largest of %d rows", commits, largest)
 		}
 		t.Logf("%d transactions for 1001 asks, the largest of %d rows", commits, largest)
@@ -293,7 +293,7 @@
 	}
 	if t.inSecond >= t.perSecond {
 		t.refused++
-		return savorystep.Commit{}, savorystep.WrapError(savorystep.KindPlatformDown, platform.ErrRefused, "status 429")
+		return savorystep.Commit{}, savorystep.WrapError(savorystep.KindPlatformDown, store.ErrRefused, "status 429")
 	}
 	t.inSecond++
 	t.taken++
@@ -354,11 +354,11 @@
 			}
 			return len(rows)
 		}
-		time.Sleep(platform.DefaultRetention - time.Minute)
+		time.Sleep(store.DefaultRetention - time.Minute)
 		if count() != 3 {
 			t.Errorf("%d rows after %v", count(), time.Since(completed))
 		}
-		time.Sleep(platform.DefaultRetention)
+		time.Sleep(store.DefaultRetention)
 		if count() != 1 {
 			t.Errorf("%d rows after %v", count(), time.Since(completed))
 		}
@@ -393,7 +393,7 @@
 				clock.jump = 100 * time.Hour
 			}
 		}
-		keys := platform.NewKeys(platform.KeysConfig{Table: table, Objects: standin.NewObjects(), Clock: clock})
+		keys := store.NewKeys(store.KeysConfig{Table: table, Objects: standin.NewObjects(), Clock: clock})
 		start(t, keys)
 		_, err := begin(t, keys, "a", time.Second)
 		wantKind(t, err, savorystep.KindPlatformDown)
--- a/platform/keysbench_test.go
+++ b/store/keysbench_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -13,8 +13,8 @@
 	"golang.org/x/sync/errgroup"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // benchInstances is the number of entry instances of a site.
@@ -31,10 +31,10 @@
 	for _, writes := range []float64{300, 500} {
 		b.Run(fmt.Sprintf("writes=%.0f", writes), func(b *testing.B) {
 			p, _ := serve(b, standin.PlatformFaults{Writes: writes, Slow: 3})
-			ledgers := make([]*platform.Keys, benchInstances)
+			ledgers := make([]*store.Keys, benchInstances)
 			for i := range ledgers {
 				client := clientAt(b, p)
-				ledgers[i] = platform.NewKeys(platform.KeysConfig{Table: client, Objects: client.Objects()})
+				ledgers[i] = store.NewKeys(store.KeysConfig{Table: client, Objects: client.Objects()})
 				start(b, ledgers[i])
 			}
 			var next, failed atomic.Int64
@@ -84,10 +84,10 @@
 	} {
 		b.Run(fmt.Sprintf("requests=%.0f/most=%.0f", c.rate, c.most), func(b *testing.B) {
 			p, _ := serve(b, standin.PlatformFaults{Writes: 500, Slow: 3})
-			ledgers := make([]*platform.Keys, benchInstances)
+			ledgers := make([]*store.Keys, benchInstances)
 			for i := range ledgers {
 				client := clientAt(b, p)
-				ledgers[i] = platform.NewKeys(platform.KeysConfig{Table: client, Objects: client.Objects(), Rate: c.most})
+				ledgers[i] = store.NewKeys(store.KeysConfig{Table: client, Objects: client.Objects(), Rate: c.most})
 				start(b, ledgers[i])
 			}
 			took := hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)
@@ -119,7 +119,7 @@
 }
 
 // keyedRequest begins and completes a request with a short answer.
-func keyedRequest(keys *platform.Keys, key string) error {
+func keyedRequest(keys *store.Keys, key string) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
 	defer cancel()
 	attempt, err := keys.Begin(ctx, "orders", savorystep.IdempotencyKey(key), 1)
--- a/platform/ledgerscript_test.go
+++ b/store/ledgerscript_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"encoding/json"
@@ -10,8 +10,8 @@
 	"github.com/cockroachdb/datadriven"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // A grantScript is the state of one script of ledgers over one row.
@@ -19,7 +19,7 @@
 	t       *testing.T
 	now     time.Time
 	table   *standin.FaultyTable
-	ledgers map[string]*platform.GrantLedger
+	ledgers map[string]*store.GrantLedger
 	ended   map[savorystep.InstanceID]bool
 }
 
@@ -32,7 +32,7 @@
 		script := &grantScript{
 			t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
 			table:   standin.NewFaultyTable(standin.NewTable()),
-			ledgers: make(map[string]*platform.GrantLedger),
+			ledgers: make(map[string]*store.GrantLedger),
 			ended:   make(map[savorystep.InstanceID]bool),
 		}
 		datadriven.RunTest(t, path, script.run)
@@ -87,10 +87,10 @@
 }
 
 // ledger returns the ledger of an instance.
-func (s *grantScript) ledger(id string) *platform.GrantLedger {
+func (s *grantScript) ledger(id string) *store.GrantLedger {
 	ledger, ok := s.ledgers[id]
 	if !ok {
-		ledger = platform.NewGrantLedger(platform.LedgerConfig{Self: savorystep.InstanceID(id)})
+		ledger = store.NewGrantLedger(store.LedgerConfig{Self: savorystep.InstanceID(id)})
 		s.ledgers[id] = ledger
 	}
 	return ledger
@@ -113,7 +113,7 @@
 	d.ScanArgs(s.t, "need", &need)
 	d.MaybeScanArgs(s.t, "inflight", &inFlight)
 	ledger := s.ledger(d.CmdArgs[0].Key)
-	demand := platform.GrantDemand{
+	demand := store.GrantDemand{
 		Need: savorystep.Slots(need), InFlight: savorystep.Slots(inFlight), Leaving: d.HasArg("leaving"), Ended: s.ended,
 	}
 	var out strings.Builder
@@ -137,7 +137,7 @@
 }
 
 // commit writes a proposal and prints the outcome.
-func (s *grantScript) commit(ledger *platform.GrantLedger, proposal platform.GrantProposal) string {
+func (s *grantScript) commit(ledger *store.GrantLedger, proposal store.GrantProposal) string {
 	value, err := json.Marshal(proposal.Row)
 	if err != nil {
 		s.t.Fatal(err)
@@ -161,7 +161,7 @@
 }
 
 // formatGrantRow prints a row as one line, units and floor of each holder.
-func formatGrantRow(row platform.GrantRow) string {
+func formatGrantRow(row store.GrantRow) string {
 	var out strings.Builder
 	fmt.Fprintf(&out, "cap %d, given out %d:", row.Cap, row.Total())
 	for i := range row.Holders {
--- a/platform/ledgerworld_test.go
+++ b/store/ledgerworld_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 	"time"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // A worldFault is a kind of fault that a ledgerWorld may inject.
@@ -69,7 +69,7 @@
 // A worldCall is a call of the table on its way.
 type worldCall struct {
 	// write is nil for a read.
-	write *platform.GrantProposal
+	write *store.GrantProposal
 	// effect and answer are the times at which the table carries out the call
 	// and at which its caller gets the answer, zero for never. giveUp is when
 	// the caller stops to wait.
@@ -82,7 +82,7 @@
 // A worldNode is one instance with its ledger.
 type worldNode struct {
 	id     savorystep.InstanceID
-	ledger *platform.GrantLedger
+	ledger *store.GrantLedger
 	// base and rate map the true time to the node's monotonic clock.
 	base time.Time
 	rate int64
@@ -97,7 +97,7 @@
 	need          savorystep.Slots
 	call          *worldCall
 	callsInFlight []*worldCall
-	allowance     platform.GrantAllowance
+	allowance     store.GrantAllowance
 }
 
 // A ledgerWorld is many ledgers over one row, with faults. Its choices come
@@ -155,7 +155,7 @@
 // join adds an instance.
 func (w *ledgerWorld) join() {
 	w.nextID++
-	config := platform.LedgerConfig{
+	config := store.LedgerConfig{
 		Self:     savorystep.InstanceID(fmt.Sprintf("n%d", w.nextID)),
 		Lifetime: worldLifetime, Guard: worldGuard, RequestTime: w.request,
 	}
@@ -167,7 +167,7 @@
 	default:
 	}
 	node := &worldNode{
-		id: config.Self, ledger: platform.NewGrantLedger(config),
+		id: config.Self, ledger: store.NewGrantLedger(config),
 		base:  time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC).Add(time.Duration(w.nextID) * time.Hour),
 		rate:  int64(1000 + (w.pick("rate", 3)-1)*w.drift),
 		skew:  time.Duration(w.pick("skew", 5)-2) * 30 * time.Second,
@@ -377,7 +377,7 @@
 // work handles an answer, and reads or writes the row.
 func (w *ledgerWorld) work(node *worldNode) {
 	now := w.local(node)
-	demand := platform.GrantDemand{
+	demand := store.GrantDemand{
 		InFlight: node.inFlight(), Need: max(node.need, node.inFlight()), Leaving: node.leaving, Ended: w.ended(),
 	}
 	if node.call != nil && !w.finish(node, now) {
@@ -398,7 +398,7 @@
 }
 
 // newCall chooses what becomes of a call.
-func (w *ledgerWorld) newCall(write *platform.GrantProposal) *worldCall {
+func (w *ledgerWorld) newCall(write *store.GrantProposal) *worldCall {
 	call := &worldCall{write: write, effect: w.now, answer: w.now, giveUp: w.now + 2*time.Second}
 	switch {
 	case w.down:
--- a/platform/log_test.go
+++ b/store/log_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -13,14 +13,14 @@
 	"time"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // newLog returns a running configuration log of a node.
-func newLog(t *testing.T, table savorystep.Table, node *logNode) *platform.Log {
+func newLog(t *testing.T, table savorystep.Table, node *logNode) *store.Log {
 	t.Helper()
-	l := platform.NewLog(platform.LogConfig{Table: table, Facts: node, Members: node, Peers: node, Recorder: node})
+	l := store.NewLog(store.LogConfig{Table: table, Facts: node, Members: node, Peers: node, Recorder: node})
 	node.setLog(l)
 	start(t, l)
 	return l
@@ -35,7 +35,7 @@
 }
 
 // apply applies a change within a minute.
-func apply(t *testing.T, l *platform.Log, change savorystep.Change) (savorystep.Revision, error) {
+func apply(t *testing.T, l *store.Log, change savorystep.Change) (savorystep.Revision, error) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
@@ -43,7 +43,7 @@
 }
 
 // mustApply applies a change that must be accepted.
-func mustApply(t *testing.T, l *platform.Log, change savorystep.Change) savorystep.Revision {
+func mustApply(t *testing.T, l *store.Log, change savorystep.Change) savorystep.Revision {
 	t.Helper()
 	revision, err := apply(t, l, change)
 	if err != nil {
@@ -53,7 +53,7 @@
 }
 
 // waitFor waits until a revision is in force.
-func waitFor(t *testing.T, l *platform.Log, revision savorystep.Revision, within time.Duration) {
+func waitFor(t *testing.T, l *store.Log, revision savorystep.Revision, within time.Duration) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), within)
 	defer cancel()
@@ -155,7 +155,7 @@
 		table := standin.NewFaultyTable(standin.NewTable())
 		table.SetFaults(standin.TableFaults{Latency: 5 * time.Millisecond})
 		net := newLogNet()
-		logs := []*platform.Log{newLog(t, table, net.node("a")), newLog(t, table, net.node("b"))}
+		logs := []*store.Log{newLog(t, table, net.node("a")), newLog(t, table, net.node("b"))}
 		results := make(chan error, 20)
 		for i := range 20 {
 			go func() {
@@ -291,7 +291,7 @@
 }
 
 // checkView checks that a view is the configuration of its revision.
-func checkView(t *testing.T, view *savorystep.View, writer *platform.Log) {
+func checkView(t *testing.T, view *savorystep.View, writer *store.Log) {
 	t.Helper()
 	history, err := writer.History(t.Context(), "", 1<<20)
 	if err != nil {
@@ -324,7 +324,7 @@
 				faulty := standin.NewFaultyTable(table)
 				net := newLogNet()
 				writer := newLog(t, table, net.node("writer"))
-				others := []*platform.Log{newLog(t, faulty, net.node("x")), newLog(t, faulty, net.node("y"))}
+				others := []*store.Log{newLog(t, faulty, net.node("x")), newLog(t, faulty, net.node("y"))}
 				time.Sleep(3 * time.Second)
 				net.setCut(c.cut)
 				faulty.SetFaults(standin.TableFaults{Down: c.down})
@@ -357,7 +357,7 @@
 		faulty.SetFaults(standin.TableFaults{Down: true})
 		node := net.node("new")
 		known := false
-		l := platform.NewLog(platform.LogConfig{
+		l := store.NewLog(store.LogConfig{
 			Table: faulty, Facts: node, Members: node, Peers: node,
 			PeerRevision: func(time.Time) (savorystep.Revision, bool) { return 600, known },
 		})
@@ -458,7 +458,7 @@
 		}
 		loaded := newLog(t, table, newLogNet().node("loaded"))
 		waitFor(t, loaded, 700, 5*time.Second)
-		for _, l := range []*platform.Log{writer, loaded} {
+		for _, l := range []*store.Log{writer, loaded} {
 			for _, c := range []struct {
 				service     savorystep.Service
 				limit, want int
--- a/platform/logfakes_test.go
+++ b/store/logfakes_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"savorystep"
-	"savorystep/platform"
+	"savorystep/store"
 )
 
 // A logNet connects configuration logs like the exchange of facts and changes
@@ -26,7 +26,7 @@
 type logNode struct {
 	net    *logNet
 	id     savorystep.InstanceID
-	log    *platform.Log // nil before it is set
+	log    *store.Log // nil before it is set
 	mu     sync.Mutex
 	hear   []func(savorystep.HeardFact)
 	events []savorystep.Event
@@ -56,7 +56,7 @@
 	n.cut = cut
 }
 
-func (n *logNode) setLog(l *platform.Log) {
+func (n *logNode) setLog(l *store.Log) {
 	n.net.mu.Lock()
 	defer n.net.mu.Unlock()
 	n.log = l
--- a/platform/loghistory_test.go
+++ b/store/loghistory_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -14,8 +14,8 @@
 	"pgregory.net/rapid"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // A logPlan is a run of the configuration log: changes that operators apply,
@@ -85,7 +85,7 @@
 
 // A logProcess is one instance.
 type logProcess struct {
-	log    *platform.Log
+	log    *store.Log
 	cancel context.CancelFunc
 	done   <-chan error
 }
@@ -94,7 +94,7 @@
 func (w *logWorld) newProcess() *logProcess {
 	w.starts++
 	node := w.net.node(savorystep.InstanceID(strconv.Itoa(w.starts)))
-	l := platform.NewLog(platform.LogConfig{Table: w.faulty, Facts: node, Members: node, Peers: node})
+	l := store.NewLog(store.LogConfig{Table: w.faulty, Facts: node, Members: node, Peers: node})
 	node.setLog(l)
 	ctx, cancel := context.WithCancel(context.Background())
 	w.views.Go(func() {
--- a/platform/standin_test.go
+++ b/store/standin_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package store_test
 
 import (
 	"context"
@@ -7,13 +7,13 @@
 	"time"
 
 	"savorystep"
-	"savorystep/platform"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // clientAt returns a client of the stand-in, which serves a listener for it
 // until the test ends.
-func clientAt(tb testing.TB, p *standin.Platform) *platform.Client {
+func clientAt(tb testing.TB, p *standin.Platform) *store.Client {
 	tb.Helper()
 	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -21,7 +21,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := p.Serve(ctx, listener)
-	client := platform.New(platform.Config{Address: savorystep.Address(listener.Addr().String()), Timeout: 500 * time.Millisecond})
+	client := store.New(store.Config{Address: savorystep.Address(listener.Addr().String()), Timeout: 500 * time.Millisecond})
 	tb.Cleanup(func() {
 		client.Close()
 		cancel()
@@ -33,7 +33,7 @@
 }
 
 // serve runs a stand-in of the platform and returns it with a client.
-func serve(tb testing.TB, faults standin.PlatformFaults) (*standin.Platform, *platform.Client) {
+func serve(tb testing.TB, faults standin.PlatformFaults) (*standin.Platform, *store.Client) {
 	tb.Helper()
 	p := standin.NewPlatform(standin.PlatformConfig{Faults: faults})
 	return p, clientAt(tb, p)
@@ -59,8 +59,8 @@
 	_, client := serve(t, standin.PlatformFaults{})
 	for name, body := range map[string]int{"row": 10, "object": 100 << 10} {
 		t.Run(name, func(t *testing.T) {
-			first := platform.NewKeys(platform.KeysConfig{Table: client, Objects: client.Objects()})
-			second := platform.NewKeys(platform.KeysConfig{Table: client, Objects: client.Objects()})
+			first := store.NewKeys(store.KeysConfig{Table: client, Objects: client.Objects()})
+			second := store.NewKeys(store.KeysConfig{Table: client, Objects: client.Objects()})
 			start(t, first)
 			start(t, second)
 			key := savorystep.IdempotencyKey("order/ü " + name)
@@ -95,8 +95,8 @@
 	_, client := serve(t, standin.PlatformFaults{})
 	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
 	defer cancel()
-	config := platform.LogConfig{Table: client, Period: 20 * time.Millisecond}
-	first, second := platform.NewLog(config), platform.NewLog(config)
+	config := store.LogConfig{Table: client, Period: 20 * time.Millisecond}
+	first, second := store.NewLog(config), store.NewLog(config)
 	start(t, first)
 	start(t, second)
 	change := savorystep.Change{ID: "a", Service: "stock", Author: "ana", Record: &savorystep.Record{
@@ -109,12 +109,12 @@
 	if err := second.Wait(ctx, 1); err != nil {
 		t.Fatal(err)
 	}
-	third := platform.NewLog(config)
+	third := store.NewLog(config)
 	start(t, third)
 	if err := third.Wait(ctx, 1); err != nil {
 		t.Fatal(err)
 	}
-	for _, l := range []*platform.Log{first, second, third} {
+	for _, l := range []*store.Log{first, second, third} {
 		if got := l.View().Services["stok"]; got != "stock" || l.View().Versions["stock"] != 1 {
 			t.Errorf("view %+v", l.View())
 		}
