--- a/endpoint/choice.go
+++ b/endpoint/choice.go
@@ -11,8 +11,10 @@
 	ReasonOwner Reason = "owner"
 	// ReasonOverflow means that those before it had no free slot.
 	ReasonOverflow Reason = "overflow"
-	// ReasonQueue means that no endpoint had a free slot.
+	// ReasonQueue means that no home of the object had a free slot.
 	ReasonQueue Reason = "queue"
+	// ReasonStranger means that all homes of the object were full.
+	ReasonStranger Reason = "stranger"
 	// ReasonCold means that only cold endpoints had room.
 	ReasonCold Reason = "cold"
 	// ReasonLast means that only endpoints that failed recently were left.
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -129,29 +129,31 @@
 	return choice, true
 }
 
-// choose picks among ranked endpoints: the first that is warm with a free
-// slot, then the one with the shortest queue, then a cold one.
+// choose picks among ranked endpoints. The first homes of an object are tried
+// in order, then the shortest queue among them. Others would have to fetch the
+// object first and would forget one of their own for it, so they get the
+// request only if they are mostly free.
 func (t *Table) choose(now time.Time, ranked []ranked) (Choice, *server) {
-	var shortest *server
-	least := maxQueue
-	for i, r := range ranked {
-		s := r.server
-		if s.isHeld(now) || s.isCold(now) {
-			continue
+	usable := ranked[:0:0]
+	for _, r := range ranked {
+		if !r.server.isHeld(now) && !r.server.isCold(now) {
+			usable = append(usable, r)
 		}
-		load := s.load(now)
-		if load < float64(s.Slots) {
+	}
+	own := usable[:min(homes, len(usable))]
+	for i, r := range own {
+		if r.server.load(now) < float64(r.server.Slots) {
 			if i == 0 {
-				return Choice{Reason: ReasonOwner}, s
+				return Choice{Reason: ReasonOwner}, r.server
 			}
-			return Choice{Reason: ReasonOverflow}, s
-		}
-		if relative := load / float64(s.Slots); relative < least {
-			shortest, least = s, relative
+			return Choice{Reason: ReasonOverflow}, r.server
 		}
 	}
-	if shortest != nil {
-		return Choice{Reason: ReasonQueue}, shortest
+	if s := shortest(now, own, maxQueue); s != nil {
+		return Choice{Reason: ReasonQueue}, s
+	}
+	if s := shortest(now, usable[len(own):], mostlyFree); s != nil {
+		return Choice{Reason: ReasonStranger}, s
 	}
 	for _, r := range ranked {
 		if !r.server.isHeld(now) && r.server.isCold(now) && t.mayWarm(now, r.server) {
@@ -161,9 +163,30 @@
 	return Choice{}, nil
 }
 
-// maxQueue is how many requests for each slot an endpoint gets at most. Beyond
-// it a request waits longer than it takes to run twice.
-const maxQueue = 2.0
+// shortest returns the endpoint with the least requests for each slot, nil if
+// none has fewer than the given bound.
+func shortest(now time.Time, list []ranked, bound float64) *server {
+	var best *server
+	for _, r := range list {
+		if relative := r.server.load(now) / float64(r.server.Slots); relative < bound {
+			best, bound = r.server, relative
+		}
+	}
+	return best
+}
+
+const (
+	// homes is how many endpoints keep an object. Endpoints of today's sizes
+	// keep 17 to 36 objects and each service has 5 to 9 for each endpoint, so
+	// three homes fit.
+	homes = 3
+	// maxQueue is how many requests for each slot an endpoint gets at most.
+	// Beyond it a request waits longer than it takes to run.
+	maxQueue = 2.0
+	// mostlyFree bounds the load of an endpoint that gets a request for an
+	// object of others.
+	mostlyFree = 0.5
+)
 
 // A ranked is an endpoint with its place in the order of a request.
 type ranked struct {
