--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -160,6 +160,7 @@
 
 // tend keeps the state told to peers and the known instances up to date.
 func (g *gateway) tend(ctx context.Context) {
+	known := 0
 	for savorystep.Sleep(ctx, gatewayInterval) {
 		now := time.Now()
 		g.state()
@@ -169,6 +170,10 @@
 			ids[i] = m.Instance.ID
 		}
 		g.steering.SetInstances(ids)
+		if len(ids) != known {
+			known = len(ids)
+			logGateway.Infof("%d instances are known: %v", known, ids)
+		}
 		g.pool.Sweep(now)
 	}
 }
