Ignore old reports of removed endpoints

Entry i-90bfa83c3d was removed at 28.19 s and listed once more after 30 s by a report that had been under way; the endpoint got a request 2,771 ms after it had left.

Ruled out: a slow poll; every instance had removed the endpoint within 0.8 s.

--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -20,6 +20,7 @@
 	budgets    map[savorystep.Service]*retryBudget
 	instances  []savorystep.InstanceID
 	mostMember int
+	tombs      map[savorystep.EndpointID]*tombstone
 }
 
 // NewTable returns a table without endpoints.
@@ -31,6 +32,7 @@
 		evacuated: make(map[savorystep.Zone]bool),
 		budgets:   make(map[savorystep.Service]*retryBudget),
 		instances: []savorystep.InstanceID{config.Self},
+		tombs:     make(map[savorystep.EndpointID]*tombstone),
 	}
 }
 
@@ -58,7 +60,10 @@
 			known.update(now, entry)
 			return true
 		}
-		t.Remove(entry.ID)
+		t.Remove(now, entry.ID)
+	}
+	if t.isStale(now, entry) {
+		return false
 	}
 	s := &server{Endpoint: entry, hash: xxh3.HashString(string(entry.ID)), coldUntil: now.Add(entry.Cold)}
 	t.byID[entry.ID] = s
@@ -66,14 +71,16 @@
 	return true
 }
 
-// Remove forgets an endpoint.
-func (t *Table) Remove(id savorystep.EndpointID) {
+// Remove forgets an endpoint. It returns false if there was none.
+func (t *Table) Remove(now time.Time, id savorystep.EndpointID) bool {
 	s := t.byID[id]
 	if s == nil {
-		return
+		return false
 	}
 	delete(t.byID, id)
+	t.tombs[id] = &tombstone{born: s.Born, sequence: s.Sequence, at: now}
 	t.byService[s.Service] = slices.DeleteFunc(t.byService[s.Service], func(other *server) bool { return other == s })
+	return true
 }
 
 // IDs returns the ids of all endpoints.
--- /dev/null
+++ b/endpoint/tombstone.go
@@ -0,0 +1,43 @@
+package endpoint
+
+import (
+	"time"
+
+	"savorystep"
+)
+
+// tombLifetime is how long a removed endpoint is remembered. Writes of reports
+// that were under way when it left take effect within seconds.
+const tombLifetime = time.Minute
+
+// A tombstone remembers an endpoint that was removed from the list.
+type tombstone struct {
+	born     int64
+	sequence uint64
+	at       time.Time
+	// again is the sequence of the first later report, zero before it.
+	again uint64
+}
+
+// isStale reports whether an entry of a removed endpoint may be an old report
+// whose write took effect after the removal. Such a write comes once, while an
+// endpoint that lives reports again.
+func (t *Table) isStale(now time.Time, entry savorystep.Endpoint) bool {
+	tomb := t.tombs[entry.ID]
+	if tomb == nil {
+		return false
+	}
+	if now.Sub(tomb.at) >= tombLifetime || entry.Born > tomb.born {
+		delete(t.tombs, entry.ID)
+		return false
+	}
+	if entry.Born < tomb.born || entry.Sequence <= tomb.sequence {
+		return true
+	}
+	if tomb.again == 0 || entry.Sequence <= tomb.again {
+		tomb.again = entry.Sequence
+		return true
+	}
+	delete(t.tombs, entry.ID)
+	return false
+}
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -158,8 +158,9 @@
 			case wasAway:
 				w.missing[id] = now.Add(returnGrace)
 			default:
-				t.Remove(id)
-				log.Infof("endpoint %s is gone", id)
+				if t.Remove(now, id) {
+					log.Infof("endpoint %s is gone", id)
+				}
 			}
 		}
 		for _, entry := range changes.Listed {
@@ -172,7 +173,7 @@
 		for id, until := range w.missing {
 			if !now.Before(until) {
 				delete(w.missing, id)
-				t.Remove(id)
+				t.Remove(now, id)
 				log.Infof("endpoint %s is gone since the store was away", id)
 			}
 		}
