Give each object two homes

Cause: with three homes and some endpoints away, more objects shared an endpoint than it keeps (33 on average of 36 at 11 endpoints), so all were cold at times. Reports of load count in full for a second now; a fading report hid the load of the other instances.

--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -8,9 +8,14 @@
 	"savorystep"
 )
 
-// reportLifetime is how long a report of load counts. Requests take 0.2 to
-// 0.8 s, so after a second most of those that were counted have ended.
-const reportLifetime = time.Second
+const (
+	// reportFresh is how long a report of load counts in full. An endpoint with
+	// 10 to 20 requests a second answers each of ten instances about that often.
+	reportFresh = time.Second
+	// reportLifetime is when a report counts for nothing. Requests take 0.2 to
+	// 0.8 s, so by then all that were counted have ended.
+	reportLifetime = 3 * time.Second
+)
 
 // A Load is what an endpoint tells of its load.
 type Load struct {
@@ -42,13 +47,16 @@
 	own savorystep.Slots
 }
 
-// others estimates the requests of other instances at the endpoint. The report
-// fades over its lifetime.
+// others estimates the requests of other instances at the endpoint. An old
+// report fades.
 func (r report) others(now time.Time) float64 {
 	age := now.Sub(r.at)
 	if r.at.IsZero() || age >= reportLifetime {
 		return 0
 	}
-	count := float64(r.load.Running + r.load.Waiting - int(r.own))
-	return max(0, count) * (1 - float64(age)/float64(reportLifetime))
+	count := max(0, float64(r.load.Running+r.load.Waiting-int(r.own)))
+	if age <= reportFresh {
+		return count
+	}
+	return count * float64(reportLifetime-age) / float64(reportLifetime-reportFresh)
 }
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -186,7 +186,7 @@
 	// homes is how many endpoints keep an object. Endpoints of today's sizes
 	// keep 17 to 36 objects and each service has 5 to 9 for each endpoint, so
 	// three homes fit.
-	homes = 3
+	homes = 2
 	// maxQueue is how many requests for each slot an endpoint gets at most.
 	// Beyond it a request waits longer than it takes to run.
 	maxQueue = 2.0
