--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -73,6 +73,7 @@
 		group.Go(func() error { return ignoreCancelled(<-ended) })
 	}
 	group.Go(func() error { g.tend(background); return nil })
+	group.Go(func() error { g.watchSettings(background); return nil })
 	servers, err := g.serveInner(background)
 	if err != nil {
 		return err
--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -55,14 +55,19 @@
 }
 
 func newGatewaySteering(settings platform.Settings, self savorystep.Instance) *ingress.Steering {
-	return ingress.NewSteering(endpoint.Config{
+	return ingress.NewSteering(endpointConfig(settings, self))
+}
+
+// endpointConfig returns the limits by which endpoints are chosen.
+func endpointConfig(settings platform.Settings, self savorystep.Instance) endpoint.Config {
+	return endpoint.Config{
 		Self:        self.ID,
 		ColdExcess:  settings.Bounds.ColdExcess,
 		ColdSlack:   settings.Bounds.ColdSlack,
 		RetryRatio:  settings.Bounds.RetryRatio,
 		RetrySlack:  settings.Bounds.RetrySlack,
 		RetryWindow: settings.Bounds.RetryWindow,
-	})
+	}
 }
 
 func newGatewayWatcher(settings platform.Settings, catalog savorystep.Catalog, clock savorystep.Clock, steering *ingress.Steering) *ingress.Watcher {
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -36,6 +36,12 @@
 	}
 }
 
+// SetConfig replaces the configuration. The window of repeats stays as it is
+// for services with requests.
+func (t *Table) SetConfig(config Config) {
+	t.config = config
+}
+
 // SetSpecs sets what the configuration says of the services.
 func (t *Table) SetSpecs(specs map[savorystep.Service]savorystep.ServiceSpec) {
 	t.specs = specs
