Keep the homes of an object while endpoints are held for a moment

Cause: an endpoint that refused once dropped out of the order, so the next one became a home.

Homes keep their places now, three stand-ins are fixed, and only the very next endpoint takes overflow.

--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -142,31 +142,38 @@
 	return choice, true
 }
 
-// choose picks among ranked endpoints. The first homes of an object are tried
-// in order, then the shortest queue among them. Others would have to fetch the
-// object first and would forget one of their own for it, so they get the
-// request only if they are mostly free.
+// choose picks among ranked endpoints. The homes of an object are tried in
+// order, then the shortest queue among them. Others would have to fetch the
+// object first and would forget one of their own for it, so only the next few
+// in the order stand in for homes that are away, and the very next one helps
+// if it is mostly free.
 func (t *Table) choose(now time.Time, ranked []ranked) (Choice, *server) {
-	usable := ranked[:0:0]
-	for _, r := range ranked {
-		if !r.server.isHeld(now) && !r.server.isCold(now) {
-			usable = append(usable, r)
+	usable := make([]*server, 0, homes)
+	rest := ranked
+	for i, r := range ranked[:min(homes+standIns, len(ranked))] {
+		if r.server.isHeld(now) || r.server.isCold(now) {
+			continue
+		}
+		if i >= homes && len(usable) > 0 {
+			break
 		}
+		usable, rest = append(usable, r.server), ranked[i+1:]
 	}
-	own := usable[:min(homes, len(usable))]
-	for i, r := range own {
-		if r.server.load(now) < float64(r.server.Slots) {
+	for i, s := range usable {
+		if s.load(now) < float64(s.Slots) {
 			if i == 0 {
-				return Choice{Reason: ReasonOwner}, r.server
+				return Choice{Reason: ReasonOwner}, s
 			}
-			return Choice{Reason: ReasonOverflow}, r.server
+			return Choice{Reason: ReasonOverflow}, s
 		}
 	}
-	if s := shortest(now, own, maxQueue); s != nil {
+	if s := shortest(now, usable, maxQueue); s != nil {
 		return Choice{Reason: ReasonQueue}, s
 	}
-	if s := shortest(now, usable[len(own):], mostlyFree); s != nil {
-		return Choice{Reason: ReasonStranger}, s
+	if len(rest) > 0 && !rest[0].server.isHeld(now) && !rest[0].server.isCold(now) {
+		if s := shortest(now, []*server{rest[0].server}, mostlyFree); s != nil {
+			return Choice{Reason: ReasonStranger}, s
+		}
 	}
 	for _, r := range ranked {
 		if !r.server.isHeld(now) && r.server.isCold(now) && t.mayWarm(now, r.server) {
@@ -178,11 +185,11 @@
 
 // shortest returns the endpoint with the least requests for each slot, nil if
 // none has fewer than the given bound.
-func shortest(now time.Time, list []ranked, bound float64) *server {
+func shortest(now time.Time, list []*server, bound float64) *server {
 	var best *server
-	for _, r := range list {
-		if relative := r.server.load(now) / float64(r.server.Slots); relative < bound {
-			best, bound = r.server, relative
+	for _, s := range list {
+		if relative := s.load(now) / float64(s.Slots); relative < bound {
+			best, bound = s, relative
 		}
 	}
 	return best
@@ -193,6 +200,10 @@
 	// keep 17 to 36 objects and each service has 5 to 9 for each endpoint, so
 	// three homes fit.
 	homes = 2
+	// standIns is how many further endpoints stand in for homes that are away.
+	// With a third of a service away, all homes and stand-ins of one object in
+	// 240 are.
+	standIns = 3
 	// maxQueue is how many requests for each slot an endpoint gets at most.
 	// Beyond it a request waits longer than it takes to run.
 	maxQueue = 2.0
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -88,7 +88,7 @@
 		keep = c.settle(written, err == nil) && keep
 	}
 	if err != nil {
-		var failure *Failure
+		var failure *ExchangeError
 		if errors.As(err, &failure) {
 			failure.Fresh = fresh
 			return nil, false, failure
@@ -111,7 +111,9 @@
 		}
 	}
 	_ = c.SetDeadline(time.Unix(1, 0))
-	<-written
+	if err := <-written; err != nil {
+		return false
+	}
 	return false
 }
 
@@ -128,7 +130,7 @@
 	if cause := context.Cause(ctx); cause != nil {
 		err = cause
 	}
-	return &Failure{Stage: stage, Fresh: fresh, Cause: err}
+	return &ExchangeError{Stage: stage, Fresh: fresh, Cause: err}
 }
 
 // answer reads the answer to a request and skips answers to earlier ones.
@@ -144,12 +146,12 @@
 			return response, keep && framed && c.reader.Buffered() == 0, nil
 		}
 		if !framed {
-			return nil, false, &Failure{Stage: StageSent, Garbled: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "answer to %q", id)}
+			return nil, false, &ExchangeError{Stage: StageSent, Garbled: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "answer to %q", id)}
 		}
 		// The connection is out of step with its requests.
 		keep = false
 	}
-	return nil, false, &Failure{Stage: StageSent, Garbled: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "%d answers to other requests", maxForeign)}
+	return nil, false, &ExchangeError{Stage: StageSent, Garbled: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "%d answers to other requests", maxForeign)}
 }
 
 // isUnnamed reports whether an answer needs no attempt id: endpoints refuse
@@ -166,7 +168,7 @@
 		var err error
 		head, err = http.ReadResponse(c.reader, &http.Request{Method: request.Method})
 		if err != nil {
-			return nil, false, &Failure{Stage: StageSent, Garbled: !isConnError(err), Cause: err}
+			return nil, false, &ExchangeError{Stage: StageSent, Garbled: !isConnError(err), Cause: err}
 		}
 		if head.StatusCode >= 200 || head.StatusCode == http.StatusSwitchingProtocols {
 			break
@@ -178,7 +180,7 @@
 		err = fmt.Errorf("the answer has more than %d bytes", maxBody)
 	}
 	if err != nil {
-		return nil, false, &Failure{Stage: StageSent, Garbled: true, Cause: err}
+		return nil, false, &ExchangeError{Stage: StageSent, Garbled: true, Cause: err}
 	}
 	c.keep = keepAlive(head.Header)
 	return &Response{Status: head.StatusCode, Header: head.Header, Body: body}, !head.Close, nil
--- a/http1/failure.go
+++ b/http1/exchangeerror.go
@@ -15,8 +15,8 @@
 	StageSent
 )
 
-// A Failure is the end of an exchange without a whole answer.
-type Failure struct {
+// An ExchangeError is the end of an exchange without a whole answer.
+type ExchangeError struct {
 	Stage Stage
 	// Fresh is true if the connection had carried no request before.
 	Fresh bool
@@ -27,12 +27,12 @@
 }
 
 // Error returns the stage and the cause.
-func (f *Failure) Error() string {
+func (f *ExchangeError) Error() string {
 	stage := [...]string{"no connection", "nothing sent", "no whole answer"}[f.Stage]
 	return fmt.Sprintf("%s: %v", stage, f.Cause)
 }
 
 // Unwrap returns the cause.
-func (f *Failure) Unwrap() error {
+func (f *ExchangeError) Unwrap() error {
 	return f.Cause
 }
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -61,14 +61,14 @@
 }
 
 // Exchange sends a request to an endpoint and returns the whole answer. An
-// error is a *Failure.
+// error is a *ExchangeError.
 func (p *Pool) Exchange(ctx context.Context, endpoint savorystep.Endpoint, request *Request) (*Response, error) {
 	key := target{id: endpoint.ID, address: endpoint.Address, born: endpoint.Born}
 	c := p.take(key, time.Now())
 	if c == nil {
 		var err error
 		if c, err = p.dial(ctx, key.address); err != nil {
-			return nil, &Failure{Stage: StageDial, Fresh: true, Cause: err}
+			return nil, &ExchangeError{Stage: StageDial, Fresh: true, Cause: err}
 		}
 	}
 	response, keep, err := c.exchange(ctx, request, &p.config)
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -13,7 +13,7 @@
 	"savorystep/http1"
 )
 
-// A Sender sends a request to an endpoint. Errors are *http1.Failure.
+// A Sender sends a request to an endpoint. Errors are *http1.ExchangeError.
 type Sender interface {
 	Exchange(ctx context.Context, endpoint savorystep.Endpoint, request *http1.Request) (*http1.Response, error)
 }
@@ -46,7 +46,7 @@
 func (f *Forwarder) run(ctx context.Context, t *task) (*http1.Response, *refusal) {
 	ctx, cancel := context.WithDeadline(ctx, t.deadline)
 	defer cancel()
-	for try := 0; try < maxTries; try++ {
+	for try := range maxTries {
 		now := f.config.Clock.Now()
 		if t.deadline.Sub(now) < leastTime {
 			break
@@ -164,7 +164,7 @@
 
 // judgeError says what a failed exchange means.
 func (f *Forwarder) judgeError(ctx context.Context, err error) result {
-	var failure *http1.Failure
+	var failure *http1.ExchangeError
 	if !errors.As(err, &failure) {
 		return result{outcome: endpoint.OutcomeBroken, ran: true}
 	}
