Do not use entries that an old report wrote again

Entries carry the version at which they were written; a later one with a report that is not newer takes the endpoint out until it reports again.

Ruled out: a slow read (all lists were read within 0.8 s) and a late request (it was sent 2.5 s after the endpoint had left).

An instance that starts sends nothing to cold endpoints for 2 s, since a herd that starts does not know its size.

--- a/endpoint.go
+++ b/endpoint.go
@@ -18,6 +18,8 @@
 	Born int64 `json:"born,omitempty"`
 	// Sequence counts the reports of one start.
 	Sequence uint64 `json:"sequence,omitempty"`
+	// Written is the state of the catalog at which its entry was written last.
+	Written CatalogVersion `json:"-"`
 	// Cold is how much longer it was cold at its last report.
 	Cold time.Duration `json:"cold,omitempty"`
 	// Version is the version of its software.
--- a/endpoint/coldlimit.go
+++ b/endpoint/coldlimit.go
@@ -15,6 +15,10 @@
 	// coldShare is the part of the bound that is used. The rest covers
 	// instances that do not know of each other yet.
 	coldShare = 0.75
+	// coldHoldoff is how long an instance that started sends nothing to cold
+	// endpoints. It does not know the other instances yet, which may all have
+	// started at the same time.
+	coldHoldoff = 2 * time.Second
 )
 
 // mayWarm reports whether this instance may send a request to a cold endpoint
@@ -24,14 +28,14 @@
 func (t *Table) mayWarm(now time.Time, s *server) bool {
 	bound := t.specs[s.Service].ColdRate*t.config.ColdExcess + t.config.ColdSlack
 	total := int(bound * coldShare)
-	if total < 1 {
+	if total < 1 || now.Sub(t.started) < coldHoldoff {
 		return false
 	}
 	rank := t.instanceRank(s)
 	if rank >= total {
 		return false
 	}
-	share := max(1, total/max(1, t.mostMember, len(t.instances)))
+	share := max(1, total/max(leastInstances, t.mostMember))
 	s.coldSends = slices.DeleteFunc(s.coldSends, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
 	return len(s.coldSends) < share
 }
--- a/endpoint/retrybudget.go
+++ b/endpoint/retrybudget.go
@@ -13,8 +13,8 @@
 	// budgetShare is the part of the bound that is used. The rest covers
 	// requests that other instances count in another step.
 	budgetShare = 0.8
-	// leastInstances is the least number among which the fixed part of the
-	// bound is divided. An instance that starts does not know the others yet.
+	// leastInstances is the least number among which the fixed parts of bounds
+	// are divided. An instance that starts does not know the others yet.
 	leastInstances = 12
 )
 
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -21,6 +21,8 @@
 	instances  []savorystep.InstanceID
 	mostMember int
 	tombs      map[savorystep.EndpointID]*tombstone
+	// started is when the first entry was taken.
+	started time.Time
 }
 
 // NewTable returns a table without endpoints.
@@ -53,13 +55,19 @@
 	t.mostMember = max(t.mostMember, len(instances))
 }
 
-// Put adds an endpoint or updates it. An entry that is older than the known
-// one is ignored; Put then returns false.
+// Put adds an endpoint or updates it. It returns false if the entry is not
+// taken: it is known already, or it was written by an old report.
 func (t *Table) Put(now time.Time, entry savorystep.Endpoint) bool {
 	known := t.byID[entry.ID]
 	if known != nil {
-		older := entry.Born < known.Born || (entry.Born == known.Born && entry.Sequence < known.Sequence)
-		if older {
+		if entry.Written != 0 && entry.Written <= known.Written {
+			return false
+		}
+		if entry.Born < known.Born || (entry.Born == known.Born && entry.Sequence <= known.Sequence) {
+			// The entry may have been removed in between, so that the old report
+			// made it anew.
+			t.Remove(now, entry.ID)
+			t.tombs[entry.ID].rewritten(entry)
 			return false
 		}
 		if known.Service == entry.Service {
@@ -68,6 +76,9 @@
 		}
 		t.Remove(now, entry.ID)
 	}
+	if t.started.IsZero() {
+		t.started = now
+	}
 	if t.isStale(now, entry) {
 		return false
 	}
--- a/endpoint/tombstone.go
+++ b/endpoint/tombstone.go
@@ -19,6 +19,15 @@
 	again uint64
 }
 
+// rewritten takes note that the known entry was written again by a report that
+// is not newer. After the last known report itself, one more shows that the
+// endpoint lives.
+func (b *tombstone) rewritten(entry savorystep.Endpoint) {
+	if entry.Born == b.born && entry.Sequence == b.sequence {
+		b.again = b.sequence
+	}
+}
+
 // isStale reports whether an entry of a removed endpoint may be an old report
 // whose write took effect after the removal. Such a write comes once, while an
 // endpoint that lives reports again.
