Let one instance of each region read the store for the others

Readers are chosen by the members known; an instance whose reader is silent or has not read the store lately reads it itself.

Ruled out: one reader for all regions, which would add bytes between regions.

--- a/catalog.go
+++ b/catalog.go
@@ -11,8 +11,9 @@
 // A Catalog is what operators and endpoints wrote into the platform's store.
 // Errors have kind KindPlatformDown.
 type Catalog interface {
-	// Endpoints returns the changes of the endpoint list after a version.
-	Endpoints(ctx context.Context, after CatalogVersion) (EndpointChanges, error)
+	// Endpoints returns the changes of the endpoint list after a version. It
+	// may wait up to the given time for one.
+	Endpoints(ctx context.Context, after CatalogVersion, wait time.Duration) (EndpointChanges, error)
 	// Orders returns the changes of the operators' orders after a version. It
 	// waits up to the given time for one.
 	Orders(ctx context.Context, after CatalogVersion, wait time.Duration) (OrderChanges, error)
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -39,6 +39,7 @@
 	exchange  *peer.Exchange
 	front     *ingress.Front
 	pool      *http1.Pool
+	relay     *peer.Relay
 	steering  *ingress.Steering
 	watcher   *ingress.Watcher
 
@@ -54,12 +55,13 @@
 	exchange *peer.Exchange,
 	front *ingress.Front,
 	pool *http1.Pool,
+	relay *peer.Relay,
 	steering *ingress.Steering,
 	watcher *ingress.Watcher,
 ) *gateway {
 	return &gateway{
 		settings: settings, self: self, client: client, directory: directory, exchange: exchange,
-		front: front, pool: pool, steering: steering, watcher: watcher,
+		front: front, pool: pool, relay: relay, steering: steering, watcher: watcher,
 	}
 }
 
@@ -114,11 +116,14 @@
 
 // serveInner serves the listeners for peers, lookups and the platform's check.
 func (g *gateway) serveInner(ctx context.Context) ([]*http.Server, error) {
+	peers := http.NewServeMux()
+	peers.Handle(peer.Path, g.exchange.Handler())
+	peers.Handle("/catalog/", g.relay.Handler())
 	handlers := []struct {
 		address savorystep.Address
 		handler http.Handler
 	}{
-		{address: g.settings.Control, handler: g.exchange.Handler()},
+		{address: g.settings.Control, handler: peers},
 		{address: g.settings.Directory, handler: platform.NewDirectoryHandler(g.directory.Named, ingress.Lifetime)},
 		{address: g.settings.Ready, handler: platform.NewReadyHandler(g.isReady)},
 	}
--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -19,12 +19,13 @@
 	for _, constructor := range []any{
 		func() platform.Settings { return settings },
 		func() savorystep.Clock { return savorystep.SystemClock{} },
-		newCatalog,
 		newGateway,
+		newGatewayClient,
 		newGatewayDirectory,
 		newGatewayExchange,
 		newGatewayFront,
 		newGatewayPool,
+		newGatewayRelay,
 		newGatewaySelf,
 		newGatewaySteering,
 		newGatewayWatcher,
@@ -49,9 +50,21 @@
 	}
 }
 
-func newCatalog(settings platform.Settings) (savorystep.Catalog, *platform.Client) {
-	client := platform.NewClient(platform.ClientConfig{Address: settings.Store})
-	return client, client
+func newGatewayClient(settings platform.Settings) *platform.Client {
+	return platform.NewClient(platform.ClientConfig{Address: settings.Store})
+}
+
+// newGatewayRelay returns the catalog that is shared by the instances of a
+// region.
+func newGatewayRelay(settings platform.Settings, client *platform.Client, clock savorystep.Clock, exchange *peer.Exchange) *peer.Relay {
+	return peer.NewRelay(peer.RelayConfig{Catalog: client, Clock: clock, Members: exchange, Secret: peerSecret(settings)})
+}
+
+// peerSecret returns what the instances of one deployment share. The platform
+// keeps strangers from the peers' listener; the address of its store tells
+// apart two deployments.
+func peerSecret(settings platform.Settings) string {
+	return "deployment " + string(settings.Store)
 }
 
 func newGatewaySteering(settings platform.Settings, self savorystep.Instance) *ingress.Steering {
@@ -70,15 +83,12 @@
 	}
 }
 
-func newGatewayWatcher(settings platform.Settings, catalog savorystep.Catalog, clock savorystep.Clock, steering *ingress.Steering) *ingress.Watcher {
-	return ingress.NewWatcher(ingress.WatcherConfig{Catalog: catalog, Clock: clock, Steering: steering, Zones: settings.Zones})
+func newGatewayWatcher(settings platform.Settings, relay *peer.Relay, clock savorystep.Clock, steering *ingress.Steering) *ingress.Watcher {
+	return ingress.NewWatcher(ingress.WatcherConfig{Catalog: relay, Clock: clock, Steering: steering, Zones: settings.Zones})
 }
 
-// newGatewayExchange returns the exchange with the other instances. The
-// platform keeps strangers from the peers' listener; the address of its store
-// tells apart two deployments.
 func newGatewayExchange(settings platform.Settings, clock savorystep.Clock, self savorystep.Instance) *peer.Exchange {
-	return peer.New(peer.Config{Clock: clock, Seeds: settings.Seeds, Secret: "deployment " + string(settings.Store), Self: self})
+	return peer.New(peer.Config{Clock: clock, Seeds: settings.Seeds, Secret: peerSecret(settings), Self: self})
 }
 
 func newGatewayDirectory(clock savorystep.Clock, exchange *peer.Exchange) *ingress.Directory {
--- a/endpoint.go
+++ b/endpoint.go
@@ -19,7 +19,7 @@
 	// Sequence counts the reports of one start.
 	Sequence uint64 `json:"sequence,omitempty"`
 	// Written is the state of the catalog at which its entry was written last.
-	Written CatalogVersion `json:"-"`
+	Written CatalogVersion `cbor:"written,omitempty" json:"-"`
 	// Cold is how much longer it was cold at its last report.
 	Cold time.Duration `json:"cold,omitempty"`
 	// Version is the version of its software.
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -87,7 +87,7 @@
 func (w *Watcher) applyOrders(now time.Time, changes savorystep.OrderChanges) {
 	s := w.config.Steering
 	if changes.Routing != nil && s.SetRouting(changes.Routing) {
-		log.Infof("routing revision %d with %d routes is in force", changes.Routing.Revision, changes.Routing.Routes())
+		log.Infof("routing revision %d with %d routes is in force", changes.Routing.Revision, len(changes.Routing.Routes))
 	}
 	s.Update(func(t *endpoint.Table) {
 		returned := changes.Returned
@@ -126,7 +126,7 @@
 	down := dependency{name: "endpoint list"}
 	for ctx.Err() == nil {
 		began := w.config.Clock.Now()
-		changes, err := w.config.Catalog.Endpoints(ctx, version)
+		changes, err := w.config.Catalog.Endpoints(ctx, version, listPeriod)
 		now := w.config.Clock.Now()
 		down.note(now, err)
 		if err != nil {
--- a/peer/listcache.go
+++ b/peer/listcache.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"crypto/sha256"
 	"crypto/subtle"
-	"encoding/hex"
 	"io"
 	"net/http"
 	"sync"
@@ -56,8 +54,7 @@
 	if config.Client == nil {
 		config.Client = http.DefaultClient
 	}
-	secret := sha256.Sum256([]byte("lists " + config.Secret))
-	return &ListCache{Registry: config.Registry, config: config, secret: "Bearer " + hex.EncodeToString(secret[:])}
+	return &ListCache{Registry: config.Registry, config: config, secret: listSecret(config.Secret)}
 }
 
 // Endpoints lists the endpoints: from the platform, or from a peer if the
--- a/routing.go
+++ b/routing.go
@@ -11,13 +11,14 @@
 	Revision Revision
 	Services map[Service]ServiceSpec
 	Limits   ClientLimits
+	Routes   []*Route
 	// byHost holds the routes of each host, longest prefix first.
 	byHost map[string][]*Route
 }
 
 // NewRouting returns a routing with the given routes.
 func NewRouting(revision Revision, routes []*Route, services map[Service]ServiceSpec, limits ClientLimits) *Routing {
-	r := &Routing{Revision: revision, Services: services, Limits: limits, byHost: make(map[string][]*Route)}
+	r := &Routing{Revision: revision, Services: services, Limits: limits, Routes: routes, byHost: make(map[string][]*Route)}
 	for _, route := range routes {
 		host := strings.ToLower(route.Host)
 		r.byHost[host] = append(r.byHost[host], route)
@@ -43,12 +44,3 @@
 	}
 	return nil
 }
-
-// Routes returns how many routes there are.
-func (r *Routing) Routes() int {
-	count := 0
-	for _, list := range r.byHost {
-		count += len(list)
-	}
-	return count
-}
