--- a/http1/conn.go
+++ b/http1/conn.go
@@ -91,6 +91,9 @@
 		var failure *ExchangeError
 		if errors.As(err, &failure) {
 			failure.Fresh = fresh
+			if cause := context.Cause(ctx); cause != nil {
+				failure.Garbled, failure.Cause = false, cause
+			}
 			return nil, false, failure
 		}
 		return nil, false, c.failure(ctx, StageSent, fresh, err)
