Reset connections whose request was given up

Such a request could also run after a refusal that said it never would. Connections of failed exchanges are reset now.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -61,6 +61,18 @@
 	return err == nil && silent
 }
 
+// reset ends the connection so that bytes which are still under way are
+// dropped. After a plain close, a link that was cut would deliver them when it
+// heals, and the request would run long after it was given up.
+func (c *conn) reset() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			log.Debugf("reset of a connection to %s: %v", c.RemoteAddr(), err)
+		}
+	}
+	_ = c.Close()
+}
+
 // exchange sends a request and reads its answer. The second result is true if
 // the connection can carry another request.
 func (c *conn) exchange(ctx context.Context, request *Request, config *Config) (*Response, bool, error) {
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -72,9 +72,13 @@
 		}
 	}
 	response, keep, err := c.exchange(ctx, request, &p.config)
-	if err != nil || !keep {
+	if err != nil {
+		c.reset()
+		return nil, err
+	}
+	if !keep {
 		_ = c.Close()
-		return response, err
+		return response, nil
 	}
 	p.put(key, c, time.Now())
 	return response, nil
--- a/http1/pool_test.go
+++ b/http1/pool_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -259,6 +260,26 @@
 	<-ended
 }
 
+// TestExchangeGivenUpIsReset guards against a request that reaches its endpoint
+// after it was given up: what a partition holds up is dropped only if the
+// connection is reset, while a plain close still delivers it seconds later.
+func TestExchangeGivenUpIsReset(t *testing.T) {
+	ended := make(chan error, 1)
+	target, _ := startEndpoint(t, func(p *peer) {
+		_, _ = p.request()
+		_, err := p.reader.ReadByte()
+		ended <- err
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	if _, err := newPool().Exchange(ctx, target, newRequest("1")); err == nil {
+		t.Fatal("answered")
+	}
+	if err := <-ended; !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, want a reset", err)
+	}
+}
+
 // TestExchangeUnnamedRefusal guards against a refusal without attempt id that is
 // taken for another request's answer.
 func TestExchangeUnnamedRefusal(t *testing.T) {
--- /dev/null
+++ b/ingress/export_test.go
@@ -0,0 +1,32 @@
+package ingress
+
+import (
+	"time"
+
+	"savorystep"
+)
+
+// ApplyList takes changes as the watcher does.
+func (w *Watcher) ApplyList(now time.Time, changes savorystep.EndpointChanges) {
+	w.applyList(now, changes)
+}
+
+// ApplyOrders takes orders as the watcher does.
+func (w *Watcher) ApplyOrders(now time.Time, changes savorystep.OrderChanges) {
+	w.applyOrders(now, changes)
+}
+
+// NamedAmong chooses among members as the directory does.
+func NamedAmong(members []savorystep.Member, region savorystep.Region) []savorystep.Address {
+	return named(members, region)
+}
+
+// Deal returns how often each service gets one of the next requests of a route.
+func Deal(route *savorystep.Route, requests int) map[savorystep.Service]int {
+	s := newSplitter(route)
+	counts := make(map[savorystep.Service]int)
+	for range requests {
+		counts[s.next()]++
+	}
+	return counts
+}
--- /dev/null
+++ b/ingress/fakes_test.go
@@ -0,0 +1,123 @@
+package ingress_test
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"savorystep"
+	"savorystep/endpoint"
+	"savorystep/http1"
+	"savorystep/ingress"
+)
+
+// names are the headers of the tests.
+var names = savorystep.HeaderNames{
+	Affinity: "Affinity", Attempt: "Attempt", Deadline: "Deadline", Expected: "Expected",
+	Load: "Load", NotRun: "Not-Run", Signature: "Signature",
+}
+
+// errReset is the cause of broken connections.
+var errReset = errors.New("connection reset")
+
+// A sent is a request as an endpoint got it.
+type sent struct {
+	endpoint savorystep.EndpointID
+	header   http.Header
+	body     string
+	target   string
+}
+
+// A fakeSender answers requests with the given outcomes, in order; the last one
+// stays.
+type fakeSender struct {
+	mu       sync.Mutex
+	outcomes []string
+	sent     []sent
+	// block is closed to let "block" outcomes go on.
+	block chan struct{}
+}
+
+var _ ingress.Sender = &fakeSender{}
+
+func (f *fakeSender) Exchange(ctx context.Context, e savorystep.Endpoint, r *http1.Request) (*http1.Response, error) {
+	f.mu.Lock()
+	f.sent = append(f.sent, sent{endpoint: e.ID, header: r.Header, body: string(r.Body), target: r.Target})
+	outcome := f.outcomes[0]
+	if len(f.outcomes) > 1 {
+		f.outcomes = f.outcomes[1:]
+	}
+	f.mu.Unlock()
+	answer := func(status int, header ...string) (*http1.Response, error) {
+		response := &http1.Response{Status: status, Header: http.Header{}, Body: []byte("body")}
+		for i := 0; i+1 < len(header); i += 2 {
+			response.Header.Set(header[i], header[i+1])
+		}
+		return response, nil
+	}
+	switch outcome {
+	case "ok":
+		return answer(http.StatusOK, "Signature", "s", "Load", "1,0,3")
+	case "failed":
+		return answer(http.StatusInternalServerError, "Signature", "s")
+	case "shed":
+		return answer(http.StatusServiceUnavailable, "Not-Run", "1")
+	case "gone":
+		return answer(http.StatusMisdirectedRequest)
+	case "unsigned":
+		return answer(http.StatusOK)
+	case "encoded":
+		return answer(http.StatusOK, "Signature", "s", "Content-Encoding", "gzip")
+	case "refused":
+		return nil, &http1.ExchangeError{Stage: http1.StageDial, Cause: errReset}
+	case "unsent":
+		return nil, &http1.ExchangeError{Stage: http1.StageUnsent, Cause: errReset}
+	case "silent":
+		<-ctx.Done()
+		return nil, &http1.ExchangeError{Stage: http1.StageSent, Cause: ctx.Err()}
+	case "block":
+		<-f.block
+		return answer(http.StatusOK, "Signature", "s")
+	default:
+		return nil, &http1.ExchangeError{Stage: http1.StageSent, Cause: errReset}
+	}
+}
+
+// requests returns what was sent.
+func (f *fakeSender) requests() []sent {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]sent(nil), f.sent...)
+}
+
+// newFront returns a front with three endpoints of service s and a route of
+// each kind of repetition.
+func newFront(t *testing.T, outcomes ...string) (*ingress.Front, *fakeSender, *ingress.Steering) {
+	t.Helper()
+	sender := &fakeSender{outcomes: outcomes, block: make(chan struct{})}
+	steering := ingress.NewSteering(endpoint.Config{Self: "self", RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second})
+	route := func(name string, repetition savorystep.Repetition) *savorystep.Route {
+		return &savorystep.Route{
+			Name: savorystep.RouteName(name), Host: "h", Prefix: "/" + name + "/", Repetition: repetition,
+			Split: []savorystep.Part{{Service: "s", Weight: 1}}, Timeout: 300 * time.Millisecond, Attempts: 2, Sticky: true,
+		}
+	}
+	steering.SetRouting(savorystep.NewRouting(1, []*savorystep.Route{
+		route("safe", savorystep.RepetitionSafe), route("once", savorystep.RepetitionNever), route("upload", savorystep.RepetitionUpload),
+	}, map[savorystep.Service]savorystep.ServiceSpec{"s": {Name: "s"}}, savorystep.ClientLimits{HeaderBytes: 4096, BodyBytes: 1000}))
+	list := savorystep.EndpointChanges{Version: 1, Full: true}
+	for _, id := range []savorystep.EndpointID{"a", "b", "c"} {
+		list.Listed = append(list.Listed, savorystep.Endpoint{
+			ID: id, Service: "s", State: savorystep.StateLive, Slots: 3, Sequence: 1, Written: 1, Place: savorystep.Place{Zone: "z"},
+		})
+	}
+	watcher := ingress.NewWatcher(ingress.WatcherConfig{Steering: steering, Clock: savorystep.SystemClock{}, Zones: map[savorystep.Zone]savorystep.Region{"z": "r"}})
+	watcher.ApplyList(time.Now(), list)
+	front := ingress.NewFront(ingress.Config{
+		Clock: savorystep.SystemClock{}, Names: names, Place: savorystep.Place{Region: "r", Zone: "z"}, Sender: sender, Steering: steering,
+	})
+	return front, sender, steering
+}
--- /dev/null
+++ b/ingress/server_test.go
@@ -0,0 +1,93 @@
+package ingress_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"savorystep/ingress"
+)
+
+// startServer serves a front and returns its address.
+func startServer(t *testing.T, front *ingress.Front) (*ingress.Server, string) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := ingress.NewServer(front, listener)
+	server.Serve()
+	return server, listener.Addr().String()
+}
+
+// ask sends a request on a connection and returns the answer.
+func ask(t *testing.T, c net.Conn, reader *bufio.Reader, path string) *http.Response {
+	t.Helper()
+	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nAttempt: 1\r\n\r\n", path); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("no answer: %v", err)
+	}
+	_, _ = io.Copy(io.Discard, response.Body)
+	return response
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+// TestStopFinishesRequests guards against a planned stop that breaks off what
+// was read: a request under way is answered, an open connection is served and
+// told to close, and a late request is refused with a promise.
+func TestStopFinishesRequests(t *testing.T) {
+	front, sender, _ := newFront(t, "ok", "block", "ok")
+	server, address := startServer(t, front)
+	idle, idleReader := dial(t, address)
+	ask(t, idle, idleReader, "/once/1")
+	busy, busyReader := dial(t, address)
+	answered := make(chan *http.Response, 1)
+	go func() { answered <- ask(t, busy, busyReader, "/once/2") }()
+	for len(sender.requests()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		server.Stop(context.Background(), 4*time.Second)
+	}()
+	// The stop has two seconds in which open connections are served.
+	var last *http.Response
+	for last == nil || last.Header.Get("Connection") != "close" && !last.Close {
+		c, reader := dial(t, address)
+		last = ask(t, c, reader, "/once/3")
+	}
+	if last.StatusCode != http.StatusOK {
+		t.Errorf("status %d while the instance leaves", last.StatusCode)
+	}
+	if response := ask(t, idle, idleReader, "/once/4"); response.StatusCode != http.StatusOK {
+		t.Errorf("status %d on an open connection", response.StatusCode)
+	}
+	select {
+	case <-stopped:
+		t.Fatal("stopped with a request under way")
+	case <-time.After(2500 * time.Millisecond):
+	}
+	close(sender.block)
+	if response := <-answered; response.StatusCode != http.StatusOK {
+		t.Errorf("status %d for the request under way", response.StatusCode)
+	}
+	<-stopped
+}
--- /dev/null
+++ b/peer/relay_test.go
@@ -0,0 +1,202 @@
+package peer_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"testing"
+	"time"
+
+	"savorystep"
+	"savorystep/peer"
+)
+
+// A fakeCatalog is the store as a catalog. It counts its reads.
+type fakeCatalog struct {
+	mu     sync.Mutex
+	list   savorystep.EndpointChanges
+	orders savorystep.OrderChanges
+	reads  int
+	err    error
+}
+
+func (f *fakeCatalog) Endpoints(_ context.Context, after savorystep.CatalogVersion, _ time.Duration) (savorystep.EndpointChanges, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	changes := f.list
+	changes.Full = after == 0
+	return changes, f.err
+}
+
+func (f *fakeCatalog) Orders(_ context.Context, after savorystep.CatalogVersion, _ time.Duration) (savorystep.OrderChanges, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reads++
+	changes := f.orders
+	changes.Full = after == 0
+	return changes, f.err
+}
+
+func (f *fakeCatalog) set(change func(*fakeCatalog)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(f)
+}
+
+// fakeMembers is a fixed membership.
+type fakeMembers struct {
+	self    savorystep.Instance
+	members []savorystep.Member
+}
+
+func (f *fakeMembers) Self() savorystep.Instance             { return f.self }
+func (f *fakeMembers) Members(time.Time) []savorystep.Member { return f.members }
+
+// A relays is a reader and a follower of one region.
+type relays struct {
+	catalog          *fakeCatalog
+	reader, follower *peer.Relay
+	server           *httptest.Server
+}
+
+// startRelays makes two relays. Which one reads follows from the ids, so both
+// orders are tried.
+func startRelays(t *testing.T) *relays {
+	t.Helper()
+	r := &relays{catalog: &fakeCatalog{}}
+	r.catalog.list = savorystep.EndpointChanges{Version: 5, Listed: []savorystep.Endpoint{{ID: "a", Written: 3}, {ID: "b", Written: 5}}}
+	r.catalog.orders = savorystep.OrderChanges{
+		Version: 4, Evacuated: []savorystep.Zone{"z"},
+		Routing: savorystep.NewRouting(7, []*savorystep.Route{{Name: "r", Host: "h", Prefix: "/", Split: []savorystep.Part{{Service: "s", Weight: 1}}}},
+			map[savorystep.Service]savorystep.ServiceSpec{"s": {Name: "s", Warmup: time.Second}}, savorystep.ClientLimits{BodyBytes: 9}),
+	}
+	var handlers [2]http.Handler
+	made := make([]*peer.Relay, 2)
+	instances := make([]savorystep.Instance, 2)
+	for i := range made {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) { handlers[i].ServeHTTP(w, q) }))
+		t.Cleanup(server.Close)
+		instances[i] = savorystep.Instance{ID: savorystep.InstanceID(fmt.Sprint("instance-", i)), Place: savorystep.Place{Region: "r"}, Peer: savorystep.Address(server.Listener.Addr().String())}
+	}
+	var members []savorystep.Member
+	for _, instance := range instances {
+		members = append(members, savorystep.Member{StatusFact: savorystep.StatusFact{Instance: instance, Ready: true}})
+	}
+	for i := range made {
+		made[i] = peer.NewRelay(peer.RelayConfig{
+			Catalog: r.catalog, Clock: savorystep.SystemClock{}, Secret: "a shared secret",
+			Members: &fakeMembers{self: instances[i], members: members},
+		})
+		handlers[i] = made[i].Handler()
+	}
+	for i, relay := range made {
+		if peer.ReaderOf(relay) == "" {
+			r.reader, r.follower = relay, made[1-i]
+		}
+	}
+	if r.reader == nil || peer.ReaderOf(r.follower) == "" {
+		t.Fatal("not exactly one instance is the reader")
+	}
+	return r
+}
+
+// start reads the whole catalog at both.
+func (r *relays) start(t *testing.T) {
+	t.Helper()
+	for _, relay := range []*peer.Relay{r.reader, r.follower} {
+		if _, err := relay.Endpoints(t.Context(), 0, 0); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := relay.Orders(t.Context(), 0, 0); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.catalog.set(func(f *fakeCatalog) { f.reads = 0 })
+}
+
+// TestRelayTellsChanges guards against a follower that reads the store although
+// its reader does, and against changes that are lost on the way.
+func TestRelayTellsChanges(t *testing.T) {
+	r := startRelays(t)
+	r.start(t)
+	r.catalog.set(func(f *fakeCatalog) {
+		f.list = savorystep.EndpointChanges{Version: 8, Listed: []savorystep.Endpoint{{ID: "c", Written: 8}}, Removed: []savorystep.EndpointID{"a"}}
+		f.orders = savorystep.OrderChanges{Version: 9, Returned: []savorystep.Zone{"z"}, Routing: savorystep.NewRouting(8, r.catalog.orders.Routing.Routes, nil, savorystep.ClientLimits{BodyBytes: 10})}
+	})
+	if _, err := r.reader.Endpoints(t.Context(), 5, 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.reader.Orders(t.Context(), 4, 0); err != nil {
+		t.Fatal(err)
+	}
+	r.catalog.set(func(f *fakeCatalog) { f.reads = 0 })
+	list, err := r.follower.Endpoints(t.Context(), 5, 0)
+	if err != nil || list.Full || list.Version != 8 || len(list.Listed) != 1 || list.Listed[0].ID != "c" || len(list.Removed) != 1 || list.Removed[0] != "a" {
+		t.Errorf("list %+v, %v", list, err)
+	}
+	orders, err := r.follower.Orders(t.Context(), 4, 0)
+	if err != nil || orders.Routing == nil || orders.Routing.Revision != 8 || orders.Routing.Limits.BodyBytes != 10 || len(orders.Returned) != 1 {
+		t.Errorf("orders %+v, %v", orders, err)
+	}
+	if orders.Routing.Match("h", "/x") == nil {
+		t.Error("the routing lost its routes on the way")
+	}
+	if r.catalog.reads != 0 {
+		t.Errorf("the follower read the store %d times", r.catalog.reads)
+	}
+}
+
+// TestRelayFallsBack guards against a follower that waits for a reader which is
+// gone, or believes one that has not read the store lately.
+func TestRelayFallsBack(t *testing.T) {
+	r := startRelays(t)
+	if _, err := r.follower.Endpoints(t.Context(), 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	r.catalog.set(func(f *fakeCatalog) { f.reads = 0 })
+	// The reader has read nothing yet.
+	if _, err := r.follower.Endpoints(t.Context(), 5, 0); err != nil || r.catalog.reads != 1 {
+		t.Errorf("%d reads of the store, %v", r.catalog.reads, err)
+	}
+	if _, err := r.follower.Orders(t.Context(), 4, 0); err != nil || r.catalog.reads != 2 {
+		t.Errorf("%d reads of the store, %v", r.catalog.reads, err)
+	}
+}
+
+// TestRelayWakes guards against a configuration that waits for the end of a
+// follower's long read.
+func TestRelayWakes(t *testing.T) {
+	r := startRelays(t)
+	r.start(t)
+	got := make(chan savorystep.OrderChanges, 1)
+	go func() {
+		changes, err := r.follower.Orders(t.Context(), 4, 30*time.Second)
+		if err != nil {
+			t.Error(err)
+		}
+		got <- changes
+	}()
+	r.catalog.set(func(f *fakeCatalog) {
+		f.orders.Version, f.orders.Routing = 9, savorystep.NewRouting(8, nil, nil, savorystep.ClientLimits{})
+	})
+	if _, err := r.reader.Orders(t.Context(), 4, 0); err != nil {
+		t.Fatal(err)
+	}
+	if changes := <-got; changes.Routing == nil || changes.Routing.Revision != 8 {
+		t.Errorf("%+v", changes)
+	}
+}
+
+// TestRelayAheadOfReader guards against a follower that goes back: it read the
+// store itself and knows more than its reader.
+func TestRelayAheadOfReader(t *testing.T) {
+	r := startRelays(t)
+	r.start(t)
+	list, err := r.follower.Endpoints(t.Context(), 7, 0)
+	if err != nil || list.Version != 7 || list.Full || len(list.Listed)+len(list.Removed) != 0 {
+		t.Errorf("%+v, %v", list, err)
+	}
+}
