--- a/endpoint/query.go
+++ b/endpoint/query.go
@@ -7,12 +7,25 @@
 	Service savorystep.Service
 	// Key is the hash of the object that the request is about.
 	Key uint64
-	// Home is the region of this instance. Near requests stay there as long as
-	// an endpoint there has a free slot.
-	Home savorystep.Region
+	// Home is the place of this instance. Near requests stay in its zone, or
+	// else in its region, as long as an endpoint there has room.
+	Home savorystep.Place
 	Near bool
 	// Regions are where the request may run. Empty means anywhere.
 	Regions []savorystep.Region
 	// Tried are endpoints that the request was sent to before.
 	Tried []savorystep.EndpointID
 }
+
+// steps returns 0 for a place in the zone of this instance, 1 for one in its
+// region and 2 elsewhere. Requests that are not near go anywhere alike.
+func (q *Query) steps(place savorystep.Place) int {
+	switch {
+	case !q.Near || place == q.Home:
+		return 0
+	case place.Region == q.Home.Region:
+		return 1
+	default:
+		return 2
+	}
+}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -226,7 +226,8 @@
 // A ranked is an endpoint with its place in the order of a request.
 type ranked struct {
 	server *server
-	far    bool
+	// steps counts the borders on the way to the endpoint, for a near request.
+	steps int
 	score  uint64
 }
 
@@ -242,17 +243,10 @@
 		if len(query.Regions) > 0 && !slices.Contains(query.Regions, s.Place.Region) {
 			continue
 		}
-		far := query.Near && s.Place.Region != query.Home
-		order = append(order, ranked{server: s, far: far, score: mix(s.hash ^ query.Key)})
+		order = append(order, ranked{server: s, steps: query.steps(s.Place), score: mix(s.hash ^ query.Key)})
 	}
 	slices.SortFunc(order, func(a, b ranked) int {
-		if a.far != b.far {
-			if a.far {
-				return 1
-			}
-			return -1
-		}
-		return cmp.Compare(b.score, a.score)
+		return cmp.Or(cmp.Compare(a.steps, b.steps), cmp.Compare(b.score, a.score))
 	})
 	return order
 }
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -129,7 +129,7 @@
 // gap, the time between two choices passes.
 func (s *script) choose(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
-	query := endpoint.Query{Service: "s", Key: uint64(number(t, d, "key")), Home: savorystep.Region(arg(t, d, "home")), Near: d.HasArg("near")}
+	query := endpoint.Query{Service: "s", Key: uint64(number(t, d, "key")), Home: savorystep.Place{Region: "home", Zone: savorystep.Zone(arg(t, d, "home"))}, Near: d.HasArg("near")}
 	times := max(1, number(t, d, "times"))
 	counts := make(map[string]int)
 	var order []string
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -74,7 +74,7 @@
 // query returns the question for the next endpoint.
 func (f *Forwarder) query(t *task) endpoint.Query {
 	return endpoint.Query{
-		Service: t.service, Key: t.key, Home: f.config.Place.Region,
+		Service: t.service, Key: t.key, Home: f.config.Place,
 		Near: len(t.Body) >= nearBody, Regions: t.route.Regions, Tried: t.tried,
 	}
 }
