Choose the home that is expected to answer first

Cause: overflow went by free slots only, whether or not the second home kept the object, and slow endpoints were as good as others. Choices compare the wait for a slot, the work for a kept or fetched object as measured, and how much an endpoint was slower than expected lately.

--- a/endpoint/choice.go
+++ b/endpoint/choice.go
@@ -1,6 +1,10 @@
 package endpoint
 
-import "savorystep"
+import (
+	"time"
+
+	"savorystep"
+)
 
 // A Reason says why an endpoint was chosen.
 type Reason string
@@ -9,11 +13,9 @@
 const (
 	// ReasonOwner means that it is the first in the object's order.
 	ReasonOwner Reason = "owner"
-	// ReasonOverflow means that those before it had no free slot.
+	// ReasonOverflow means that it answers sooner than the homes before it.
 	ReasonOverflow Reason = "overflow"
-	// ReasonQueue means that no home of the object had a free slot.
-	ReasonQueue Reason = "queue"
-	// ReasonStranger means that all homes of the object were full.
+	// ReasonStranger means that all homes of the object have long queues.
 	ReasonStranger Reason = "stranger"
 	// ReasonCold means that only cold endpoints had room.
 	ReasonCold Reason = "cold"
@@ -27,4 +29,11 @@
 	Reason   Reason
 	// Load is the estimated requests at the endpoint before this one.
 	Load float64
+	// Expected is the estimated time to the answer.
+	Expected time.Duration
+
+	key   uint64
+	began time.Time
+	// kept is true if the endpoint was believed to keep the object.
+	kept bool
 }
--- a/endpoint/server.go
+++ b/endpoint/server.go
@@ -39,6 +39,8 @@
 	// sheds and broken count outcomes in a row.
 	sheds, broken int
 	heldUntil     time.Time
+	kept          keptObjects
+	slowness      slowness
 	// coldSends are the times of recent requests while cold.
 	coldSends []time.Time
 }
@@ -49,6 +51,7 @@
 	if reborn {
 		s.report, s.sheds, s.broken, s.heldUntil = report{}, 0, 0, time.Time{}
 		s.doubtUntil = time.Time{}
+		s.kept, s.slowness = make(keptObjects), slowness{}
 	}
 	if reborn || entry.Sequence != s.Sequence {
 		s.coldUntil = now.Add(entry.Cold)
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -18,6 +18,7 @@
 	evacuated  map[savorystep.Zone]bool
 	specs      map[savorystep.Service]savorystep.ServiceSpec
 	budgets    map[savorystep.Service]*retryBudget
+	paces      map[savorystep.Service]*pace
 	instances  []savorystep.InstanceID
 	mostMember int
 	tombs      map[savorystep.EndpointID]*tombstone
@@ -33,6 +34,7 @@
 		byService: make(map[savorystep.Service][]*server),
 		evacuated: make(map[savorystep.Zone]bool),
 		budgets:   make(map[savorystep.Service]*retryBudget),
+		paces:     make(map[savorystep.Service]*pace),
 		instances: []savorystep.InstanceID{config.Self},
 		tombs:     make(map[savorystep.EndpointID]*tombstone),
 	}
@@ -82,7 +84,7 @@
 	if t.isStale(now, entry) {
 		return false
 	}
-	s := &server{Endpoint: entry, hash: xxh3.HashString(string(entry.ID)), coldUntil: now.Add(entry.Cold)}
+	s := &server{Endpoint: entry, hash: xxh3.HashString(string(entry.ID)), coldUntil: now.Add(entry.Cold), kept: make(keptObjects)}
 	t.byID[entry.ID] = s
 	t.byService[entry.Service] = append(t.byService[entry.Service], s)
 	return true
@@ -140,12 +142,12 @@
 // Choose returns an endpoint for a request and counts the request there until
 // End. It returns false if no endpoint may get the request now.
 func (t *Table) Choose(now time.Time, query Query) (Choice, bool) {
-	ranked := t.rank(query)
-	choice, s := t.choose(now, ranked)
+	choice, s := t.choose(now, query.Key, t.pace(query.Service), t.rank(query))
 	if s == nil {
 		return Choice{}, false
 	}
 	choice.Endpoint, choice.Load = s.Endpoint, s.load(now)
+	choice.key, choice.began = query.Key, now
 	s.inFlight++
 	if s.isCold(now) {
 		s.coldSends = append(s.coldSends, now)
@@ -153,57 +155,86 @@
 	return choice, true
 }
 
-// choose picks among ranked endpoints. The homes of an object are tried in
-// order, then the shortest queue among them. Others would have to fetch the
-// object first and would forget one of their own for it, so only the next few
-// in the order stand in for homes that are away, and the very next one helps
-// if it is mostly free.
-func (t *Table) choose(now time.Time, ranked []ranked) (Choice, *server) {
-	usable := make([]*server, 0, homes)
-	rest := ranked
+// pace returns the pace of a service.
+func (t *Table) pace(service savorystep.Service) *pace {
+	p := t.paces[service]
+	if p == nil {
+		p = newPace()
+		t.paces[service] = p
+	}
+	return p
+}
+
+// choose picks among ranked endpoints the one that is expected to answer first.
+// Only the homes of an object are asked, and one more if they have long queues:
+// others would have to fetch the object first and would forget one of their
+// own for it. The next few in the order stand in for homes that are away.
+func (t *Table) choose(now time.Time, key uint64, p *pace, ranked []ranked) (Choice, *server) {
+	var best Choice
+	var chosen *server
+	candidates := 0
 	for i, r := range ranked[:min(homes+standIns, len(ranked))] {
-		if r.server.isHeld(now) || r.server.isCold(now) {
+		s := r.server
+		if s.isHeld(now) || s.isCold(now) {
 			continue
 		}
-		if i >= homes && len(usable) > 0 {
+		if candidates >= homes && (chosen != nil || candidates > homes) {
 			break
 		}
-		usable, rest = append(usable, r.server), ranked[i+1:]
-	}
-	for i, s := range usable {
-		if s.load(now) < float64(s.Slots) {
-			if i == 0 {
-				return Choice{Reason: ReasonOwner}, s
-			}
-			return Choice{Reason: ReasonOverflow}, s
+		candidates++
+		limit := maxQueue
+		if candidates > homes {
+			limit = mostlyFree
 		}
-	}
-	if s := shortest(now, usable, maxQueue); s != nil {
-		return Choice{Reason: ReasonQueue}, s
-	}
-	if len(rest) > 0 && !rest[0].server.isHeld(now) && !rest[0].server.isCold(now) {
-		if s := shortest(now, []*server{rest[0].server}, mostlyFree); s != nil {
-			return Choice{Reason: ReasonStranger}, s
+		if s.load(now) >= limit*float64(s.Slots) {
+			continue
 		}
+		choice := s.estimate(now, key, p, i == 0)
+		if chosen == nil || choice.Expected < best.Expected {
+			best, chosen = choice, s
+			best.Reason = reasonOf(i, candidates)
+		}
+	}
+	if chosen != nil {
+		return best, chosen
 	}
 	for _, r := range ranked {
 		if !r.server.isHeld(now) && r.server.isCold(now) && t.mayWarm(now, r.server) {
-			return Choice{Reason: ReasonCold}, r.server
+			choice := r.server.estimate(now, key, p, false)
+			choice.Reason = ReasonCold
+			return choice, r.server
 		}
 	}
 	return Choice{}, nil
 }
 
-// shortest returns the endpoint with the least requests for each slot, nil if
-// none has fewer than the given bound.
-func shortest(now time.Time, list []*server, bound float64) *server {
-	var best *server
-	for _, s := range list {
-		if relative := s.load(now) / float64(s.Slots); relative < bound {
-			best, bound = s, relative
-		}
+// reasonOf returns the reason for an endpoint by its place in the order and
+// among the candidates.
+func reasonOf(place, candidates int) Reason {
+	switch {
+	case place == 0:
+		return ReasonOwner
+	case candidates > homes:
+		return ReasonStranger
+	default:
+		return ReasonOverflow
+	}
+}
+
+// estimate returns a choice with the time to the answer: the wait for a slot
+// and the work. The owner is likely to keep the object for other instances.
+func (s *server) estimate(now time.Time, key uint64, p *pace, owner bool) Choice {
+	kept := s.kept.has(now, key)
+	work := p.fetched
+	switch {
+	case kept:
+		work = p.kept
+	case owner:
+		work = (p.kept + p.fetched) / 2
 	}
-	return best
+	waiting := max(0, s.load(now)+1-float64(s.Slots)) / float64(s.Slots)
+	expected := time.Duration(waiting*float64(p.mean())) + work
+	return Choice{kept: kept, Expected: time.Duration(float64(expected) * s.slowness.factor(now))}
 }
 
 const (
@@ -228,7 +259,7 @@
 	server *server
 	// steps counts the borders on the way to the endpoint, for a near request.
 	steps int
-	score  uint64
+	score uint64
 }
 
 // rank returns the endpoints that may get a request, in the order of the
@@ -260,10 +291,10 @@
 	return x ^ x>>31
 }
 
-// End takes the outcome of an attempt at an endpoint. The load is nil if the
-// endpoint told none.
-func (t *Table) End(now time.Time, id savorystep.EndpointID, outcome Outcome, load *Load) {
-	s := t.byID[id]
+// End takes the outcome of an attempt. The load is nil if the endpoint told
+// none.
+func (t *Table) End(now time.Time, choice Choice, outcome Outcome, load *Load) {
+	s := t.byID[choice.Endpoint.ID]
 	if s == nil {
 		return
 	}
@@ -272,6 +303,18 @@
 	}
 	s.inFlight = max(0, s.inFlight-1)
 	s.end(now, outcome)
+	took := now.Sub(choice.began)
+	switch outcome {
+	case OutcomeAnswered:
+		if choice.Load < float64(s.Slots) && !s.isCold(now) {
+			t.pace(s.Service).note(choice.kept, took)
+		}
+		s.kept.add(now, choice.key)
+		s.slowness.note(now, took, choice.Expected)
+	case OutcomeSilent:
+		s.slowness.note(now, took, choice.Expected)
+	default:
+	}
 }
 
 // Counts returns how many endpoints a service has and how many of them can get
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -17,6 +17,8 @@
 type script struct {
 	table *endpoint.Table
 	now   time.Time
+	// open are the choices at each endpoint that have not ended.
+	open map[savorystep.EndpointID][]endpoint.Choice
 }
 
 // TestTable runs the scripts of testdata/table. Each names the failure that it
@@ -74,6 +76,7 @@
 func (s *script) create(d *datadriven.TestData) {
 	config := endpoint.Config{Self: "self", ColdExcess: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second}
 	s.table = endpoint.NewTable(config)
+	s.open = make(map[savorystep.EndpointID][]endpoint.Choice)
 	s.table.SetSpecs(map[savorystep.Service]savorystep.ServiceSpec{"s": {Name: "s", ColdRate: 7.6, Warmup: 3 * time.Second}})
 	_ = d
 }
@@ -137,6 +140,7 @@
 		line := "none"
 		if choice, ok := s.table.Choose(s.now, query); ok {
 			line = fmt.Sprintf("%s %s", choice.Endpoint.ID, choice.Reason)
+			s.open[choice.Endpoint.ID] = append(s.open[choice.Endpoint.ID], choice)
 		}
 		if !slices.Contains(order, line) {
 			order = append(order, line)
@@ -170,8 +174,13 @@
 		}
 		load = &told
 	}
+	id := savorystep.EndpointID(arg(t, d, "id"))
 	for range max(1, number(t, d, "times")) {
-		s.table.End(s.now, savorystep.EndpointID(arg(t, d, "id")), outcome, load)
+		choice := endpoint.Choice{Endpoint: savorystep.Endpoint{ID: id}}
+		if open := s.open[id]; len(open) > 0 {
+			choice, s.open[id] = open[0], open[1:]
+		}
+		s.table.End(s.now, choice, outcome, load)
 	}
 }
 
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -127,8 +127,8 @@
 			load = &told
 		}
 	}
-	f.config.Steering.end(end, choice.Endpoint.ID, r.outcome, load)
-	t.note(fmt.Sprintf("%s %s load %.1f: %s in %v", choice.Endpoint.ID, choice.Reason, choice.Load, describe(r, err), end.Sub(now).Round(time.Millisecond)))
+	f.config.Steering.end(end, choice, r.outcome, load)
+	t.note(fmt.Sprintf("%s %s load %.1f expected %v: %s in %v", choice.Endpoint.ID, choice.Reason, choice.Load, choice.Expected.Round(time.Millisecond), describe(r, err), end.Sub(now).Round(time.Millisecond)))
 	return r
 }
 
--- a/ingress/steering.go
+++ b/ingress/steering.go
@@ -70,10 +70,10 @@
 }
 
 // end takes the outcome of an attempt.
-func (s *Steering) end(now time.Time, id savorystep.EndpointID, outcome endpoint.Outcome, load *endpoint.Load) {
+func (s *Steering) end(now time.Time, choice endpoint.Choice, outcome endpoint.Outcome, load *endpoint.Load) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.table.End(now, id, outcome, load)
+	s.table.End(now, choice, outcome, load)
 }
 
 // service returns the service that gets the next request of a route, and counts
