Let reports of load fade to their mean, and dial for 350 ms at most

Dials to dark endpoints took 1.2 s, the whole time of a request, and a failed dial was counted as a repeat.

--- a/endpoint/load.go
+++ b/endpoint/load.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"math"
 	"strconv"
 	"strings"
 	"time"
@@ -9,12 +10,14 @@
 )
 
 const (
-	// reportFresh is how long a report of load counts in full. An endpoint with
-	// 10 to 20 requests a second answers each of ten instances about that often.
-	reportFresh = time.Second
-	// reportLifetime is when a report counts for nothing. Requests take 0.2 to
-	// 0.8 s, so by then all that were counted have ended.
-	reportLifetime = 3 * time.Second
+	// reportMemory is the time in which a report loses its weight to the mean
+	// of the earlier ones: the requests that it counts end within about the
+	// time of one request for a kept object.
+	reportMemory = 250 * time.Millisecond
+	// meanShare is the share of a report in the mean.
+	meanShare = 0.1
+	// meanMemory is the time in which the mean fades without reports.
+	meanMemory = 5 * time.Second
 )
 
 // A Load is what an endpoint tells of its load.
@@ -39,24 +42,29 @@
 	return Load{Running: counts[0], Waiting: counts[1], Slots: counts[2]}, true
 }
 
-// A report is a load together with when it was heard.
+// A report is what is known of the requests of other instances at an endpoint.
 type report struct {
-	load Load
-	at   time.Time
-	// own is how many of the counted requests were this instance's.
-	own savorystep.Slots
+	at time.Time
+	// last is the count of the last report, mean that of all.
+	last, mean float64
 }
 
-// others estimates the requests of other instances at the endpoint. An old
-// report fades.
-func (r report) others(now time.Time) float64 {
-	age := now.Sub(r.at)
-	if r.at.IsZero() || age >= reportLifetime {
-		return 0
+// note takes a load of which own requests are this instance's.
+func (r *report) note(now time.Time, load Load, own savorystep.Slots) {
+	r.last = max(0, float64(load.Running+load.Waiting-int(own)))
+	if r.at.IsZero() {
+		r.mean = r.last
 	}
-	count := max(0, float64(r.load.Running+r.load.Waiting-int(r.own)))
-	if age <= reportFresh {
-		return count
+	r.mean += meanShare * (r.last - r.mean)
+	r.at = now
+}
+
+// others estimates the requests of other instances at the endpoint.
+func (r *report) others(now time.Time) float64 {
+	if r.at.IsZero() {
+		return 0
 	}
-	return count * float64(reportLifetime-age) / float64(reportLifetime-reportFresh)
+	age := float64(now.Sub(r.at))
+	mean := r.mean * math.Exp(-age/float64(meanMemory))
+	return mean + (r.last-mean)*math.Exp(-age/float64(reportMemory))
 }
--- a/endpoint/pace.go
+++ b/endpoint/pace.go
@@ -3,10 +3,12 @@
 import "time"
 
 const (
-	// paceShare is the share of a new measurement in the averages: with ten
-	// requests a second they follow a change within about two seconds.
-	paceShare = 0.05
-	// firstKept and firstFetched stand for the averages until there are
+	// shorterShare and longerShare are the shares of a measurement that is
+	// shorter or longer than the estimate. Some requests wait for others that
+	// this instance does not see, so the estimate is a low quartile.
+	shorterShare = 0.09
+	longerShare  = 0.03
+	// firstKept and firstFetched stand for the estimates until there are
 	// measurements. Endpoints take about three times as long for an object
 	// that they do not keep.
 	firstKept    = 200 * time.Millisecond
@@ -26,11 +28,15 @@
 
 // note takes a measurement.
 func (p *pace) note(kept bool, took time.Duration) {
-	average := &p.fetched
+	estimate := &p.fetched
 	if kept {
-		average = &p.kept
+		estimate = &p.kept
 	}
-	*average += time.Duration(paceShare * float64(took-*average))
+	share := longerShare
+	if took < *estimate {
+		share = shorterShare
+	}
+	*estimate += time.Duration(share * float64(took-*estimate))
 }
 
 // mean returns the time that a slot is taken by a request, most of which are
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -299,7 +299,7 @@
 		return
 	}
 	if load != nil {
-		s.report = report{load: *load, at: now, own: s.inFlight}
+		s.report.note(now, *load, s.inFlight)
 	}
 	s.inFlight = max(0, s.inFlight-1)
 	s.end(now, outcome)
--- a/http1/config.go
+++ b/http1/config.go
@@ -24,12 +24,12 @@
 }
 
 const (
-	// defaultDialTimeout is several round trips of 70 ms between regions and
-	// includes one lost packet, which is sent again after a second.
-	defaultDialTimeout = 1200 * time.Millisecond
-	// defaultUnacknowledged spans the three retransmissions that a link which
-	// loses packets needs.
-	defaultUnacknowledged = 1200 * time.Millisecond
+	// defaultDialTimeout is five round trips of 70 ms between regions. A lost
+	// packet is sent again after a second, while another endpoint could work.
+	defaultDialTimeout = 350 * time.Millisecond
+	// defaultUnacknowledged spans two retransmissions on a link that loses
+	// packets, at 200 to 300 ms each.
+	defaultUnacknowledged = 650 * time.Millisecond
 	// defaultIdle is below the shortest idle timeouts in use, 5 s.
 	defaultIdle = 4 * time.Second
 	// defaultAnswer bounds the memory for one answer.
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -46,12 +46,12 @@
 func (f *Forwarder) run(ctx context.Context, t *task) (*http1.Response, *refusal) {
 	ctx, cancel := context.WithDeadline(ctx, t.deadline)
 	defer cancel()
-	for try := range maxTries {
+	for range maxTries {
 		now := f.config.Clock.Now()
 		if t.deadline.Sub(now) < leastTime {
 			break
 		}
-		if try > 0 && !f.config.Steering.mayRepeat(now, t.service) {
+		if t.arrivals > 0 && !f.config.Steering.mayRepeat(now, t.service) {
 			t.note("no repeat left in the budget")
 			break
 		}
@@ -82,6 +82,9 @@
 // settle takes the result of an attempt. It returns true with the response if
 // that ends the request.
 func (f *Forwarder) settle(t *task, r result) (bool, *http1.Response) {
+	if r.outcome != endpoint.OutcomeRefused {
+		t.arrivals++
+	}
 	if r.ran {
 		t.runs++
 	}
--- a/ingress/task.go
+++ b/ingress/task.go
@@ -18,6 +18,8 @@
 	// deadline is when the caller leaves or the route's timeout ends, whichever
 	// comes first.
 	deadline time.Time
+	// arrivals counts the endpoints that the request may have reached.
+	arrivals int
 	// runs counts the endpoints that may have run the request.
 	runs  int
 	tried []savorystep.EndpointID
