Let a repeat wait for room

Ruled out: the retry budget and the slots held by silent requests. A repeat that is refused for lack of room waits now, up to 2.3 s. TestRetryWaitsForRoom failed before.

--- a/upstream/retrier.go
+++ b/upstream/retrier.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"time"
 
 	"savorystep"
 )
@@ -25,6 +26,16 @@
 	return &Retrier{next: next, config: config, budget: newRetryBudget(config.Percent, config.Burst)}
 }
 
+const (
+	// roomWait is the first wait of a repeat that was refused for lack of room.
+	// It doubles up to maxRoomSteps times.
+	roomWait     = 50 * time.Millisecond
+	maxRoomSteps = 3
+	// maxRoomWaits is how often a repeat waits, 2.3 s in all. A region takes
+	// failover again within a second or two.
+	maxRoomWaits = 8
+)
+
 // Forward runs a request. If no attempt is answered, the error is the one that
 // says most about whether the request ran.
 func (t *Retrier) Forward(ctx context.Context, request *savorystep.Request) (*savorystep.Response, error) {
@@ -36,7 +47,7 @@
 		copied.Body = body
 	}
 	var worst error
-	sent := 0
+	sent, waits := 0, 0
 	for attempt := 1; ; attempt++ {
 		response, err := t.next.Forward(ctx, &copied)
 		if err == nil {
@@ -46,6 +57,14 @@
 		worst = moreRun(worst, err)
 		var failure *AttemptError
 		if !errors.As(err, &failure) {
+			// A repeat that is refused for lack of room did not run. Its request
+			// has failed once already, so it waits for room.
+			if attempt > 1 && savorystep.KindOf(err) == savorystep.KindOverloaded && waits < maxRoomWaits &&
+				savorystep.Sleep(ctx, roomWait<<min(waits, maxRoomSteps)) {
+				waits++
+				attempt--
+				continue
+			}
 			return nil, worst
 		}
 		if failure.Sent {
--- a/upstream/retrier_test.go
+++ b/upstream/retrier_test.go
@@ -70,6 +70,9 @@
 func (f *scripted) Forward(context.Context, *savorystep.Request) (*savorystep.Response, error) {
 	err := f.errs[min(f.calls, len(f.errs)-1)]
 	f.calls++
+	if err == nil {
+		return &savorystep.Response{}, nil
+	}
 	return nil, err
 }
 
@@ -89,6 +92,19 @@
 	}
 }
 
+// TestRetryWaitsForRoom guards against a request that is lost because its repeat
+// came at a moment without room: when many connections fall silent at once, a
+// region takes failover only step by step.
+func TestRetryWaitsForRoom(t *testing.T) {
+	silent := savorystep.WrapError(savorystep.KindUpstreamFailed, &upstream.AttemptError{Endpoint: "a", Sent: true}, "silent")
+	full := savorystep.NewError(savorystep.KindOverloaded, "no more failover for now")
+	next := &scripted{errs: []error{silent, full, full, nil}}
+	response, err := upstream.NewRetrier(next, upstream.RetrierConfig{}).Forward(t.Context(), get("r", "/x"))
+	if err != nil || response == nil || next.calls != 4 {
+		t.Errorf("%v, %v after %d calls", response, err, next.calls)
+	}
+}
+
 // TestRetryKeepsRan guards against "did not run" after an earlier attempt may
 // have run the request.
 func TestRetryKeepsRan(t *testing.T) {
