Log each request with its steps, and serve metrics

Cause: on-call engineers have only logs and metrics. Each request has a line with its id, route, revision, time left and steps: endpoint, reason, estimated load and time, outcome. Failures and requests with several steps get 50 lines a second, answers 2; the rest is counted. Lines go through a queue that never blocks; TestSlowReader stops reading the pipe under load.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -3,18 +3,26 @@
 import (
 	"context"
 	"errors"
+	"flag"
+	"fmt"
 	"net"
 	"net/http"
+	"os"
+	"strconv"
 	"sync/atomic"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
+	"k8s.io/klog/v2"
 
 	"savorystep"
 	"savorystep/http1"
 	"savorystep/ingress"
 	"savorystep/peer"
 	"savorystep/platform"
+	"savorystep/stdout"
 )
 
 const (
@@ -42,6 +50,10 @@
 	relay     *peer.Relay
 	steering  *ingress.Steering
 	watcher   *ingress.Watcher
+	clock     savorystep.Clock
+	lines     *stdout.Writer
+	options   gatewayOptions
+	registry  *prometheus.Registry
 
 	leaving atomic.Bool
 }
@@ -58,11 +70,17 @@
 	relay *peer.Relay,
 	steering *ingress.Steering,
 	watcher *ingress.Watcher,
+	clock savorystep.Clock,
+	options gatewayOptions,
+	registry *prometheus.Registry,
 ) *gateway {
-	return &gateway{
+	g := &gateway{
 		settings: settings, self: self, client: client, directory: directory, exchange: exchange,
 		front: front, pool: pool, relay: relay, steering: steering, watcher: watcher,
+		clock: clock, lines: stdout.New(os.Stdout), options: options, registry: registry,
 	}
+	g.registerMetrics()
+	return g
 }
 
 // Run serves until ctx ends, then stops gracefully.
@@ -70,6 +88,8 @@
 	background, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	var group errgroup.Group
+	stopLines := g.startLines()
+	defer stopLines()
 	for _, runner := range []savorystep.Runner{g.exchange, g.watcher} {
 		ended := runner.Start(background)
 		group.Go(func() error { return ignoreCancelled(<-ended) })
@@ -106,6 +126,36 @@
 	return err
 }
 
+// startLines sends the log to standard output. The result stops it after the
+// last line.
+func (g *gateway) startLines() func() {
+	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(flags)
+	for name, value := range map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL"} {
+		if err := flags.Set(name, value); err != nil {
+			logGateway.Errorf("log flag %s: %v", name, err)
+		}
+	}
+	klog.SetOutput(g.lines)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := g.lines.Start(ctx)
+	return func() {
+		klog.Flush()
+		cancel()
+		if err := <-done; err != nil {
+			_, _ = fmt.Fprintf(os.Stderr, "standard output: %v\n", err)
+		}
+	}
+}
+
+// metricsAddress returns the address of the metrics, empty if there are none.
+func (g *gateway) metricsAddress() savorystep.Address {
+	if g.options.Metrics == 0 || g.settings.IP == "" {
+		return ""
+	}
+	return savorystep.Address(net.JoinHostPort(g.settings.IP, strconv.Itoa(g.options.Metrics)))
+}
+
 // grace returns the time between SIGTERM and SIGKILL.
 func (g *gateway) grace() time.Duration {
 	if g.settings.Bounds.Grace > 0 {
@@ -125,6 +175,7 @@
 	}{
 		{address: g.settings.Control, handler: peers},
 		{address: g.settings.Directory, handler: platform.NewDirectoryHandler(g.directory.Named, ingress.Lifetime)},
+		{address: g.metricsAddress(), handler: promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{})},
 		{address: g.settings.Ready, handler: platform.NewReadyHandler(g.isReady)},
 	}
 	var servers []*http.Server
@@ -168,7 +219,7 @@
 func (g *gateway) tend(ctx context.Context) {
 	known := 0
 	for savorystep.Sleep(ctx, gatewayInterval) {
-		now := time.Now()
+		now := g.clock.Now()
 		g.state()
 		members := g.exchange.Members(now)
 		ids := make([]savorystep.InstanceID, len(members))
--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/rand"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
 	"go.uber.org/dig"
 
 	"savorystep"
@@ -14,9 +16,10 @@
 )
 
 // buildGateway makes a gateway from its settings.
-func buildGateway(settings platform.Settings) (*gateway, error) {
+func buildGateway(settings platform.Settings, options gatewayOptions) (*gateway, error) {
 	container := dig.New()
 	for _, constructor := range []any{
+		func() gatewayOptions { return options },
 		func() platform.Settings { return settings },
 		func() savorystep.Clock { return savorystep.SystemClock{} },
 		newGateway,
@@ -25,6 +28,7 @@
 		newGatewayExchange,
 		newGatewayFront,
 		newGatewayPool,
+		newGatewayRegistry,
 		newGatewayRelay,
 		newGatewaySelf,
 		newGatewaySteering,
@@ -99,8 +103,14 @@
 	return http1.New(http1.Config{Names: platform.Headers()})
 }
 
-func newGatewayFront(settings platform.Settings, clock savorystep.Clock, pool *http1.Pool, steering *ingress.Steering) *ingress.Front {
+func newGatewayRegistry() *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return registry
+}
+
+func newGatewayFront(settings platform.Settings, clock savorystep.Clock, pool *http1.Pool, registry *prometheus.Registry, steering *ingress.Steering) *ingress.Front {
 	return ingress.NewFront(ingress.Config{
-		Clock: clock, Names: platform.Headers(), Place: settings.Place, Sender: pool, Steering: steering,
+		Clock: clock, Names: platform.Headers(), Place: settings.Place, Registerer: registry, Sender: pool, Steering: steering,
 	})
 }
--- /dev/null
+++ b/cmd/gatewayoptions.go
@@ -0,0 +1,7 @@
+package cmd
+
+// gatewayOptions are the flags of the gateway command.
+type gatewayOptions struct {
+	// Metrics is the port of the metrics on the instance's address, 0 for none.
+	Metrics int
+}
--- a/endpoint/outcome.go
+++ b/endpoint/outcome.go
@@ -22,3 +22,15 @@
 	// OutcomeLeft means that the caller went away.
 	OutcomeLeft
 )
+
+// String returns the name of the outcome in metrics.
+func (o Outcome) String() string {
+	names := [...]string{
+		OutcomeAnswered: "answered", OutcomeFailed: "failed", OutcomeShed: "shed", OutcomeGone: "gone",
+		OutcomeRefused: "refused", OutcomeBroken: "broken", OutcomeSilent: "silent", OutcomeLeft: "left",
+	}
+	if int(o) >= len(names) {
+		return "unknown"
+	}
+	return names[o]
+}
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -1,12 +1,18 @@
 package ingress
 
-import "savorystep"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"savorystep"
+)
 
 // A Config configures a Front.
 type Config struct {
-	Clock    savorystep.Clock
-	Names    savorystep.HeaderNames
-	Place    savorystep.Place
-	Sender   Sender
-	Steering *Steering
+	Clock savorystep.Clock
+	Names savorystep.HeaderNames
+	Place savorystep.Place
+	// Registerer takes the metrics. It may be nil.
+	Registerer prometheus.Registerer
+	Sender     Sender
+	Steering   *Steering
 }
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -31,7 +31,8 @@
 
 // A Forwarder has requests run by endpoints.
 type Forwarder struct {
-	config Config
+	config  Config
+	metrics *metrics
 }
 
 // A result is how one attempt ended.
@@ -56,8 +57,9 @@
 			break
 		}
 		choice, ok := f.config.Steering.choose(now, f.query(t))
+		f.metrics.choice(choice.Reason)
 		if !ok {
-			t.note("no endpoint has room")
+			t.note(f.describeService(now, t.service))
 			break
 		}
 		r := f.attempt(ctx, now, t, choice)
@@ -131,10 +133,18 @@
 		}
 	}
 	f.config.Steering.end(end, choice, r.outcome, load)
+	f.metrics.attempt(r.outcome)
 	t.note(fmt.Sprintf("%s %s load %.1f expected %v: %s in %v", choice.Endpoint.ID, choice.Reason, choice.Load, choice.Expected.Round(time.Millisecond), describe(r, err), end.Sub(now).Round(time.Millisecond)))
 	return r
 }
 
+// describeService says why no endpoint of a service gets a request.
+func (f *Forwarder) describeService(now time.Time, service savorystep.Service) string {
+	var all, usable int
+	f.config.Steering.Update(func(t *endpoint.Table) { all, usable = t.Counts(now, service) })
+	return fmt.Sprintf("no endpoint has room, %d of %d can get requests", usable, all)
+}
+
 // describe returns the outcome of an attempt for the log.
 func describe(r result, err error) string {
 	if r.response != nil {
--- a/ingress/front.go
+++ b/ingress/front.go
@@ -27,6 +27,8 @@
 type Front struct {
 	config    Config
 	forwarder Forwarder
+	log       *requestLog
+	metrics   *metrics
 	stage     atomic.Int32
 	inFlight  atomic.Int64
 }
@@ -42,7 +44,8 @@
 
 // NewFront returns a front.
 func NewFront(config Config) *Front {
-	return &Front{config: config, forwarder: Forwarder{config: config}}
+	m := newMetrics(config.Registerer)
+	return &Front{config: config, forwarder: Forwarder{config: config, metrics: m}, log: newRequestLog(), metrics: m}
 }
 
 // Leave tells callers to connect elsewhere.
@@ -73,19 +76,19 @@
 		var response *http1.Response
 		if response, refused = f.forwarder.run(r.Context(), t); refused == nil {
 			f.respond(w, r, response)
-			f.report(r, t, response.Status, "answered")
+			f.report(r, began, t, response.Status, "answered")
 			return
 		}
 	}
 	if r.Context().Err() != nil {
-		f.report(r, t, 0, "the caller left")
+		f.report(r, began, t, 0, "the caller left")
 		return
 	}
 	if id := r.Header.Get(f.config.Names.Attempt); id != "" {
 		w.Header()[f.config.Names.Attempt] = []string{id}
 	}
 	refused.write(w)
-	f.report(r, t, refused.status, refused.reason)
+	f.report(r, began, t, refused.status, refused.reason)
 }
 
 // accept checks a request and reads its body.
@@ -112,7 +115,9 @@
 	if refused != nil {
 		return nil, refused
 	}
-	return f.newTask(began, r, route, body), nil
+	t := f.newTask(began, r, route, body)
+	t.revision = routing.Revision
+	return t, nil
 }
 
 // newTask returns the task of a request.
@@ -130,6 +135,7 @@
 	if route.Timeout > 0 && began.Add(route.Timeout).Before(t.deadline) {
 		t.deadline = began.Add(route.Timeout)
 	}
+	t.left = t.deadline.Sub(began)
 	if object := r.Header.Get(f.config.Names.Affinity); object != "" && route.Sticky {
 		t.key = xxh3.HashString(object)
 	} else {
@@ -203,15 +209,10 @@
 	_, _ = w.Write(response.Body)
 }
 
-// report logs how a request ended.
-func (f *Front) report(r *http.Request, t *task, status int, outcome string) {
-	id := r.Header.Get(f.config.Names.Attempt)
-	if t == nil {
-		log.Infof("request %s %s%s: %d %s", id, r.Host, r.RequestURI, status, outcome)
-		return
-	}
-	took := f.config.Clock.Now().Sub(t.began).Round(time.Millisecond)
-	if status >= http.StatusInternalServerError || len(t.trail) > 1 || status == 0 {
-		log.Infof("request %s route %s %s service %s: %d %s after %v, steps %q", id, t.route.Name, t.route.Repetition, t.service, status, outcome, took, t.trail)
-	}
+// report logs and counts how a request ended.
+func (f *Front) report(r *http.Request, began time.Time, t *task, status int, outcome string) {
+	now := f.config.Clock.Now()
+	took := now.Sub(began)
+	f.metrics.request(t, status, took)
+	f.log.note(now, entry{id: r.Header.Get(f.config.Names.Attempt), request: r, task: t, status: status, outcome: outcome, took: took})
 }
--- /dev/null
+++ b/ingress/metrics.go
@@ -0,0 +1,67 @@
+package ingress
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"savorystep/endpoint"
+)
+
+// metrics count requests and attempts.
+type metrics struct {
+	requests *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	attempts *prometheus.CounterVec
+	choices  *prometheus.CounterVec
+}
+
+// latencyBuckets are in seconds. Latency targets lie between 0.25 and 0.8 s,
+// timeouts between 0.8 and 6 s.
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.175, 0.25, 0.35, 0.5, 0.6, 0.8, 1.2, 1.5, 2, 3, 5, 10}
+
+// newMetrics returns metrics, registered unless the registerer is nil.
+func newMetrics(registerer prometheus.Registerer) *metrics {
+	m := &metrics{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "savorystep_ingress_requests_total", Help: "Requests of callers by repetition and status; status 0 means that the caller left.",
+		}, []string{"repetition", "status"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "savorystep_ingress_request_seconds", Help: "Time from a request's header to its answer.", Buckets: latencyBuckets,
+		}, []string{"repetition"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "savorystep_ingress_attempts_total", Help: "Attempts at endpoints by outcome.",
+		}, []string{"outcome"}),
+		choices: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "savorystep_ingress_choices_total", Help: "Choices of endpoints by reason; none means that no endpoint had room.",
+		}, []string{"reason"}),
+	}
+	if registerer != nil {
+		registerer.MustRegister(m.requests, m.latency, m.attempts, m.choices)
+	}
+	return m
+}
+
+// request counts a request that ended.
+func (m *metrics) request(t *task, status int, took time.Duration) {
+	repetition := "none"
+	if t != nil {
+		repetition = t.route.Repetition.String()
+	}
+	m.requests.WithLabelValues(repetition, strconv.Itoa(status)).Inc()
+	m.latency.WithLabelValues(repetition).Observe(took.Seconds())
+}
+
+// attempt counts an attempt that ended.
+func (m *metrics) attempt(outcome endpoint.Outcome) {
+	m.attempts.WithLabelValues(outcome.String()).Inc()
+}
+
+// choice counts a choice, with an empty reason for none.
+func (m *metrics) choice(reason endpoint.Reason) {
+	if reason == "" {
+		reason = "none"
+	}
+	m.choices.WithLabelValues(string(reason)).Inc()
+}
--- a/ingress/task.go
+++ b/ingress/task.go
@@ -18,6 +18,10 @@
 	// deadline is when the caller leaves or the route's timeout ends, whichever
 	// comes first.
 	deadline time.Time
+	// left is the time that the request had when it came.
+	left time.Duration
+	// revision is that of the routing that the request is served by.
+	revision savorystep.Revision
 	// arrivals counts the endpoints that the request may have reached.
 	arrivals int
 	// runs counts the endpoints that may have run the request.
@@ -28,7 +32,8 @@
 	// failed is the answer of an endpoint that failed, kept while another
 	// endpoint is tried.
 	failed *http1.Response
-	trail  []string
+	// trail tells the steps of the request for the log.
+	trail []string
 }
 
 // mayRunAgain reports whether another endpoint may run the request.
--- /dev/null
+++ b/stdout/doc.go
@@ -0,0 +1,3 @@
+// Package stdout writes log lines to standard output without ever blocking
+// those who log.
+package stdout
