--- a/peer/relay.go
+++ b/peer/relay.go
@@ -60,7 +60,7 @@
 // store.
 func (r *Relay) Endpoints(ctx context.Context, after savorystep.CatalogVersion, wait time.Duration) (savorystep.EndpointChanges, error) {
 	if reader := r.reader(); reader != "" && after != 0 {
-		answer, err := fetchCatalog[listAnswer](ctx, r, reader, listPath, after, wait)
+		answer, err := fetchCatalog[listAnswer](ctx, r, reader, listPath, catalogQuery{after: after, wait: wait})
 		if err == nil {
 			r.mirror.applyList(r.config.Clock.Now(), answer.Changes, false)
 			return answer.Changes, nil
@@ -70,15 +70,24 @@
 	changes, err := r.config.Catalog.Endpoints(ctx, after, wait)
 	if err == nil {
 		r.mirror.applyList(r.config.Clock.Now(), changes, true)
+		return changes, nil
 	}
-	return changes, err
+	if after != 0 {
+		return changes, err
+	}
+	answer, peerErr := firstOf[listAnswer](ctx, r, listPath)
+	if peerErr != nil {
+		return changes, err
+	}
+	r.mirror.applyList(r.config.Clock.Now(), answer.Changes, false)
+	return answer.Changes, nil
 }
 
 // Orders returns the changes of the operators' orders from the reader or the
 // store.
 func (r *Relay) Orders(ctx context.Context, after savorystep.CatalogVersion, wait time.Duration) (savorystep.OrderChanges, error) {
 	if reader := r.reader(); reader != "" && after != 0 {
-		answer, err := fetchCatalog[ordersAnswer](ctx, r, reader, ordersPath, after, wait)
+		answer, err := fetchCatalog[ordersAnswer](ctx, r, reader, ordersPath, catalogQuery{after: after, wait: wait})
 		if err == nil {
 			changes := answer.changes()
 			r.mirror.applyOrders(r.config.Clock.Now(), changes, false)
@@ -89,8 +98,38 @@
 	changes, err := r.config.Catalog.Orders(ctx, after, wait)
 	if err == nil {
 		r.mirror.applyOrders(r.config.Clock.Now(), changes, true)
+		return changes, nil
+	}
+	if after != 0 {
+		return changes, err
+	}
+	answer, peerErr := firstOf[ordersAnswer](ctx, r, ordersPath)
+	if peerErr != nil {
+		return changes, err
+	}
+	changes = answer.changes()
+	r.mirror.applyOrders(r.config.Clock.Now(), changes, false)
+	return changes, nil
+}
+
+// firstOf asks peers for the whole catalog, however old, when this instance
+// starts and the store does not answer. What a peer works by is better than
+// nothing; later reads bring what changed since.
+func firstOf[T any](ctx context.Context, r *Relay, path string) (T, error) {
+	var answer T
+	err := error(savorystep.NewError(savorystep.KindNotReady, "no peer is ready"))
+	self := r.config.Members.Self()
+	for _, m := range r.config.Members.Members(r.config.Clock.Now()) {
+		if m.Instance.ID == self.ID || !m.Ready {
+			continue
+		}
+		answer, err = fetchCatalog[T](ctx, r, m.Instance.Peer, path, catalogQuery{old: true})
+		if err == nil {
+			logger.Infof("the catalog comes from peer %s, the store does not answer", m.Instance.ID)
+			return answer, nil
+		}
 	}
-	return changes, err
+	return answer, err
 }
 
 // reader returns the address of the region's reader, empty if this instance is
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -200,3 +200,25 @@
 		t.Errorf("%+v, %v", list, err)
 	}
 }
+
+// TestRelayStartsWithoutStore guards against an instance that starts while the
+// store is away and refuses all requests until it is back, although its peers
+// know the catalog.
+func TestRelayStartsWithoutStore(t *testing.T) {
+	r := startRelays(t)
+	if _, err := r.reader.Endpoints(t.Context(), 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.reader.Orders(t.Context(), 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	r.catalog.set(func(f *fakeCatalog) { f.err = savorystep.NewError(savorystep.KindPlatformDown, "away") })
+	list, err := r.follower.Endpoints(t.Context(), 0, 0)
+	if err != nil || !list.Full || len(list.Listed) != 2 || list.Version != 5 {
+		t.Errorf("list %+v, %v", list, err)
+	}
+	orders, err := r.follower.Orders(t.Context(), 0, 0)
+	if err != nil || orders.Routing == nil || orders.Routing.Revision != 7 || len(orders.Evacuated) != 1 {
+		t.Errorf("orders %+v, %v", orders, err)
+	}
+}
--- a/peer/relaywire.go
+++ b/peer/relaywire.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+	"errors"
 	"io"
 	"net/http"
 	"net/url"
@@ -60,17 +61,41 @@
 	return "Bearer " + hex.EncodeToString(sum[:])
 }
 
-// fetchCatalog asks a reader for the changes after a version. It waits up to
-// the given time for one.
-func fetchCatalog[T any](ctx context.Context, r *Relay, reader savorystep.Address, path string, after savorystep.CatalogVersion, wait time.Duration) (T, error) {
+// A catalogQuery asks for the changes after a version.
+type catalogQuery struct {
+	after savorystep.CatalogVersion
+	// wait is how long the answer may wait for a change.
+	wait time.Duration
+	// old is true if the answer may be old.
+	old bool
+}
+
+// values returns the query as it stands in the address.
+func (q catalogQuery) values() url.Values {
+	return url.Values{
+		"after": {strconv.FormatUint(uint64(q.after), 10)},
+		"old":   {strconv.FormatBool(q.old)},
+		"wait":  {strconv.FormatInt(q.wait.Milliseconds(), 10)},
+	}
+}
+
+// parseCatalogQuery reads a query.
+func parseCatalogQuery(values url.Values) (catalogQuery, error) {
+	after, err := strconv.ParseUint(values.Get("after"), 10, 64)
+	wait, waitErr := strconv.ParseUint(values.Get("wait"), 10, 16)
+	old, oldErr := strconv.ParseBool(values.Get("old"))
+	if err := errors.Join(err, waitErr, oldErr); err != nil {
+		return catalogQuery{}, savorystep.WrapError(savorystep.KindBadRequest, err, "catalog query")
+	}
+	return catalogQuery{after: savorystep.CatalogVersion(after), wait: time.Duration(wait) * time.Millisecond, old: old}, nil //nolint:gosec // wait has 16 bits.
+}
+
+// fetchCatalog asks a peer for the changes after a version.
+func fetchCatalog[T any](ctx context.Context, r *Relay, reader savorystep.Address, path string, query catalogQuery) (T, error) {
 	var answer T
-	ctx, cancel := context.WithTimeout(ctx, wait+relayMargin)
+	ctx, cancel := context.WithTimeout(ctx, query.wait+relayMargin)
 	defer cancel()
-	query := url.Values{
-		"after": {strconv.FormatUint(uint64(after), 10)},
-		"wait":  {strconv.FormatInt(wait.Milliseconds(), 10)},
-	}
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(reader)+path+"?"+query.Encode(), http.NoBody)
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(reader)+path+"?"+query.values().Encode(), http.NoBody)
 	if err != nil {
 		return answer, savorystep.WrapError(savorystep.KindBadRequest, err, "peer address %s", reader)
 	}
@@ -109,44 +134,56 @@
 	return mux
 }
 
-// serveCatalog answers with the changes after a version, as soon as there is
-// one or the wait is over. It refuses if the store was not read lately.
-func serveCatalog[T any](w http.ResponseWriter, request *http.Request, r *Relay, fresh time.Duration, since func(*mirror, savorystep.CatalogVersion) (T, time.Time, bool)) {
-	if subtle.ConstantTimeCompare([]byte(request.Header.Get("Authorization")), []byte(r.secret)) != 1 {
-		w.WriteHeader(http.StatusUnauthorized)
-		return
-	}
-	after, err := strconv.ParseUint(request.URL.Query().Get("after"), 10, 64)
-	wait, waitErr := strconv.ParseUint(request.URL.Query().Get("wait"), 10, 16)
-	if err != nil || waitErr != nil {
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	timer := time.NewTimer(time.Duration(wait) * time.Millisecond) //nolint:gosec // It has 16 bits.
+// A sinceFunc returns the changes after a version, when the store was last read
+// and whether there is a change. It is called with the mirror's lock held.
+type sinceFunc[T any] func(*mirror, savorystep.CatalogVersion) (T, time.Time, bool)
+
+// awaitCatalog returns the changes that a query asks for, as soon as there is
+// one or the wait is over. It returns false if what is known is too old.
+func awaitCatalog[T any](ctx context.Context, r *Relay, query catalogQuery, fresh time.Duration, since sinceFunc[T]) (T, bool) {
+	timer := time.NewTimer(query.wait)
 	defer timer.Stop()
-	var answer T
-	for waiting := true; waiting; {
+	waiting := true
+	for {
 		r.mirror.mu.Lock()
-		var read time.Time
-		var isNews bool
-		answer, read, isNews = since(r.mirror, savorystep.CatalogVersion(after))
+		answer, read, isNews := since(r.mirror, query.after)
 		changed := r.mirror.changed
 		r.mirror.mu.Unlock()
+		if query.old {
+			return answer, isNews
+		}
 		if r.config.Clock.Now().Sub(read) >= fresh {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
+			return answer, false
 		}
-		if isNews {
-			break
+		if isNews || !waiting {
+			return answer, true
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
 			waiting = false
-		case <-request.Context().Done():
-			return
+		case <-ctx.Done():
+			return answer, false
 		}
 	}
+}
+
+// serveCatalog answers a query. It refuses if the store was not read lately.
+func serveCatalog[T any](w http.ResponseWriter, request *http.Request, r *Relay, fresh time.Duration, since sinceFunc[T]) {
+	if subtle.ConstantTimeCompare([]byte(request.Header.Get("Authorization")), []byte(r.secret)) != 1 {
+		w.WriteHeader(http.StatusUnauthorized)
+		return
+	}
+	query, err := parseCatalogQuery(request.URL.Query())
+	if err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	answer, ok := awaitCatalog(request.Context(), r, query, fresh, since)
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	data, err := Codec[T]{Limit: maxList}.Encode(answer)
 	if err != nil {
 		logger.Errorf("The catalog can't be encoded: %v.", err)
