--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -198,6 +198,11 @@
 	if chosen != nil {
 		return best, chosen
 	}
+	return t.chooseCold(now, key, p, ranked)
+}
+
+// chooseCold picks the first cold endpoint that may get a request now.
+func (t *Table) chooseCold(now time.Time, key uint64, p *pace, ranked []ranked) (Choice, *server) {
 	for _, r := range ranked {
 		if !r.server.isHeld(now) && r.server.isCold(now) && t.mayWarm(now, r.server) {
 			choice := r.server.estimate(now, key, p, false)
--- a/http1/pool_test.go
+++ b/http1/pool_test.go
@@ -38,11 +38,8 @@
 }
 
 func (p *peer) answer(id, body string, extra ...string) {
-	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: %s\r\nContent-Length: %d\r\n", id, len(body))
-	for _, line := range extra {
-		head += line + "\r\n"
-	}
-	_, _ = p.Write([]byte(head + "\r\n" + body))
+	lines := append([]string{"HTTP/1.1 200 OK", "Attempt: " + id, fmt.Sprint("Content-Length: ", len(body))}, extra...)
+	_, _ = p.Write([]byte(strings.Join(lines, "\r\n") + "\r\n\r\n" + body))
 }
 
 // startEndpoint runs serve for each connection of a scripted endpoint.
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -25,8 +25,15 @@
 	return server, listener.Addr().String()
 }
 
+// An answer is what a caller sees of a response.
+type answer struct {
+	status int
+	// closes is true if the caller is told to connect elsewhere.
+	closes bool
+}
+
 // ask sends a request on a connection and returns the answer.
-func ask(t *testing.T, c net.Conn, reader *bufio.Reader, path string) *http.Response {
+func ask(t *testing.T, c net.Conn, reader *bufio.Reader, path string) answer {
 	t.Helper()
 	if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nAttempt: 1\r\n\r\n", path); err != nil {
 		t.Fatal(err)
@@ -35,8 +42,11 @@
 	if err != nil {
 		t.Fatalf("no answer: %v", err)
 	}
-	_, _ = io.Copy(io.Discard, response.Body)
-	return response
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	return answer{status: response.StatusCode, closes: response.Close}
 }
 
 func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
@@ -58,7 +68,7 @@
 	idle, idleReader := dial(t, address)
 	ask(t, idle, idleReader, "/once/1")
 	busy, busyReader := dial(t, address)
-	answered := make(chan *http.Response, 1)
+	answered := make(chan answer, 1)
 	go func() { answered <- ask(t, busy, busyReader, "/once/2") }()
 	for len(sender.requests()) < 2 {
 		time.Sleep(time.Millisecond)
@@ -69,16 +79,16 @@
 		server.Stop(context.Background(), 4*time.Second)
 	}()
 	// The stop has two seconds in which open connections are served.
-	var last *http.Response
-	for last == nil || last.Header.Get("Connection") != "close" && !last.Close {
+	var last answer
+	for !last.closes {
 		c, reader := dial(t, address)
 		last = ask(t, c, reader, "/once/3")
 	}
-	if last.StatusCode != http.StatusOK {
-		t.Errorf("status %d while the instance leaves", last.StatusCode)
+	if last.status != http.StatusOK {
+		t.Errorf("status %d while the instance leaves", last.status)
 	}
-	if response := ask(t, idle, idleReader, "/once/4"); response.StatusCode != http.StatusOK {
-		t.Errorf("status %d on an open connection", response.StatusCode)
+	if response := ask(t, idle, idleReader, "/once/4"); response.status != http.StatusOK {
+		t.Errorf("status %d on an open connection", response.status)
 	}
 	select {
 	case <-stopped:
@@ -86,8 +96,8 @@
 	case <-time.After(2500 * time.Millisecond):
 	}
 	close(sender.block)
-	if response := <-answered; response.StatusCode != http.StatusOK {
-		t.Errorf("status %d for the request under way", response.StatusCode)
+	if response := <-answered; response.status != http.StatusOK {
+		t.Errorf("status %d for the request under way", response.status)
 	}
 	<-stopped
 }
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -144,25 +144,7 @@
 	wasAway := !w.listedAt.IsZero() && now.Sub(w.listedAt) >= outage
 	w.listedAt = now
 	w.config.Steering.Update(func(t *endpoint.Table) {
-		removed := changes.Removed
-		if changes.Full {
-			ids := make([]savorystep.EndpointID, len(changes.Listed))
-			for i, entry := range changes.Listed {
-				ids[i] = entry.ID
-			}
-			removed = without(t.IDs(), ids)
-		}
-		for _, id := range removed {
-			switch _, waits := w.missing[id]; {
-			case waits:
-			case wasAway:
-				w.missing[id] = now.Add(returnGrace)
-			default:
-				if t.Remove(now, id) {
-					log.Infof("endpoint %s is gone", id)
-				}
-			}
-		}
+		w.remove(now, t, removedBy(t, changes), wasAway)
 		for _, entry := range changes.Listed {
 			delete(w.missing, entry.ID)
 			entry.Place.Region = w.config.Zones[entry.Place.Zone]
@@ -170,13 +152,44 @@
 				log.Debugf("endpoint %s leaves", entry.ID)
 			}
 		}
-		for id, until := range w.missing {
-			if !now.Before(until) {
-				delete(w.missing, id)
-				t.Remove(now, id)
-				log.Infof("endpoint %s is gone since the store was away", id)
-			}
-		}
+		w.removeMissing(now, t)
 	})
 	w.config.Steering.listed.Store(true)
 }
+
+// removedBy returns the endpoints that changes remove from a table.
+func removedBy(t *endpoint.Table, changes savorystep.EndpointChanges) []savorystep.EndpointID {
+	if !changes.Full {
+		return changes.Removed
+	}
+	listed := make([]savorystep.EndpointID, len(changes.Listed))
+	for i, entry := range changes.Listed {
+		listed[i] = entry.ID
+	}
+	return without(t.IDs(), listed)
+}
+
+// remove forgets endpoints. Those whose entries may have lapsed because the
+// store was away are used on for returnGrace.
+func (w *Watcher) remove(now time.Time, t *endpoint.Table, ids []savorystep.EndpointID, wasAway bool) {
+	for _, id := range ids {
+		switch _, waits := w.missing[id]; {
+		case waits:
+		case wasAway:
+			w.missing[id] = now.Add(returnGrace)
+		case t.Remove(now, id):
+			log.Infof("endpoint %s is gone", id)
+		}
+	}
+}
+
+// removeMissing forgets endpoints that were not listed again in time.
+func (w *Watcher) removeMissing(now time.Time, t *endpoint.Table) {
+	for id, until := range w.missing {
+		if !now.Before(until) {
+			delete(w.missing, id)
+			t.Remove(now, id)
+			log.Infof("endpoint %s is gone since the store was away", id)
+		}
+	}
+}
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -59,7 +59,6 @@
 type relays struct {
 	catalog          *fakeCatalog
 	reader, follower *peer.Relay
-	server           *httptest.Server
 }
 
 // startRelays makes two relays. Which one reads follows from the ids, so both
--- a/stdout/writer_test.go
+++ b/stdout/writer_test.go
@@ -28,7 +28,9 @@
 	}
 	cancel()
 	go func() {
-		<-done
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
 		_ = pipe.Close()
 	}()
 	text, err := io.ReadAll(reader)
