Keep a request that kills endpoints from further ones

Cause: a request may crash each endpoint that runs it and comes again at any instance; nothing on the path to the users' platform stopped it. Deaths are counted by request and start of the endpoint, when the connection ends without an answer and the endpoint refuses a new one, and shared as facts; after three the request is refused as not run for ten minutes. An answer clears it.

--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -109,8 +109,8 @@
 	return registry
 }
 
-func newGatewayFront(settings platform.Settings, clock savorystep.Clock, pool *http1.Pool, registry *prometheus.Registry, steering *ingress.Steering) *ingress.Front {
+func newGatewayFront(settings platform.Settings, clock savorystep.Clock, exchange *peer.Exchange, pool *http1.Pool, registry *prometheus.Registry, steering *ingress.Steering) *ingress.Front {
 	return ingress.NewFront(ingress.Config{
-		Clock: clock, Names: platform.Headers(), Place: settings.Place, Registerer: registry, Sender: pool, Steering: steering,
+		Clock: clock, Names: platform.Headers(), Place: settings.Place, Quarantine: ingress.NewQuarantine(exchange), Registerer: registry, Sender: pool, Steering: steering,
 	})
 }
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -11,6 +11,8 @@
 	Clock savorystep.Clock
 	Names savorystep.HeaderNames
 	Place savorystep.Place
+	// Quarantine stops requests that kill endpoints.
+	Quarantine *Quarantine
 	// Registerer takes the metrics. It may be nil.
 	Registerer prometheus.Registerer
 	Sender     Sender
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -8,6 +8,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"savorystep"
 	"savorystep/endpoint"
 	"savorystep/http1"
@@ -117,7 +119,39 @@
 	watcher := ingress.NewWatcher(ingress.WatcherConfig{Steering: steering, Clock: savorystep.SystemClock{}, Zones: map[savorystep.Zone]savorystep.Region{"z": "r"}})
 	watcher.ApplyList(time.Now(), list)
 	front := ingress.NewFront(ingress.Config{
-		Clock: savorystep.SystemClock{}, Names: names, Place: savorystep.Place{Region: "r", Zone: "z"}, Sender: sender, Steering: steering,
+		Clock: savorystep.SystemClock{}, Names: names, Quarantine: ingress.NewQuarantine(&fakeFacts{}), Place: savorystep.Place{Region: "r", Zone: "z"}, Sender: sender, Steering: steering,
 	})
 	return front, sender, steering
 }
+
+// fakeFacts are facts that reach the subscribers of all instances at once.
+type fakeFacts struct {
+	mu          sync.Mutex
+	subscribers []func(savorystep.HeardFact)
+}
+
+func (*fakeFacts) Facts(savorystep.FactKind) []savorystep.HeardFact { return nil }
+
+func (f *fakeFacts) Push(_ context.Context, kind savorystep.FactKind, subject string, body any) (acked, missing int) {
+	f.Publish(kind, subject, body)
+	return len(f.subscribers), 0
+}
+
+func (f *fakeFacts) Subscribe(_ savorystep.FactKind, hear func(savorystep.HeardFact)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.subscribers = append(f.subscribers, hear)
+}
+
+func (f *fakeFacts) Publish(kind savorystep.FactKind, subject string, body any) {
+	data, err := cbor.Marshal(body)
+	if err != nil {
+		panic(err)
+	}
+	f.mu.Lock()
+	subscribers := f.subscribers
+	f.mu.Unlock()
+	for _, hear := range subscribers {
+		hear(savorystep.HeardFact{Fact: savorystep.Fact{Kind: kind, Subject: subject, Body: data}, Heard: time.Now()})
+	}
+}
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -52,6 +52,10 @@
 		if t.deadline.Sub(now) < leastTime {
 			break
 		}
+		if f.config.Quarantine.holds(now, t.fingerprint) {
+			t.note(fmt.Sprintf("quarantined, %d endpoints died with it", quarantineDeaths))
+			break
+		}
 		if t.arrivals > 0 && !f.config.Steering.mayRepeat(now, t.service) {
 			t.note("no repeat left in the budget")
 			break
@@ -134,6 +138,12 @@
 	}
 	f.config.Steering.end(end, choice, r.outcome, load)
 	f.metrics.attempt(r.outcome)
+	switch {
+	case r.outcome == endpoint.OutcomeAnswered:
+		f.config.Quarantine.answered(t.fingerprint)
+	case isClosed(err) && isDead(ctx, choice.Endpoint.Address):
+		f.config.Quarantine.died(end, t.fingerprint, choice.Endpoint)
+	}
 	t.note(fmt.Sprintf("%s %s load %.1f expected %v: %s in %v", choice.Endpoint.ID, choice.Reason, choice.Load, choice.Expected.Round(time.Millisecond), describe(r, err), end.Sub(now).Round(time.Millisecond)))
 	return r
 }
--- a/ingress/front.go
+++ b/ingress/front.go
@@ -136,6 +136,7 @@
 		t.deadline = began.Add(route.Timeout)
 	}
 	t.left = t.deadline.Sub(began)
+	t.fingerprint = fingerprint(&t.Request)
 	if object := r.Header.Get(f.config.Names.Affinity); object != "" && route.Sticky {
 		t.key = xxh3.HashString(object)
 	} else {
--- a/ingress/task.go
+++ b/ingress/task.go
@@ -13,6 +13,8 @@
 	route   *savorystep.Route
 	service savorystep.Service
 	key     uint64
+	// fingerprint is the same when the caller sends the request again.
+	fingerprint savorystep.Fingerprint
 	// began is when the request's header was read.
 	began time.Time
 	// deadline is when the caller leaves or the route's timeout ends, whichever
