Tell followers of a removal before a return

It told its followers only the entry, which was one report newer than what they knew, so they used it on.

Ruled out: the cut zone; the reader and its followers reached the store. TestRelayTellsRemovalBeforeReturn failed first.

--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -96,8 +96,9 @@
 		l.removed[id] = removal{version: changes.Version, at: now}
 	}
 	for _, entry := range changes.Listed {
+		// A removal before stays known: the entry may be an old report's, and who
+		// does not hear of the removal takes it for a new one.
 		l.entries[entry.ID] = entry
-		delete(l.removed, entry.ID)
 	}
 	for id, r := range l.removed {
 		if now.Sub(r.at) >= removalMemory {
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -148,6 +148,24 @@
 	}
 }
 
+// TestRelayTellsRemovalBeforeReturn guards against a removal that a follower does
+// not hear of because the entry was written again: by an old report of an
+// endpoint that left.
+func TestRelayTellsRemovalBeforeReturn(t *testing.T) {
+	r := startRelays(t)
+	r.start(t)
+	r.catalog.set(func(f *fakeCatalog) {
+		f.list = savorystep.EndpointChanges{Version: 8, Listed: []savorystep.Endpoint{{ID: "a", Written: 8}}, Removed: []savorystep.EndpointID{"a"}}
+	})
+	if _, err := r.reader.Endpoints(t.Context(), 5, 0); err != nil {
+		t.Fatal(err)
+	}
+	list, err := r.follower.Endpoints(t.Context(), 5, 0)
+	if err != nil || len(list.Listed) != 1 || len(list.Removed) != 1 || list.Removed[0] != "a" {
+		t.Errorf("list %+v, %v", list, err)
+	}
+}
+
 // TestRelayFallsBack guards against a follower that waits for a reader which is
 // gone, or believes one that has not read the store lately.
 func TestRelayFallsBack(t *testing.T) {
