--- a/soak/caller_test.go
+++ b/soak/caller_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -97,7 +98,7 @@
 	names := platform.Headers()
 	request.Host = "h"
 	request.Header.Set(names.Attempt, attempt)
-	request.Header.Set(names.Affinity, fmt.Sprint(c.random.IntN(20)))
+	request.Header.Set(names.Affinity, strconv.Itoa(c.random.IntN(20)))
 	request.Header.Set(names.Deadline, "2500")
 	// Without it the transport itself would send a GET again.
 	request.GetBody = nil
--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"sync"
@@ -84,7 +85,7 @@
 				return
 			}
 		}
-		if err == io.EOF {
+		if errors.Is(err, io.EOF) {
 			if tcp, ok := to.(*net.TCPConn); ok {
 				_ = tcp.CloseWrite()
 			}
