--- a/cmd/tracecmd.go
+++ b/cmd/tracecmd.go
@@ -106,7 +106,7 @@
 }
 
 // stepEndpoint matches the endpoint at the start of a step.
-var stepEndpoint = regexp.MustCompile(`"([^ "]+) (?:owner|overflow|stranger|cold|last) `)
+var stepEndpoint = regexp.MustCompile(`"([^ "]+) (?:owner|overflow|stranger|cold) `)
 
 // selectTrace returns the lines that name the request, and those on the fate of
 // its endpoints, in order.
--- a/endpoint/choice.go
+++ b/endpoint/choice.go
@@ -11,7 +11,7 @@
 
 // The reasons of choices, from the best.
 const (
-	// ReasonOwner means that it is the first in the object's order.
+	// ReasonOwner means that it is the first home of the object.
 	ReasonOwner Reason = "owner"
 	// ReasonOverflow means that it answers sooner than the homes before it.
 	ReasonOverflow Reason = "overflow"
@@ -19,8 +19,6 @@
 	ReasonStranger Reason = "stranger"
 	// ReasonCold means that only cold endpoints had room.
 	ReasonCold Reason = "cold"
-	// ReasonLast means that only endpoints that failed recently were left.
-	ReasonLast Reason = "last"
 )
 
 // A Choice is an endpoint for a request.
--- a/endpoint/coldlimit.go
+++ b/endpoint/coldlimit.go
@@ -35,7 +35,7 @@
 	if rank >= total {
 		return false
 	}
-	share := max(1, total/max(leastInstances, t.mostMember))
+	share := max(1, total/max(leastInstances, t.mostInstances))
 	s.coldSends = slices.DeleteFunc(s.coldSends, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
 	return len(s.coldSends) < share
 }
--- a/endpoint/retrybudget.go
+++ b/endpoint/retrybudget.go
@@ -75,7 +75,7 @@
 func (t *Table) MayRepeat(now time.Time, service savorystep.Service) bool {
 	b := t.budget(service)
 	i := b.at(now)
-	instances := float64(max(t.mostMember, leastInstances))
+	instances := float64(max(t.mostInstances, leastInstances))
 	allowed := budgetShare * (t.config.RetryRatio*sum(b.requests[:]) + t.config.RetrySlack/instances)
 	if sum(b.repeats[:])+1 > allowed {
 		return false
--- a/endpoint/tombstone.go
+++ b/endpoint/tombstone.go
@@ -28,6 +28,15 @@
 	}
 }
 
+// forgetTombs drops old tombstones.
+func (t *Table) forgetTombs(now time.Time) {
+	for id, tomb := range t.tombs {
+		if now.Sub(tomb.at) >= tombLifetime {
+			delete(t.tombs, id)
+		}
+	}
+}
+
 // isStale reports whether an entry of a removed endpoint may be an old report
 // whose write took effect after the removal. Such a write comes once, while an
 // endpoint that lives reports again.
