--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -243,39 +243,81 @@
 
 // check compares what callers saw with what ran.
 func (s *soak) check(calmed time.Time) {
+	outcomes := s.record.all()
 	counts := make(map[int]int)
-	late, lateFailed := 0, 0
-	for _, o := range s.record.all() {
+	for _, o := range outcomes {
 		counts[o.status]++
-		ran := s.runs.of(o.attempt)
+	}
+	s.t.Logf("answers by status: %v", counts)
+	for _, fault := range faultsOf(outcomes, s.runs, calmed) {
+		s.t.Error(fault)
+	}
+}
+
+// faultsOf returns the promises that were broken. Requests that began after the
+// given time must all be answered.
+func faultsOf(outcomes []outcome, r *runs, calmed time.Time) []string {
+	var faults []string
+	late := 0
+	for _, o := range outcomes {
+		ran := r.of(o.attempt)
 		if o.once && ran > 1 {
-			s.t.Errorf("attempt %s ran %d times", o.attempt, ran)
+			faults = append(faults, fmt.Sprintf("attempt %s ran %d times", o.attempt, ran))
 		}
 		switch o.status {
 		case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusRequestTimeout, http.StatusMisdirectedRequest:
 			if ran > 0 {
-				s.t.Errorf("attempt %s was refused with %d and ran", o.attempt, o.status)
+				faults = append(faults, fmt.Sprintf("attempt %s was refused with %d and ran", o.attempt, o.status))
 			}
 		case http.StatusOK:
 			if ran == 0 {
-				s.t.Errorf("attempt %s was answered and did not run", o.attempt)
+				faults = append(faults, fmt.Sprintf("attempt %s was answered and did not run", o.attempt))
 			}
 		case http.StatusNotFound, http.StatusBadRequest:
-			s.t.Errorf("attempt %s, a proper request, was answered %d", o.attempt, o.status)
+			faults = append(faults, fmt.Sprintf("attempt %s, a proper request, was answered %d", o.attempt, o.status))
 		}
 		if o.fault != "" {
-			s.t.Errorf("attempt %s: %s", o.attempt, o.fault)
+			faults = append(faults, fmt.Sprintf("attempt %s: %s", o.attempt, o.fault))
 		}
-		if o.began.After(calmed) {
-			late++
-			if o.status != http.StatusOK {
-				lateFailed++
-				s.t.Logf("attempt %s after the faults: status %d, %v", o.attempt, o.status, o.err)
-			}
+		if !o.began.After(calmed) {
+			continue
+		}
+		late++
+		if o.status != http.StatusOK {
+			faults = append(faults, fmt.Sprintf("attempt %s after the faults: status %d, %v", o.attempt, o.status, o.err))
 		}
 	}
-	if late == 0 || lateFailed > 0 {
-		s.t.Errorf("%d of %d requests failed after the faults", lateFailed, late)
+	if late == 0 {
+		faults = append(faults, "no request was sent after the faults")
+	}
+	return faults
+}
+
+// TestChecks guards against a soak whose checks cannot fail.
+func TestChecks(t *testing.T) {
+	calmed := time.Unix(100, 0)
+	after, before := calmed.Add(time.Second), calmed.Add(-time.Second)
+	good := outcome{attempt: "one", status: http.StatusOK, began: after}
+	cases := []struct {
+		name     string
+		outcomes []outcome
+		faults   int
+	}{
+		{name: "answer of another", outcomes: []outcome{good, {attempt: "one", status: http.StatusOK, fault: "answer", began: before}}, faults: 1},
+		{name: "answered and not run", outcomes: []outcome{good, {attempt: "none", status: http.StatusOK, began: before}}, faults: 1},
+		{name: "failed after the faults", outcomes: []outcome{good, {attempt: "one", status: http.StatusBadGateway, began: after}}, faults: 1},
+		{name: "good", outcomes: []outcome{good, {attempt: "two", began: before}, {attempt: "none", status: http.StatusServiceUnavailable, began: before}}},
+		{name: "none after the faults", faults: 1},
+		{name: "not found", outcomes: []outcome{good, {attempt: "none", status: http.StatusNotFound, began: before}}, faults: 1},
+		{name: "refused and run", outcomes: []outcome{good, {attempt: "one", status: http.StatusServiceUnavailable, began: before}}, faults: 1},
+		{name: "run twice", outcomes: []outcome{good, {attempt: "two", once: true, status: http.StatusBadGateway, began: before}}, faults: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := &runs{counts: map[string]int{"one": 1, "two": 2}}
+			if got := faultsOf(c.outcomes, r, calmed); len(got) != c.faults {
+				t.Errorf("faults %q, want %d", got, c.faults)
+			}
+		})
 	}
-	s.t.Logf("answers by status: %v", counts)
 }
