--- a/peer/connect.go
+++ b/peer/connect.go
@@ -242,7 +242,7 @@
 func (e *Exchange) run(ctx context.Context, l *link) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	group, ctx := errgroup.WithContext(ctx)
+	var group errgroup.Group
 	group.Go(func() error {
 		defer cancel()
 		err := l.write(ctx)
@@ -254,8 +254,10 @@
 		return err
 	})
 	group.Go(func() error {
-		defer cancel()
 		err := l.read(ctx)
+		// The close below ends the writer, which sends the close frame. Cancelling
+		// it in the middle of a message would end the connection without one. A
+		// message that the peer does not take is bounded by Silence.
 		e.mu.Lock()
 		if savorystep.KindOf(err) == savorystep.KindBadRequest || savorystep.KindOf(err) == savorystep.KindTooLarge {
 			e.stats.Refused++
