Bound what an answer may bring into memory

Cause: http.ReadResponse bounds neither the status line, nor header lines, nor interim answers, and closing an unfinished body reads it to its end. An endpoint that sends bytes without end filled the memory of the instance until the deadline of the request.

Change: heads are bounded while they are read from the connection, interim answers included; the bodies of all answers share a quarter of the memory limit, as the bodies of requests do (one Budget for both); an exchange without room for the answer says nothing about its endpoint. Heads of callers, peers, the platform's checks and the store's answers have bounds of their own.

Ruled out: a bound on each line, which leaves their number open; passing large answers on while they come, since a broken one could then not be tried again and its signature would be gone out before the body was whole.

TestCallerEndlessHead passed before too, at the server's default of 1 MiB.

--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -99,8 +99,16 @@
 	return &ingress.Directory{Clock: clock, Members: exchange}
 }
 
-func newGatewayPool() *http1.Pool {
-	return http1.New(http1.Config{Names: platform.Headers()})
+// answerShare is the part of the memory limit that all answers may use
+// together, as much as the requests' bodies.
+const answerShare = 4
+
+func newGatewayPool(settings platform.Settings) *http1.Pool {
+	config := http1.Config{Names: platform.Headers()}
+	if size := settings.MemoryBytes / answerShare; size > 0 {
+		config.Answers = http1.NewBudget(size)
+	}
+	return http1.New(config)
 }
 
 func newGatewayRegistry() *prometheus.Registry {
--- a/cmd/servehttp.go
+++ b/cmd/servehttp.go
@@ -8,10 +8,15 @@
 	"time"
 )
 
+// maxInnerHeader bounds the header of a request of operators, peers and the
+// platform in bytes. Theirs have a few hundred.
+const maxInnerHeader = 16 << 10
+
 // serveHTTP serves a handler until its server is shut down.
 func serveHTTP(ctx context.Context, listener net.Listener, handler http.Handler) *http.Server {
 	server := &http.Server{
 		Handler:           handler,
+		MaxHeaderBytes:    maxInnerHeader,
 		ReadHeaderTimeout: 10 * time.Second,
 		BaseContext:       func(net.Listener) context.Context { return ctx },
 	}
--- a/endpoint/outcome.go
+++ b/endpoint/outcome.go
@@ -21,6 +21,8 @@
 	OutcomeSilent
 	// OutcomeLeft means that the caller went away.
 	OutcomeLeft
+	// OutcomeUnread means that this instance had no room for the answer.
+	OutcomeUnread
 )
 
 // String returns the name of the outcome in metrics.
@@ -28,6 +30,7 @@
 	names := [...]string{
 		OutcomeAnswered: "answered", OutcomeFailed: "failed", OutcomeShed: "shed", OutcomeGone: "gone",
 		OutcomeRefused: "refused", OutcomeBroken: "broken", OutcomeSilent: "silent", OutcomeLeft: "left",
+		OutcomeUnread: "unread",
 	}
 	if int(o) >= len(names) {
 		return "unknown"
--- a/endpoint/server.go
+++ b/endpoint/server.go
@@ -99,7 +99,7 @@
 	case OutcomeShed:
 		s.hold(now, shedHold, s.sheds)
 		s.sheds++
-	case OutcomeLeft:
+	case OutcomeLeft, OutcomeUnread:
 	}
 }
 
--- a/http1/config.go
+++ b/http1/config.go
@@ -8,6 +8,8 @@
 
 // A Config configures a Pool.
 type Config struct {
+	// Answers bounds the bodies of all answers that are held together.
+	Answers *Budget
 	// Names are the names of the endpoints' headers.
 	Names savorystep.HeaderNames
 	// DialTimeout bounds the opening of a connection.
@@ -34,6 +36,8 @@
 	defaultIdle = 4 * time.Second
 	// defaultAnswer bounds the memory for one answer.
 	defaultAnswer = 16 << 20
+	// defaultAnswers bounds the memory for all answers together.
+	defaultAnswers = 64 << 20
 	// idleMargin is taken off the idle timeout that an endpoint states, which
 	// is in whole seconds and runs from when it sent its answer.
 	idleMargin = 600 * time.Millisecond
@@ -44,6 +48,9 @@
 	setDefault(&c.Unacknowledged, defaultUnacknowledged)
 	setDefault(&c.Idle, defaultIdle)
 	setDefault(&c.Answer, defaultAnswer)
+	if c.Answers == nil {
+		c.Answers = NewBudget(defaultAnswers)
+	}
 	return c
 }
 
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -29,6 +28,7 @@
 type conn struct {
 	net.Conn
 	reader *bufio.Reader
+	limit  *headLimit
 	// idleSince is when the last answer was read.
 	idleSince time.Time
 	// keep is how long the connection may be idle.
@@ -37,6 +37,12 @@
 	used bool
 }
 
+// newConn returns a connection that has carried nothing yet.
+func newConn(opened net.Conn) *conn {
+	limit := &headLimit{Reader: opened}
+	return &conn{Conn: opened, limit: limit, reader: bufio.NewReaderSize(limit, readBuffer)}
+}
+
 // isSilent reports whether an idle connection has neither ended nor received
 // bytes. Bytes that no request asked for belong to nobody.
 func (c *conn) isSilent() bool {
@@ -152,7 +158,7 @@
 func (c *conn) answer(request *Request, config *Config) (*Response, bool, error) {
 	keep := true
 	for range maxForeign {
-		response, framed, err := c.read(request, config.Answer)
+		response, framed, err := c.read(request, config)
 		if err != nil {
 			return nil, false, err
 		}
@@ -160,6 +166,7 @@
 		if id == string(request.Attempt) || (id == "" && isUnnamed(response, config.Names.NotRun)) {
 			return response, keep && framed && c.reader.Buffered() == 0, nil
 		}
+		response.Release()
 		if !framed {
 			return nil, false, &ExchangeError{Stage: StageSent, Garbled: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "answer to %q", id)}
 		}
@@ -177,28 +184,35 @@
 
 // read reads one answer with its body. The second result is false if the
 // connection must not be used again.
-func (c *conn) read(request *Request, maxBody int64) (*Response, bool, error) {
-	var head *http.Response
+func (c *conn) read(request *Request, config *Config) (*Response, bool, error) {
+	head, err := c.readHead(request)
+	if err != nil {
+		return nil, false, &ExchangeError{Stage: StageSent, Garbled: !isConnError(err), Cause: err}
+	}
+	response := &Response{Status: head.StatusCode, Header: head.Header, part: config.Answers.NewPart()}
+	if err := response.readBody(head, config.Answer); err != nil {
+		// The body is not closed, since that would read it to its end.
+		response.Release()
+		full := errors.Is(err, ErrFull)
+		return nil, false, &ExchangeError{Stage: StageSent, Garbled: !full, Full: full, Cause: err}
+	}
+	c.keep = keepAlive(head.Header)
+	return response, !head.Close, nil
+}
+
+// readHead reads the head of an answer and skips interim answers.
+func (c *conn) readHead(request *Request) (*http.Response, error) {
+	c.limit.begin(c.reader.Buffered())
+	defer c.limit.end()
 	for {
-		var err error
-		head, err = http.ReadResponse(c.reader, &http.Request{Method: request.Method})
+		head, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method}) //nolint:bodyclose // readBody reads it to its end.
 		if err != nil {
-			return nil, false, &ExchangeError{Stage: StageSent, Garbled: !isConnError(err), Cause: err}
+			return nil, err
 		}
-		if head.StatusCode >= 200 || head.StatusCode == http.StatusSwitchingProtocols {
-			break
+		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
+			return head, nil
 		}
 	}
-	body, err := io.ReadAll(io.LimitReader(head.Body, maxBody+1))
-	_ = head.Body.Close()
-	if err == nil && int64(len(body)) > maxBody {
-		err = fmt.Errorf("the answer has more than %d bytes", maxBody)
-	}
-	if err != nil {
-		return nil, false, &ExchangeError{Stage: StageSent, Garbled: true, Cause: err}
-	}
-	c.keep = keepAlive(head.Header)
-	return &Response{Status: head.StatusCode, Header: head.Header, Body: body}, !head.Close, nil
 }
 
 // isConnError reports whether an error comes from the connection rather than
--- a/http1/exchangeerror.go
+++ b/http1/exchangeerror.go
@@ -23,7 +23,10 @@
 	// Garbled is true if the endpoint answered with something that is not the
 	// whole answer to the request.
 	Garbled bool
-	Cause   error
+	// Full is true if this instance had no room for the answer, which says
+	// nothing about the endpoint.
+	Full  bool
+	Cause error
 }
 
 // Error returns the stage and the cause.
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -1,7 +1,6 @@
 package http1
 
 import (
-	"bufio"
 	"context"
 	"net"
 	"sync"
@@ -93,7 +92,7 @@
 	p.mu.Lock()
 	p.opened++
 	p.mu.Unlock()
-	return &conn{Conn: opened, reader: bufio.NewReaderSize(opened, readBuffer)}, nil
+	return newConn(opened), nil
 }
 
 // take returns the connection that was used last, or nil. It closes those that
--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -6,9 +6,6 @@
 	"savorystep"
 )
 
-// BodyStep is by how much the part of a body of unknown length grows.
-const BodyStep = bodyStep
-
 // ApplyList takes changes as the watcher does.
 func (w *Watcher) ApplyList(now time.Time, changes savorystep.EndpointChanges) {
 	w.applyList(now, changes)
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -80,6 +80,8 @@
 	case "silent":
 		<-ctx.Done()
 		return nil, &http1.ExchangeError{Stage: http1.StageSent, Cause: ctx.Err()}
+	case "full":
+		return nil, &http1.ExchangeError{Stage: http1.StageSent, Full: true, Cause: http1.ErrFull}
 	case "block":
 		<-f.block
 		return answer(http.StatusOK, "Signature", "s")
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -68,6 +68,7 @@
 		}
 		r := f.attempt(ctx, now, t, choice)
 		if done, response := f.settle(t, r); done {
+			t.setFailed(nil)
 			return response, nil
 		}
 		if ctx.Err() != nil || !t.mayRunAgain() {
@@ -98,7 +99,7 @@
 	case endpoint.OutcomeAnswered:
 		return true, r.response
 	case endpoint.OutcomeFailed:
-		t.failed = r.response
+		t.setFailed(r.response)
 	default:
 		t.unknown = t.unknown || r.ran
 	}
@@ -136,6 +137,9 @@
 			load = &told
 		}
 	}
+	if response != nil && r.response == nil {
+		response.Release()
+	}
 	f.config.Steering.end(end, choice, r.outcome, load)
 	f.metrics.attempt(r.outcome)
 	switch {
@@ -197,6 +201,8 @@
 	}
 	sent := failure.Stage == http1.StageSent
 	switch {
+	case failure.Full:
+		return result{outcome: endpoint.OutcomeUnread, ran: true}
 	case errors.Is(ctx.Err(), context.Canceled):
 		return result{outcome: endpoint.OutcomeLeft, ran: sent}
 	case ctx.Err() != nil && sent:
--- a/ingress/front.go
+++ b/ingress/front.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -19,6 +18,11 @@
 	// defaultDeadline bounds a request whose caller states no deadline and
 	// whose route has no timeout.
 	defaultDeadline = 30 * time.Second
+	// bodyShare is the part of the memory limit that all bodies of requests may
+	// use together. Answers use as much, the runtime needs the rest.
+	bodyShare = 4
+	// defaultBodies bounds them while the settings state no memory limit.
+	defaultBodies = 64 << 20
 	// defaultBody bounds a body while the configuration states no bound.
 	defaultBody = 64 << 20
 )
@@ -27,7 +31,7 @@
 type Front struct {
 	config    Config
 	forwarder Forwarder
-	bodies    *bodyBudget
+	bodies    *http1.Budget
 	log       *requestLog
 	metrics   *metrics
 	stage     atomic.Int32
@@ -46,7 +50,16 @@
 // NewFront returns a front.
 func NewFront(config Config) *Front {
 	m := newMetrics(config.Registerer)
-	return &Front{config: config, forwarder: Forwarder{config: config, metrics: m}, bodies: newBodyBudget(config.Memory), log: newRequestLog(), metrics: m}
+	return &Front{config: config, forwarder: Forwarder{config: config, metrics: m}, bodies: http1.NewBudget(bodyBytes(config.Memory)), log: newRequestLog(), metrics: m}
+}
+
+// bodyBytes returns the bytes for all bodies under a memory limit, zero for
+// none.
+func bodyBytes(memory int64) int64 {
+	if memory < bodyShare {
+		return defaultBodies
+	}
+	return memory / bodyShare
 }
 
 // Leave tells callers to connect elsewhere.
@@ -72,12 +85,13 @@
 	if f.stage.Load() != stageOpen {
 		w.Header().Set("Connection", "close")
 	}
-	part := &bodyPart{budget: f.bodies}
-	defer part.release()
+	part := f.bodies.NewPart()
+	defer part.Release()
 	t, refused := f.accept(began, w, r, part)
 	if refused == nil {
 		var response *http1.Response
 		if response, refused = f.forwarder.run(r.Context(), t); refused == nil {
+			defer response.Release()
 			f.respond(w, r, response)
 			f.report(r, began, t, response.Status, "answered")
 			return
@@ -95,7 +109,7 @@
 }
 
 // accept checks a request and reads its body.
-func (f *Front) accept(began time.Time, w http.ResponseWriter, r *http.Request, part *bodyPart) (*task, *refusal) {
+func (f *Front) accept(began time.Time, w http.ResponseWriter, r *http.Request, part *http1.Part) (*task, *refusal) {
 	if f.stage.Load() == stageClosed {
 		return nil, refuse("the instance stops")
 	}
@@ -161,7 +175,7 @@
 }
 
 // readBody reads the whole body into a part of the budget for bodies.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, part *bodyPart) ([]byte, *refusal) {
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, part *http1.Part) ([]byte, *refusal) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
@@ -173,34 +187,20 @@
 		w.Header().Set("Connection", "close")
 		return nil, tooLarge
 	}
-	body, enough, err := readInto(http.MaxBytesReader(w, r.Body, limit), r.ContentLength, part)
+	body, err := part.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
 		return nil, tooLarge
-	case err != nil:
-		return nil, &refusal{status: http.StatusBadRequest, reason: "the body ended early"}
-	case !enough:
+	case errors.Is(err, http1.ErrFull):
 		w.Header().Set("Connection", "close")
 		return nil, refuse("the instance holds too many bodies")
+	case err != nil:
+		return nil, &refusal{status: http.StatusBadRequest, reason: "the body ended early"}
 	}
 	return body, nil
 }
 
-// readInto reads a body of a length, negative if it is unknown. It returns false
-// if the part can't grow by as much.
-func readInto(reader io.Reader, length int64, part *bodyPart) ([]byte, bool, error) {
-	if length < 0 {
-		return part.readAll(reader)
-	}
-	if !part.grow(length) {
-		return nil, false, nil
-	}
-	body := make([]byte, length)
-	_, err := io.ReadFull(reader, body)
-	return body, true, err
-}
-
 // respond returns an endpoint's answer unchanged.
 func (f *Front) respond(w http.ResponseWriter, r *http.Request, response *http1.Response) {
 	header := w.Header()
--- a/ingress/front_test.go
+++ b/ingress/front_test.go
@@ -28,6 +28,7 @@
 		{name: "once broken runs no second time", path: "/once/", outcomes: []string{"broken", "ok"}, status: 502, sends: 1},
 		{name: "once encoded is not the answer", path: "/once/", outcomes: []string{"encoded", "ok"}, status: 502, sends: 1},
 		{name: "once failed is passed on", path: "/once/", outcomes: []string{"failed", "ok"}, status: 500, sends: 1},
+		{name: "once full may have run", path: "/once/", outcomes: []string{"full", "ok"}, status: 502, sends: 1},
 		{name: "once gone goes elsewhere", path: "/once/", outcomes: []string{"gone", "ok"}, status: 200, sends: 2},
 		{name: "once refused goes elsewhere", path: "/once/", outcomes: []string{"refused", "ok"}, status: 200, sends: 2},
 		{name: "once shed goes elsewhere", path: "/once/", outcomes: []string{"shed", "ok"}, status: 200, sends: 2},
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -13,6 +13,10 @@
 	// headerTimeout bounds the reading of a request's header. Callers stay
 	// below the operators' bound, which is a few seconds.
 	headerTimeout = 10 * time.Second
+	// maxHeader bounds the reading of a request's header in bytes, four times
+	// the operators' bound of 16 KiB. The server's default is 1 MiB for each
+	// connection.
+	maxHeader = 64 << 10
 	// idleSlack is added to the operators' idle timeout, so that a request that
 	// leaves at the last moment still finds the connection open.
 	idleSlack = 500 * time.Millisecond
@@ -37,7 +41,7 @@
 func NewServer(front *Front, listener net.Listener) *Server {
 	s := &Server{front: front, listener: listener, timers: make(map[net.Conn]*time.Timer)}
 	s.idle = front.idleTimeout
-	s.http = &http.Server{Handler: front, ReadHeaderTimeout: headerTimeout, ConnState: s.connState}
+	s.http = &http.Server{Handler: front, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, ConnState: s.connState}
 	return s
 }
 
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -101,3 +102,37 @@
 	}
 	<-stopped
 }
+
+// TestCallerEndlessHead guards against callers whose heads take up the memory:
+// a head without end is refused at the bound, and the connection ends.
+func TestCallerEndlessHead(t *testing.T) {
+	for _, test := range []struct{ name, once, again string }{
+		{name: "header line", once: "GET /safe/x HTTP/1.1\r\nHost: h\r\nA: ", again: "xxxxxxxxxxxxxxxx"},
+		{name: "header lines", once: "GET /safe/x HTTP/1.1\r\nHost: h\r\n", again: "A: b\r\n"},
+		{name: "request line", once: "GET /", again: "xxxxxxxxxxxxxxxx"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			front, sender, _ := newFront(t, "ok")
+			_, address := startServer(t, front)
+			c, reader := dial(t, address)
+			go func() {
+				_, err := c.Write([]byte(test.once))
+				again := []byte(strings.Repeat(test.again, 256))
+				for err == nil {
+					_, err = c.Write(again)
+				}
+			}()
+			response, err := http.ReadResponse(reader, nil)
+			// The refusal may be lost, since unread bytes reset the connection.
+			if err == nil {
+				_ = response.Body.Close()
+				if response.StatusCode != http.StatusRequestHeaderFieldsTooLarge {
+					t.Errorf("status %d, want 431", response.StatusCode)
+				}
+			}
+			if sent := sender.requests(); len(sent) > 0 {
+				t.Errorf("%d requests reached an endpoint", len(sent))
+			}
+		})
+	}
+}
--- a/ingress/task.go
+++ b/ingress/task.go
@@ -45,3 +45,11 @@
 	}
 	return t.route.Repetition == savorystep.RepetitionSafe && t.runs < t.route.Attempts
 }
+
+// setFailed keeps an endpoint's failure in place of an earlier one.
+func (t *task) setFailed(response *http1.Response) {
+	if t.failed != nil {
+		t.failed.Release()
+	}
+	t.failed = response
+}
--- a/operator/client.go
+++ b/operator/client.go
@@ -32,6 +32,10 @@
 // defaultTimeout is far above the time of any answer but a wait.
 const defaultTimeout = 10 * time.Second
 
+// maxAnswer bounds an answer in bytes. The longest, a history of records, has a
+// few hundred kilobytes.
+const maxAnswer = 16 << 20
+
 // A Client speaks the operators' protocol. It keeps to the server that
 // answered last, since instances may differ for a moment.
 type Client struct {
@@ -323,10 +327,13 @@
 		return nil, err
 	}
 	defer func() { _ = response.Body.Close() }()
-	data, err := io.ReadAll(response.Body)
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
 		return nil, savorystep.WrapError(savorystep.KindNotReady, err, "read the answer of %s", server)
 	}
+	if len(data) > maxAnswer {
+		return nil, savorystep.NewError(savorystep.KindTooLarge, "the answer of %s has more than %d bytes", server, maxAnswer)
+	}
 	return data, nil
 }
 
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -106,9 +106,10 @@
 		behind:      make(chan struct{}, 1),
 	}
 	e.client = &http.Client{Transport: &http.Transport{
-		DialContext:       config.Dial,
-		TLSClientConfig:   config.TLS,
-		DisableKeepAlives: true,
+		DialContext:            config.Dial,
+		TLSClientConfig:        config.TLS,
+		DisableKeepAlives:      true,
+		MaxResponseHeaderBytes: maxPeerHeader,
 	}}
 	e.stateStatus(now)
 	return e
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -20,6 +20,9 @@
 	// ordersFresh is how old a reader's read of the orders may be. A read waits
 	// up to 1.5 s for a change.
 	ordersFresh = 2200 * time.Millisecond
+	// maxPeerHeader bounds the header of a peer's answer in bytes. Theirs have a
+	// few hundred; the transport's default is 10 MiB.
+	maxPeerHeader = 64 << 10
 	// relayMargin is the time beyond the wait after which a reader counts as
 	// silent. It covers round trips within a region and a busy processor.
 	relayMargin = 400 * time.Millisecond
@@ -60,7 +63,7 @@
 func NewRelay(config RelayConfig) *Relay {
 	return &Relay{
 		config: config,
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 10 * time.Second}},
+		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxPeerHeader, IdleConnTimeout: 10 * time.Second}},
 		secret: listSecret(config.Secret),
 		mirror: newMirror(),
 	}
