Let large bodies go where they are answered sooner

Cause: a request with a large body went to the endpoints of its zone, or else of its region, as long as they had less than twice their slots.

Change: the zone, the region and all endpoints each propose one by the order of the object, and the one with the soonest answer is taken, the way of the body included: 140 ms for another zone, 280 ms for another region. The first few of an order are kept while the endpoints are passed once, instead of sorting all of them for each request.

--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -12,7 +12,7 @@
 // End. It returns false if no endpoint may get the request now. If that is
 // because all would answer too late, the choice says when the soonest would.
 func (t *Table) Choose(now time.Time, query Query) (Choice, bool) {
-	choice, s := t.choose(now, query, t.pace(query.Service), t.rank(query))
+	choice, s := t.choose(now, query)
 	if s == nil {
 		return choice, false
 	}
@@ -25,53 +25,46 @@
 	return choice, true
 }
 
-// choose picks among ranked endpoints the one that is expected to answer first.
-// Only the homes of an object are asked, and one more if they have long queues:
-// others would have to fetch the object first and would forget one of their
-// own for it. The next few in the order stand in for homes that are away.
-func (t *Table) choose(now time.Time, query Query, p *pace, ranked []ranked) (Choice, *server) {
+// choose picks the endpoint that is expected to answer first, the time for the
+// way of large bodies included. Each order of endpoints proposes one.
+func (t *Table) choose(now time.Time, query Query) (Choice, *server) {
+	p := t.pace(query.Service)
 	var best, late Choice
 	var chosen *server
-	candidates := 0
-	for i, r := range ranked[:min(homes+standIns, len(ranked))] {
-		s := r.server
-		if s.isHeld(now) || s.isCold(now) {
-			continue
-		}
-		if candidates >= homes && (chosen != nil || candidates > homes) {
-			break
-		}
-		candidates++
-		limit := maxQueue
-		if candidates > homes {
-			limit = mostlyFree
-		}
-		if s.load(now) >= limit*float64(s.Slots) {
-			continue
-		}
-		choice := s.estimate(now, query.Key, p, i == 0)
-		if query.isLate(choice) {
-			late = late.sooner(choice)
-			continue
-		}
-		if chosen == nil || choice.Expected < best.Expected {
+	for _, order := range t.orders(query) {
+		choice, s, tooLate := order.choose(now, query, p)
+		late = late.sooner(tooLate)
+		if s != nil && (chosen == nil || choice.cost(&query, s) < best.cost(&query, chosen)) {
 			best, chosen = choice, s
-			best.Reason = reasonOf(i, candidates)
 		}
 	}
 	if chosen != nil {
 		return best, chosen
 	}
-	if choice, s := t.chooseCold(now, query, p, ranked); s != nil {
+	if choice, s := t.chooseCold(now, query, p); s != nil {
 		return choice, s
 	}
 	return late, nil
 }
 
+// cost returns the time to the answer from a server, the way there included.
+func (c Choice) cost(query *Query, s *server) time.Duration {
+	return c.Expected + query.crossing(s.Place)
+}
+
 // chooseCold picks the first cold endpoint that may get a request now.
-func (t *Table) chooseCold(now time.Time, query Query, p *pace, ranked []ranked) (Choice, *server) {
-	for _, r := range ranked {
-		if !r.server.isHeld(now) && r.server.isCold(now) && t.mayWarm(now, r.server) {
+func (t *Table) chooseCold(now time.Time, query Query, p *pace) (Choice, *server) {
+	var cold []ranked
+	for _, s := range t.byService[query.Service] {
+		if t.mayGet(s, &query) && !s.isHeld(now) && s.isCold(now) {
+			cold = append(cold, newRanked(s, &query))
+		}
+	}
+	slices.SortFunc(cold, func(a, b ranked) int {
+		return cmp.Or(cmp.Compare(query.crossing(a.server.Place), query.crossing(b.server.Place)), cmp.Compare(b.score, a.score))
+	})
+	for _, r := range cold {
+		if t.mayWarm(now, r.server) {
 			choice := r.server.estimate(now, query.Key, p, false)
 			choice.Reason = ReasonCold
 			return choice, r.server
@@ -127,32 +120,12 @@
 	mostlyFree = 0.5
 )
 
-// A ranked is an endpoint with its place in the order of a request.
-type ranked struct {
-	server *server
-	// steps counts the borders on the way to the endpoint, for a near request.
-	steps int
-	score uint64
-}
-
-// rank returns the endpoints that may get a request, in the order of the
-// request's object. All instances compute the same order from the same list.
-func (t *Table) rank(query Query) []ranked {
-	list := t.byService[query.Service]
-	order := make([]ranked, 0, len(list))
-	for _, s := range list {
-		if s.State != savorystep.StateLive || t.evacuated[s.Place.Zone] || slices.Contains(query.Tried, s.ID) {
-			continue
-		}
-		if len(query.Regions) > 0 && !slices.Contains(query.Regions, s.Place.Region) {
-			continue
-		}
-		order = append(order, ranked{server: s, steps: query.steps(s.Place), score: mix(s.hash ^ query.Key)})
+// mayGet reports whether an endpoint may get a request at all.
+func (t *Table) mayGet(s *server, query *Query) bool {
+	if s.State != savorystep.StateLive || t.evacuated[s.Place.Zone] || slices.Contains(query.Tried, s.ID) {
+		return false
 	}
-	slices.SortFunc(order, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.steps, b.steps), cmp.Compare(b.score, a.score))
-	})
-	return order
+	return len(query.Regions) == 0 || slices.Contains(query.Regions, s.Place.Region)
 }
 
 // mix spreads the bits of a hash (the finalizer of splitmix64).
--- a/endpoint/query.go
+++ b/endpoint/query.go
@@ -11,8 +11,9 @@
 	Service savorystep.Service
 	// Key is the hash of the object that the request is about.
 	Key uint64
-	// Home is the place of this instance. Near requests stay in its zone, or
-	// else in its region, as long as an endpoint there has room.
+	// Home is the place of this instance. Near requests have large bodies and
+	// stay in its zone, or else in its region, unless another place is expected
+	// to answer much sooner.
 	Home savorystep.Place
 	Near bool
 	// Regions are where the request may run. Empty means anywhere.
@@ -28,16 +29,3 @@
 func (q *Query) isLate(choice Choice) bool {
 	return q.Left > 0 && choice.measured && choice.Expected > q.Left
 }
-
-// steps returns 0 for a place in the zone of this instance, 1 for one in its
-// region and 2 elsewhere. Requests that are not near go anywhere alike.
-func (q *Query) steps(place savorystep.Place) int {
-	switch {
-	case !q.Near || place == q.Home:
-		return 0
-	case place.Region == q.Home.Region:
-		return 1
-	default:
-		return 2
-	}
-}
