Repeat downloads safely, and keep large answers near

Cause: the kind of routes with large answers was not decoded and fell to "at most once", so that a broken download was never tried again; and only the body of the request decided whether a request stays near, so that answers of 90 kB crossed zones and regions as freely as small ones.

Answers are still held whole: a repeat is possible only while nothing of an answer has left, and the endpoint's signature has to come with the whole body.

--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -46,3 +46,13 @@
 	}
 	return pauses
 }
+
+// IsNear reports whether a request stays near.
+func (s *Steering) IsNear(route *savorystep.Route, body int) bool {
+	return s.isNear(route, body)
+}
+
+// NoteAnswer takes the size of an answer.
+func (s *Steering) NoteAnswer(route savorystep.RouteName, size int) {
+	s.noteAnswer(route, size)
+}
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -116,7 +116,7 @@
 		}
 	}
 	steering.SetRouting(savorystep.NewRouting(1, []*savorystep.Route{
-		route("safe", savorystep.RepetitionSafe), route("once", savorystep.RepetitionNever), route("upload", savorystep.RepetitionUpload),
+		route("safe", savorystep.RepetitionSafe), route("once", savorystep.RepetitionNever), route("upload", savorystep.RepetitionUpload), route("download", savorystep.RepetitionDownload),
 	}, map[savorystep.Service]savorystep.ServiceSpec{"s": {Name: "s"}}, savorystep.ClientLimits{HeaderBytes: 4096, BodyBytes: 1000}))
 	list := savorystep.EndpointChanges{Version: 1, Full: true}
 	for _, id := range []savorystep.EndpointID{"a", "b", "c"} {
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -19,9 +19,6 @@
 }
 
 const (
-	// nearBody is the size of a body from which a request stays in the region
-	// if it can: bytes between regions cost more than a cold object does.
-	nearBody = 16 << 10
 	// maxTries bounds the endpoints that a request is offered to, those that
 	// did not run it included.
 	maxTries = 4
@@ -82,7 +79,7 @@
 func (f *Forwarder) query(now time.Time, t *task) endpoint.Query {
 	return endpoint.Query{
 		Service: t.service, Key: t.key, Home: f.config.Place, Left: t.deadline.Sub(now),
-		Near: len(t.Body) >= nearBody, Regions: t.route.Regions, Tried: t.tried,
+		Near: f.config.Steering.isNear(t.route, len(t.Body)), Regions: t.route.Regions, Tried: t.tried,
 	}
 }
 
@@ -97,6 +94,7 @@
 	}
 	switch r.outcome {
 	case endpoint.OutcomeAnswered:
+		f.config.Steering.noteAnswer(t.route.Name, len(r.response.Body))
 		return true, r.response
 	case endpoint.OutcomeFailed:
 		t.setFailed(r.response)
--- a/ingress/front_test.go
+++ b/ingress/front_test.go
@@ -24,6 +24,8 @@
 		status   int
 		sends    int
 	}{
+		{name: "download broken goes elsewhere", path: "/download/", outcomes: []string{"broken", "ok"}, status: 200, sends: 2},
+		{name: "download broken twice ends", path: "/download/", outcomes: []string{"broken"}, status: 502, sends: 2},
 		{name: "once answered", path: "/once/", outcomes: []string{"ok"}, status: 200, sends: 1},
 		{name: "once broken runs no second time", path: "/once/", outcomes: []string{"broken", "ok"}, status: 502, sends: 1},
 		{name: "once encoded is not the answer", path: "/once/", outcomes: []string{"encoded", "ok"}, status: 502, sends: 1},
