Let only peers that are up to date tell a starting instance the catalog

Operators have told of servers that were in use again after a restart.

Change: a peer tells the whole catalog only if it heard of the store lately, itself or through a reader, and an instance that starts reads the changes at once after the first list and the first orders. By turns it asks the first of the order and any other peer. Without the store, old knowledge is still better than none, as before.

TestRelayStartsFresh fails if the age of what a peer heard is left out.

--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -78,17 +78,25 @@
 func (w *Watcher) watchOrders(ctx context.Context) {
 	var version savorystep.CatalogVersion
 	down := dependency{name: "operators' orders"}
+	// The first orders may be a peer's, seconds old, so the next read does not
+	// wait.
+	var wait time.Duration
 	for ctx.Err() == nil {
-		changes, err := w.config.Catalog.Orders(ctx, version, orderWait)
+		changes, err := w.config.Catalog.Orders(ctx, version, wait)
 		down.note(w.config.Clock.Now(), err)
 		if err != nil {
 			savorystep.Sleep(ctx, down.pause())
 			continue
 		}
+		isKnown := version != 0
 		version = changes.Version
 		w.applyOrders(w.config.Clock.Now(), changes)
 		if version == 0 {
 			savorystep.Sleep(ctx, emptyPause)
+			continue
+		}
+		if isKnown {
+			wait = orderWait
 		}
 	}
 }
@@ -144,9 +152,13 @@
 			savorystep.Sleep(ctx, down.pause())
 			continue
 		}
+		isFirst := version == 0 && changes.Version != 0
 		version = changes.Version
 		w.applyList(now, changes)
-		savorystep.Sleep(ctx, listPeriod-now.Sub(began))
+		if !isFirst {
+			// The first list may be a peer's, a second old.
+			savorystep.Sleep(ctx, listPeriod-now.Sub(began))
+		}
 	}
 }
 
--- a/peer/export_test.go
+++ b/peer/export_test.go
@@ -23,3 +23,12 @@
 	answer := newListAnswer(&r.mirror.list, after)
 	return len(answer.Changes.Listed), len(answer.Reports)
 }
+
+// TellsStart reports whether a relay tells its list and its orders to an
+// instance that starts.
+func TellsStart(r *Relay) (list, orders bool) {
+	now := r.config.Clock.Now()
+	r.mirror.mu.Lock()
+	defer r.mirror.mu.Unlock()
+	return now.Sub(r.mirror.list.since(0)) < listFresh, now.Sub(r.mirror.orders.since(0)) < ordersFresh
+}
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -39,13 +39,50 @@
 	m.changed = make(chan struct{})
 }
 
-// applyList takes changes that were read from the store or from a reader.
-func (m *mirror) applyList(now time.Time, changes savorystep.EndpointChanges, fromStore bool) {
+// A source is where changes come from.
+type source uint8
+
+const (
+	// sourceStore means that they were read from the store.
+	sourceStore source = iota
+	// sourceReader means that a reader that had read the store lately told them.
+	sourceReader
+	// sourceStart means that a peer told all that it knew, which may be old.
+	sourceStart
+)
+
+// A freshness is when a part of the catalog was last known to be up to date.
+type freshness struct {
+	// read is when this instance read the store, heard when it read the store or
+	// heard from a reader that had.
+	read, heard time.Time
+}
+
+// note takes note of changes from a source.
+func (f *freshness) note(now time.Time, from source) {
+	switch from {
+	case sourceStore:
+		f.read, f.heard = now, now
+	case sourceReader:
+		f.heard = now
+	case sourceStart:
+	}
+}
+
+// since returns what counts for a question after a version: a follower's changes
+// come from the store, a start may be told by any peer that is up to date.
+func (f *freshness) since(after savorystep.CatalogVersion) time.Time {
+	if after == 0 {
+		return f.heard
+	}
+	return f.read
+}
+
+// applyList takes changes of the list.
+func (m *mirror) applyList(now time.Time, changes savorystep.EndpointChanges, from source) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if fromStore {
-		m.list.read = now
-	}
+	m.list.note(now, from)
 	m.list.apply(now, changes)
 	m.wake()
 }
@@ -65,13 +102,11 @@
 	return changes, nil
 }
 
-// applyOrders takes changes that were read from the store or from a reader.
-func (m *mirror) applyOrders(now time.Time, changes savorystep.OrderChanges, fromStore bool) {
+// applyOrders takes changes of the orders.
+func (m *mirror) applyOrders(now time.Time, changes savorystep.OrderChanges, from source) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if fromStore {
-		m.orders.read = now
-	}
+	m.orders.note(now, from)
 	if m.orders.apply(changes) {
 		m.wake()
 	}
@@ -85,11 +120,11 @@
 
 // A listMirror is the endpoint list.
 type listMirror struct {
+	freshness
+
 	version savorystep.CatalogVersion
 	// base is the version from which on removals are remembered.
-	base savorystep.CatalogVersion
-	// read is when this instance last read the store.
-	read    time.Time
+	base    savorystep.CatalogVersion
 	entries map[savorystep.EndpointID]savorystep.Endpoint
 	// changed is the version at which more than an endpoint's report changed.
 	changed map[savorystep.EndpointID]savorystep.CatalogVersion
@@ -133,8 +168,8 @@
 	l.version = max(l.version, changes.Version)
 }
 
-// since returns the changes after a version.
-func (l *listMirror) since(after savorystep.CatalogVersion) savorystep.EndpointChanges {
+// changesSince returns the changes after a version.
+func (l *listMirror) changesSince(after savorystep.CatalogVersion) savorystep.EndpointChanges {
 	changes := savorystep.EndpointChanges{Version: max(l.version, after), Full: after < l.base}
 	for _, entry := range l.entries {
 		if changes.Full || entry.Written > after {
@@ -160,8 +195,9 @@
 
 // An orderMirror is the operators' orders.
 type orderMirror struct {
+	freshness
+
 	version savorystep.CatalogVersion
-	read    time.Time
 	routing *savorystep.Routing
 	// routed is the version at which routing was read.
 	routed savorystep.CatalogVersion
@@ -196,8 +232,8 @@
 	return changed
 }
 
-// since returns the changes after a version.
-func (o *orderMirror) since(after savorystep.CatalogVersion) savorystep.OrderChanges {
+// changesSince returns the changes after a version.
+func (o *orderMirror) changesSince(after savorystep.CatalogVersion) savorystep.OrderChanges {
 	changes := savorystep.OrderChanges{Version: max(o.version, after), Full: after == 0}
 	if o.routed > after {
 		changes.Routing = o.routing
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -106,8 +106,8 @@
 	path    string
 	store   func(context.Context, savorystep.CatalogVersion, time.Duration) (C, error)
 	changes func(A) (C, error)
-	// apply takes changes that came from the store or from a peer.
-	apply func(now time.Time, changes C, fromStore bool)
+	// apply takes changes from the store or from a peer.
+	apply func(now time.Time, changes C, from source)
 	// next, if not nil, returns whom the first reader asks when the store turns
 	// it away. The list is not asked for: a peer's answer would hide that the
 	// store fails, and entries that lapse meanwhile would not be kept for their
@@ -136,7 +136,7 @@
 	}
 	changes, err := read.store(ctx, query.after, query.wait)
 	if err == nil {
-		read.apply(r.config.Clock.Now(), changes, true)
+		read.apply(r.config.Clock.Now(), changes, sourceStore)
 		return changes, nil
 	}
 	if query.after != 0 {
@@ -150,7 +150,7 @@
 	if peerErr != nil {
 		return changes, err
 	}
-	read.apply(r.config.Clock.Now(), known, false)
+	read.apply(r.config.Clock.Now(), known, sourceStart)
 	return known, nil
 }
 
@@ -180,7 +180,11 @@
 		changes, err = read.changes(answer)
 	}
 	if err == nil {
-		read.apply(r.config.Clock.Now(), changes, false)
+		from := sourceReader
+		if query.after == 0 {
+			from = sourceStart
+		}
+		read.apply(r.config.Clock.Now(), changes, from)
 	}
 	return changes, err
 }
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -59,9 +60,19 @@
 func (f *fakeMembers) Self() savorystep.Instance             { return f.self }
 func (f *fakeMembers) Members(time.Time) []savorystep.Member { return f.members }
 
+// An aheadClock is the system's clock, moved ahead.
+type aheadClock struct {
+	ahead atomic.Int64
+}
+
+func (c *aheadClock) Now() time.Time {
+	return time.Now().Add(time.Duration(c.ahead.Load()))
+}
+
 // A relays is a reader and a follower of one region.
 type relays struct {
 	catalog          *fakeCatalog
+	clock            *aheadClock
 	reader, follower *peer.Relay
 }
 
@@ -69,7 +80,7 @@
 // orders are tried.
 func startRelays(t *testing.T) *relays {
 	t.Helper()
-	r := &relays{catalog: &fakeCatalog{}}
+	r := &relays{catalog: &fakeCatalog{}, clock: &aheadClock{}}
 	r.catalog.list = savorystep.EndpointChanges{Version: 5, Listed: []savorystep.Endpoint{{ID: "a", Written: 3}, {ID: "b", Written: 5}}}
 	r.catalog.orders = savorystep.OrderChanges{
 		Version: 4, Evacuated: []savorystep.Zone{"z"},
@@ -90,7 +101,7 @@
 	}
 	for i := range made {
 		made[i] = peer.NewRelay(peer.RelayConfig{
-			Catalog: r.catalog, Clock: savorystep.SystemClock{}, Secret: "a shared secret",
+			Catalog: r.catalog, Clock: r.clock, Secret: "a shared secret",
 			Members: &fakeMembers{self: instances[i], members: members},
 		})
 		handlers[i] = made[i].Handler()
@@ -373,3 +384,30 @@
 		t.Errorf("the follower read the store %d times", r.catalog.reads)
 	}
 }
+
+// TestRelayStartsFresh guards against an endpoint that left and is used again by
+// an instance that starts: a peer that did not hear of the store lately still
+// lists it.
+func TestRelayStartsFresh(t *testing.T) {
+	r := startRelays(t)
+	if _, err := r.reader.Endpoints(t.Context(), 0, 0); err != nil {
+		t.Fatal(err)
+	}
+	if tells, _ := peer.TellsStart(r.reader); !tells {
+		t.Error("a peer that has just read the store does not tell its list")
+	}
+	r.clock.ahead.Store(int64(10 * time.Second))
+	r.catalog.set(func(f *fakeCatalog) {
+		f.list = savorystep.EndpointChanges{Version: 8, Listed: []savorystep.Endpoint{{ID: "b", Written: 5}}}
+	})
+	if tells, _ := peer.TellsStart(r.reader); tells {
+		t.Error("a peer tells a list that is 10 s old to an instance that starts")
+	}
+	list, err := r.follower.Endpoints(t.Context(), 0, 0)
+	if err != nil || len(list.Listed) != 1 || list.Listed[0].ID != "b" {
+		t.Errorf("list %+v, %v", list, err)
+	}
+	if tells, _ := peer.TellsStart(r.follower); !tells {
+		t.Error("a peer that read the store itself does not tell its list")
+	}
+}
--- a/peer/relaystart.go
+++ b/peer/relaystart.go
@@ -55,10 +55,20 @@
 	}
 }
 
+// startPeer returns the peer to ask: by turns the first of the order, which reads
+// the store, and any other, which may have got it from there.
+func startPeer(order []savorystep.Address) savorystep.Address {
+	if rand.IntN(2) == 0 { //nolint:gosec // The spread needs no secrecy.
+		return order[0]
+	}
+	return order[rand.IntN(len(order))] //nolint:gosec // As above.
+}
+
 // startFromPeers asks peers of the region for the whole catalog. It returns
 // false if the store has to be read. Each of a fleet's calls to the store has a
-// price, and a whole list takes several. What a peer knows may be a second old;
-// the next read brings what changed since.
+// price, and a whole list takes several. Only peers that heard of the store lately
+// tell what they know, so that no endpoint that left comes back; the next read
+// brings what changed since.
 func startFromPeers[A, C any](ctx context.Context, r *Relay, read catalogRead[A, C]) (C, bool) {
 	var none C
 	for ctx.Err() == nil {
@@ -68,8 +78,8 @@
 		case startStore:
 			return none, false
 		case startAsk:
-			address := order[rand.IntN(len(order))] //nolint:gosec // The spread needs no secrecy.
-			changes, err := fetchChanges(ctx, r, address, catalogQuery{old: true}, read)
+			address := startPeer(order)
+			changes, err := fetchChanges(ctx, r, address, catalogQuery{}, read)
 			if err == nil {
 				return changes, true
 			}
--- a/peer/relaywire.go
+++ b/peer/relaywire.go
@@ -31,7 +31,7 @@
 
 // newListAnswer returns the changes of a list after a version.
 func newListAnswer(list *listMirror, after savorystep.CatalogVersion) listAnswer {
-	answer := listAnswer{Changes: list.since(after)}
+	answer := listAnswer{Changes: list.changesSince(after)}
 	if answer.Changes.Full {
 		return answer
 	}
@@ -145,20 +145,20 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+listPath, func(w http.ResponseWriter, request *http.Request) {
 		serveCatalog(w, request, r, listFresh, func(m *mirror, after savorystep.CatalogVersion) (listAnswer, time.Time, bool) {
-			return newListAnswer(&m.list, after), m.list.read, m.list.version > after
+			return newListAnswer(&m.list, after), m.list.since(after), m.list.version > after
 		})
 	})
 	mux.HandleFunc("GET "+ordersPath, func(w http.ResponseWriter, request *http.Request) {
 		serveCatalog(w, request, r, ordersFresh, func(m *mirror, after savorystep.CatalogVersion) (ordersAnswer, time.Time, bool) {
-			changes := m.orders.since(after)
+			changes := m.orders.changesSince(after)
 			isNews := changes.Routing != nil || len(changes.Evacuated)+len(changes.Returned) > 0
-			return newOrdersAnswer(changes), m.orders.read, isNews
+			return newOrdersAnswer(changes), m.orders.since(after), isNews
 		})
 	})
 	return mux
 }
 
-// A sinceFunc returns the changes after a version, when the store was last read
+// A sinceFunc returns the changes after a version, when they were last up to date
 // and whether there is a change. It is called with the mirror's lock held.
 type sinceFunc[T any] func(*mirror, savorystep.CatalogVersion) (T, time.Time, bool)
 
