Write finished answers before a stop ends, and log when the process stood still

Cause: a stop closed all connections as soon as no handler was running. What a handler has finished may still be in the server's buffer, so a request that was accepted last could be cut off without its answer. TestStopWritesAnswers failed before with an unexpected end of the answer. Found by looking for what operators of similar systems told of planned stops.

Change: the server is shut down, which waits for connections in use, within the time of the stop.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -219,8 +219,12 @@
 // tend keeps the state told to peers and the known instances up to date.
 func (g *gateway) tend(ctx context.Context) {
 	known := 0
+	stalls := stallWatch{interval: gatewayInterval}
 	for savorystep.Sleep(ctx, gatewayInterval) {
 		now := g.clock.Now()
+		if stall := stalls.tick(now); stall > 0 {
+			logGateway.Warningf("the process stood still for %v, what it had under way is late by as much", stall.Round(time.Millisecond))
+		}
 		g.state()
 		members := g.exchange.Members(now)
 		ids := make([]savorystep.InstanceID, len(members))
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -112,6 +112,12 @@
 	if left := s.front.InFlight(); left > 0 {
 		log.Warningf("%d requests are broken off, since the time for the stop is over", left)
 	}
+	// Answers that the handlers have finished may still have to be written.
+	ctx, cancel := context.WithDeadline(ctx, began.Add(within))
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		log.Debugf("connections are closed by force: %v", err)
+	}
 	_ = s.http.Close()
 }
 
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -136,3 +136,70 @@
 		})
 	}
 }
+
+// A heldListener accepts connections whose writes wait for release.
+type heldListener struct {
+	net.Listener
+	release chan struct{}
+}
+
+func (l *heldListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &heldConn{Conn: c, release: l.release}, nil
+}
+
+// A heldConn is a connection whose writes wait for release.
+type heldConn struct {
+	net.Conn
+	release chan struct{}
+}
+
+func (c *heldConn) Write(p []byte) (int, error) {
+	<-c.release
+	return c.Conn.Write(p)
+}
+
+// TestStopWritesAnswers guards against a stop that cuts off an answer which its
+// handler has finished and the server has not written yet.
+func TestStopWritesAnswers(t *testing.T) {
+	front, _, _ := newFront(t, "ok")
+	inner, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener := &heldListener{Listener: inner, release: make(chan struct{})}
+	server := ingress.NewServer(front, listener)
+	server.Serve()
+	c, reader := dial(t, inner.Addr().String())
+	if _, err := io.WriteString(c, "GET /safe/x HTTP/1.1\r\nHost: h\r\nAttempt: 1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	stopped := make(chan struct{})
+	go func() {
+		defer close(stopped)
+		server.Stop(context.Background(), 6*time.Second)
+	}()
+	for {
+		other, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", inner.Addr().String())
+		if err != nil {
+			break
+		}
+		_ = other.Close()
+		time.Sleep(5 * time.Millisecond)
+	}
+	// The instance no longer listens, and no request is under way.
+	time.Sleep(100 * time.Millisecond)
+	close(listener.release)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatalf("the answer was cut off: %v", err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if body, err := io.ReadAll(response.Body); err != nil || string(body) != "body" {
+		t.Errorf("body %q, %v", body, err)
+	}
+	<-stopped
+}
