Ask peers for the catalog at the first start of the system only

Change: the settings tell the first start, at which no caller waits yet. Only then are peers asked first.

TestRelayRestartReadsStore fails without the change with no read of the store.

--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -61,7 +61,7 @@
 // newGatewayRelay returns the catalog that is shared by the instances of a
 // region.
 func newGatewayRelay(settings platform.Settings, client *platform.Client, clock savorystep.Clock, exchange *peer.Exchange) *peer.Relay {
-	return peer.NewRelay(peer.RelayConfig{Catalog: client, Clock: clock, Members: exchange, Secret: peerSecret(settings)})
+	return peer.NewRelay(peer.RelayConfig{Catalog: client, Clock: clock, First: settings.First, Members: exchange, Secret: peerSecret(settings)})
 }
 
 // peerSecret returns what the instances of one deployment share. The platform
--- a/endpoint/order.go
+++ b/endpoint/order.go
@@ -18,6 +18,9 @@
 	return ranked{server: s, score: mix(s.hash ^ query.Key)}
 }
 
+// maxOrder is how many endpoints of an order are looked at.
+const maxOrder = homes + standIns
+
 // An order holds the first endpoints of a place in the order of a request's
 // object. All instances compute the same order from the same list.
 type order struct {
@@ -26,16 +29,15 @@
 
 // add puts an endpoint into its place in the order, if it is among the first.
 func (o *order) add(r ranked) {
-	const size = homes + standIns
-	if len(o.list) == size && r.score <= o.list[size-1].score {
+	if len(o.list) == maxOrder && r.score <= o.list[maxOrder-1].score {
 		return
 	}
 	i := len(o.list)
 	for i > 0 && o.list[i-1].score < r.score {
 		i--
 	}
-	if len(o.list) == size {
-		o.list = o.list[:size-1]
+	if len(o.list) == maxOrder {
+		o.list = o.list[:maxOrder-1]
 	}
 	o.list = slices.Insert(o.list, i, r)
 }
@@ -48,6 +50,9 @@
 	if query.Near {
 		orders = orders[:3]
 	}
+	for i := range orders {
+		orders[i].list = make([]ranked, 0, maxOrder)
+	}
 	for _, s := range t.byService[query.Service] {
 		if !t.mayGet(s, &query) {
 			continue
--- a/peer/export_test.go
+++ b/peer/export_test.go
@@ -32,3 +32,10 @@
 	defer r.mirror.mu.Unlock()
 	return now.Sub(r.mirror.list.since(0)) < listFresh, now.Sub(r.mirror.orders.since(0)) < ordersFresh
 }
+
+// Restarted returns the configuration of a relay for a later start.
+func Restarted(r *Relay) RelayConfig {
+	config := r.config
+	config.First = false
+	return config
+}
--- a/peer/relay.go
+++ b/peer/relay.go
@@ -43,6 +43,9 @@
 	Catalog savorystep.Catalog
 	Clock   savorystep.Clock
 	Members savorystep.Members
+	// First is true if the whole system starts for the first time, so that no
+	// caller waits yet.
+	First bool
 	// Secret is shared by all instances.
 	Secret string
 }
@@ -117,11 +120,12 @@
 
 // readCatalog asks the readers, then the store, then whoever else may know.
 func readCatalog[A, C any](ctx context.Context, r *Relay, query catalogQuery, read catalogRead[A, C]) (C, error) {
-	if query.after == 0 {
+	switch {
+	case query.after == 0 && r.config.First:
 		if changes, ok := startFromPeers(ctx, r, read); ok {
 			return changes, nil
 		}
-	} else {
+	case query.after != 0:
 		for _, reader := range r.readers() {
 			changes, err := fetchChanges(ctx, r, reader, query, read)
 			if err == nil {
@@ -228,8 +232,8 @@
 
 // order returns the other ready instances of the region in the order of readers
 // and the place of this one among them. All instances compute the same order
-// from the same members. While this one starts, those that are not known as
-// ready count too.
+// from the same members. While the system starts for the first time, those that
+// are not known as ready count too.
 func (r *Relay) order(now time.Time) (addresses []savorystep.Address, own int) {
 	type ranked struct {
 		address savorystep.Address
@@ -237,7 +241,7 @@
 	}
 	self := r.config.Members.Self()
 	selfHash := xxh3.HashString(string(self.ID))
-	isStarting := now.Sub(r.started) < startTime
+	isStarting := r.config.First && now.Sub(r.started) < startTime
 	var others []ranked
 	for _, m := range r.config.Members.Members(now) {
 		if m.Instance.Place.Region != self.Place.Region || m.Instance.ID == self.ID || m.Leaving {
--- a/peer/relay_test.go
+++ b/peer/relay_test.go
@@ -101,7 +101,7 @@
 	}
 	for i := range made {
 		made[i] = peer.NewRelay(peer.RelayConfig{
-			Catalog: r.catalog, Clock: r.clock, Secret: "a shared secret",
+			Catalog: r.catalog, Clock: r.clock, First: true, Secret: "a shared secret",
 			Members: &fakeMembers{self: instances[i], members: members},
 		})
 		handlers[i] = made[i].Handler()
@@ -411,3 +411,15 @@
 		t.Error("a peer that read the store itself does not tell its list")
 	}
 }
+
+// TestRelayRestartReadsStore guards against an instance that asks its peers for
+// the catalog while callers wait for it: after all were killed, word of the peers
+// took longer than the store takes.
+func TestRelayRestartReadsStore(t *testing.T) {
+	r := startRelays(t)
+	r.start(t)
+	again := peer.NewRelay(peer.Restarted(r.follower))
+	if list, err := again.Endpoints(t.Context(), 0, 0); err != nil || len(list.Listed) != 2 || r.catalog.reads != 1 {
+		t.Errorf("list %+v after %d reads of the store, %v", list, r.catalog.reads, err)
+	}
+}
--- a/peer/relaystart.go
+++ b/peer/relaystart.go
@@ -9,12 +9,12 @@
 )
 
 const (
-	// startTime is how long an instance counts as starting. It then asks peers
-	// that it does not know as ready yet, since word of that takes up to 2 s.
+	// startTime is how long the first start of the system takes. An instance then
+	// asks peers that it does not know as ready yet, since word of that takes up
+	// to 2 s.
 	startTime = 3 * time.Second
 	// startWait is how long an instance asks its peers for the whole catalog
-	// before it reads the store. One that starts with all others gets it within a
-	// second; the wait is well below the time that callers get to recover, 15 s.
+	// before it reads the store. Most get it within a second.
 	startWait = 2 * time.Second
 	// aloneWait is how long an instance that knows no peer waits for one. Seeds
 	// answer within two round trips of 70 ms.
@@ -64,9 +64,10 @@
 	return order[rand.IntN(len(order))] //nolint:gosec // As above.
 }
 
-// startFromPeers asks peers of the region for the whole catalog. It returns
-// false if the store has to be read. Each of a fleet's calls to the store has a
-// price, and a whole list takes several. Only peers that heard of the store lately
+// startFromPeers asks peers of the region for the whole catalog when the system
+// starts for the first time. It returns false if the store has to be read. Each of
+// a fleet's calls to the store has a price, and a whole list takes several. At a
+// later start callers wait, and the store answers sooner than peers are known. Only peers that heard of the store lately
 // tell what they know, so that no endpoint that left comes back; the next read
 // brings what changed since.
 func startFromPeers[A, C any](ctx context.Context, r *Relay, read catalogRead[A, C]) (C, bool) {
