Hold requests while an instance starts

Cause: an instance that starts has the catalog after 0.1 to 0.4 s. Callers who still know its address were refused meanwhile and came back after 0.2 to 0.6 s.

Change: a request waits for the catalog, at most 0.4 s.

TestStartHoldsRequests failed before with 503.

--- a/ingress/front.go
+++ b/ingress/front.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strconv"
@@ -23,6 +24,12 @@
 	bodyShare = 4
 	// defaultBodies bounds them while the settings state no memory limit.
 	defaultBodies = 64 << 20
+	// startHold is how long a request waits for an instance that starts. The
+	// catalog comes from a peer within 0.1 to 0.4 s, while a refused caller comes
+	// back after 0.2 to 0.6 s.
+	startHold = 400 * time.Millisecond
+	// startPoll is the time between two looks whether the instance is ready.
+	startPoll = 10 * time.Millisecond
 	// defaultBody bounds a body while the configuration states no bound.
 	defaultBody = 64 << 20
 )
@@ -113,10 +120,10 @@
 	if f.stage.Load() == stageClosed {
 		return nil, refuse("the instance stops")
 	}
-	routing := f.config.Steering.Routing()
-	if routing == nil || !f.config.Steering.IsReady() {
+	if !f.awaitReady(r.Context(), began) {
 		return nil, refuse("the instance is not ready")
 	}
+	routing := f.config.Steering.Routing()
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the request target is not a path"}
 	}
@@ -137,6 +144,17 @@
 	return t, nil
 }
 
+// awaitReady waits for the catalog while the instance starts. It returns false
+// if the instance is still not ready when the wait is over.
+func (f *Front) awaitReady(ctx context.Context, began time.Time) bool {
+	for !f.config.Steering.IsReady() {
+		if f.config.Clock.Now().Sub(began) >= startHold || !savorystep.Sleep(ctx, startPoll) {
+			return false
+		}
+	}
+	return true
+}
+
 // newTask returns the task of a request.
 func (f *Front) newTask(began time.Time, r *http.Request, route *savorystep.Route, body []byte) *task {
 	t := &task{
--- a/ingress/front_test.go
+++ b/ingress/front_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"savorystep"
+	"savorystep/endpoint"
+	"savorystep/ingress"
 )
 
 // TestOutcomes guards against a request that runs twice, a refusal that is not
@@ -189,6 +191,42 @@
 	}
 }
 
+// TestStartHoldsRequests guards against callers who are refused by an instance
+// that has the catalog a moment later: they would return after half a second.
+func TestStartHoldsRequests(t *testing.T) {
+	_, sender, ready := newFront(t, "ok")
+	steering := ingress.NewSteering(endpoint.Config{Self: "self"})
+	front := ingress.NewFront(ingress.Config{
+		Clock: savorystep.SystemClock{}, Names: names, Quarantine: ingress.NewQuarantine(&fakeFacts{}),
+		Place: savorystep.Place{Region: "r", Zone: "z"}, Sender: sender, Steering: steering,
+	})
+	request := func() int {
+		recorder := httptest.NewRecorder()
+		r := httptest.NewRequestWithContext(t.Context(), http.MethodGet, "http://h/safe/x", http.NoBody)
+		r.RequestURI = "/safe/x"
+		r.Header.Set("Attempt", "1")
+		r.Header.Set("Deadline", "60000")
+		front.ServeHTTP(recorder, r)
+		return recorder.Code
+	}
+	if status := request(); status != http.StatusServiceUnavailable || len(sender.requests()) != 0 {
+		t.Errorf("status %d after %d sends by an instance that never gets the catalog", status, len(sender.requests()))
+	}
+	held := make(chan int, 1)
+	go func() { held <- request() }()
+	for front.InFlight() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	steering.SetRouting(ready.Routing())
+	watcher := ingress.NewWatcher(ingress.WatcherConfig{Steering: steering, Clock: savorystep.SystemClock{}, Zones: map[savorystep.Zone]savorystep.Region{"z": "r"}})
+	watcher.ApplyList(time.Now(), savorystep.EndpointChanges{Version: 1, Full: true, Listed: []savorystep.Endpoint{
+		{ID: "a", Service: "s", State: savorystep.StateLive, Slots: 3, Sequence: 1, Written: 1, Place: savorystep.Place{Zone: "z"}},
+	}})
+	if status := <-held; status != http.StatusOK {
+		t.Errorf("status %d for a request that came while the instance started", status)
+	}
+}
+
 // TestRoutingNeverGoesBack guards against an older configuration that arrives
 // late and replaces a newer one.
 func TestRoutingNeverGoesBack(t *testing.T) {
