--- a/ingress/front_test.go
+++ b/ingress/front_test.go
@@ -215,7 +215,11 @@
 	held := make(chan int, 1)
 	go func() { held <- request() }()
 	for front.InFlight() == 0 {
-		time.Sleep(time.Millisecond)
+		select {
+		case status := <-held:
+			t.Fatalf("status %d at once", status)
+		case <-time.After(time.Millisecond):
+		}
 	}
 	steering.SetRouting(ready.Routing())
 	watcher := ingress.NewWatcher(ingress.WatcherConfig{Steering: steering, Clock: savorystep.SystemClock{}, Zones: map[savorystep.Zone]savorystep.Region{"z": "r"}})
