Answer callers that closed one side, and bound how long a caller holds memory

Cause: when a connection's reading side ended, the request counted as given up and its handler returned without an answer, for which the server sends an empty 200. A caller that closes its sending side and waits got a success that no endpoint gave. Found by the test of slow bodies, whose read deadline ended in the same way.

A body that did not come and an answer that was not read held their part of the memory budgets until the connection ended.

Change: a request that seems given up gets its true refusal. A body has to come within the request's deadline (408, it has not run), an answer has to be read within 30 s, as long as the longest deadline.

TestHalfClosedCaller failed before with status 200 for a request that may have run. TestSlowBodyEnds and TestUnreadAnswerEnds guard the new bounds; without them the requests do not end.

--- a/ingress/config.go
+++ b/ingress/config.go
@@ -1,6 +1,8 @@
 package ingress
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"savorystep"
@@ -8,7 +10,10 @@
 
 // A Config configures a Front.
 type Config struct {
-	Clock savorystep.Clock
+	// AnswerWait is how long a caller may take to read its answer, 30 s by
+	// default.
+	AnswerWait time.Duration
+	Clock      savorystep.Clock
 	// Memory is the limit of the process in bytes, zero for none.
 	Memory int64
 	Names  savorystep.HeaderNames
--- a/ingress/front.go
+++ b/ingress/front.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -30,6 +31,10 @@
 	startHold = 400 * time.Millisecond
 	// startPoll is the time between two looks whether the instance is ready.
 	startPoll = 10 * time.Millisecond
+	// defaultAnswerWait is as long as the longest deadline of callers, so that an
+	// answer that is late is still delivered. After it, the memory that the answer
+	// holds serves others.
+	defaultAnswerWait = 30 * time.Second
 	// defaultBody bounds a body while the configuration states no bound.
 	defaultBody = 64 << 20
 )
@@ -56,6 +61,9 @@
 
 // NewFront returns a front.
 func NewFront(config Config) *Front {
+	if config.AnswerWait <= 0 {
+		config.AnswerWait = defaultAnswerWait
+	}
 	m := newMetrics(config.Registerer)
 	return &Front{config: config, forwarder: Forwarder{config: config, metrics: m}, bodies: http1.NewBudget(bodyBytes(config.Memory)), log: newRequestLog(), metrics: m}
 }
@@ -104,14 +112,16 @@
 			return
 		}
 	}
-	if r.Context().Err() != nil {
-		f.report(r, began, t, 0, "the caller left")
-		return
-	}
 	if id := r.Header.Get(f.config.Names.Attempt); id != "" {
 		w.Header()[f.config.Names.Attempt] = []string{id}
 	}
+	// A caller that seems to have left may have closed its side only. Without an
+	// answer, the server would tell it of an empty success.
 	refused.write(w)
+	if r.Context().Err() != nil && refused.status != http.StatusRequestTimeout {
+		f.report(r, began, t, 0, "the caller left")
+		return
+	}
 	f.report(r, began, t, refused.status, refused.reason)
 }
 
@@ -135,11 +145,12 @@
 	if limit := routing.Limits.HeaderBytes; limit > 0 && headerSize(r) > limit {
 		return nil, &refusal{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the header is too large"}
 	}
-	body, refused := readBody(w, r, routing.Limits.BodyBytes, part)
+	deadline := f.deadline(began, r, route)
+	body, refused := readBody(w, r, bodyLimit{bytes: routing.Limits.BodyBytes, until: deadline}, part)
 	if refused != nil {
 		return nil, refused
 	}
-	t := f.newTask(began, r, route, body)
+	t := f.newTask(began, deadline, r, route, body)
 	t.revision = routing.Revision
 	return t, nil
 }
@@ -155,20 +166,27 @@
 	return true
 }
 
+// deadline returns when the caller leaves or the route's timeout ends, whichever
+// comes first.
+func (f *Front) deadline(began time.Time, r *http.Request, route *savorystep.Route) time.Time {
+	left := defaultDeadline
+	if told, err := strconv.ParseInt(r.Header.Get(f.config.Names.Deadline), 10, 32); err == nil && told > 0 {
+		left = time.Duration(told) * time.Millisecond
+	}
+	if route.Timeout > 0 {
+		left = min(left, route.Timeout)
+	}
+	return began.Add(left)
+}
+
 // newTask returns the task of a request.
-func (f *Front) newTask(began time.Time, r *http.Request, route *savorystep.Route, body []byte) *task {
+func (f *Front) newTask(began, deadline time.Time, r *http.Request, route *savorystep.Route, body []byte) *task {
 	t := &task{
 		Request: http1.Request{
 			Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: endToEnd(r.Header), Body: body,
 			Sized: r.ContentLength != 0 || len(body) > 0, Attempt: savorystep.RequestID(r.Header.Get(f.config.Names.Attempt)),
 		},
-		route: route, began: began, deadline: began.Add(defaultDeadline),
-	}
-	if left, err := strconv.ParseInt(r.Header.Get(f.config.Names.Deadline), 10, 32); err == nil && left > 0 {
-		t.deadline = began.Add(time.Duration(left) * time.Millisecond)
-	}
-	if route.Timeout > 0 && began.Add(route.Timeout).Before(t.deadline) {
-		t.deadline = began.Add(route.Timeout)
+		route: route, began: began, deadline: deadline,
 	}
 	t.left = t.deadline.Sub(began)
 	t.fingerprint = fingerprint(&t.Request)
@@ -192,11 +210,19 @@
 	return size
 }
 
+// A bodyLimit bounds the body of a request.
+type bodyLimit struct {
+	bytes int64
+	// until is when the whole body must be there.
+	until time.Time
+}
+
 // readBody reads the whole body into a part of the budget for bodies.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, part *http1.Part) ([]byte, *refusal) {
+func readBody(w http.ResponseWriter, r *http.Request, bound bodyLimit, part *http1.Part) ([]byte, *refusal) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	limit := bound.bytes
 	if limit <= 0 {
 		limit = defaultBody
 	}
@@ -205,7 +231,11 @@
 		w.Header().Set("Connection", "close")
 		return nil, tooLarge
 	}
+	controller := http.NewResponseController(w)
+	setDeadline(controller.SetReadDeadline, bound.until)
 	body, err := part.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
+	// The server watches the connection for the end of the caller from now on.
+	setDeadline(controller.SetReadDeadline, time.Time{})
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
@@ -213,14 +243,27 @@
 	case errors.Is(err, http1.ErrFull):
 		w.Header().Set("Connection", "close")
 		return nil, refuse("the instance holds too many bodies")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		w.Header().Set("Connection", "close")
+		return nil, &refusal{status: http.StatusRequestTimeout, reason: "the body did not come in time"}
 	case err != nil:
 		return nil, &refusal{status: http.StatusBadRequest, reason: "the body ended early"}
 	}
 	return body, nil
 }
 
+// setDeadline sets a deadline of a connection. Recorders in tests have none.
+func setDeadline(set func(time.Time) error, at time.Time) {
+	if err := set(at); err != nil && !errors.Is(err, errors.ErrUnsupported) {
+		log.Debugf("deadline of a caller's connection: %v", err)
+	}
+}
+
 // respond returns an endpoint's answer unchanged.
 func (f *Front) respond(w http.ResponseWriter, r *http.Request, response *http1.Response) {
+	controller := http.NewResponseController(w)
+	setDeadline(controller.SetWriteDeadline, f.config.Clock.Now().Add(f.config.AnswerWait))
+	defer setDeadline(controller.SetWriteDeadline, time.Time{})
 	header := w.Header()
 	for name, values := range endToEnd(response.Header) {
 		header[name] = values
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"savorystep"
+	"savorystep/http1"
 	"savorystep/ingress"
 )
 
@@ -203,3 +205,85 @@
 	}
 	<-stopped
 }
+
+// TestSlowBodyEnds guards against callers who hold memory for ever with bodies
+// that do not come: the request ends with its deadline and has not run.
+func TestSlowBodyEnds(t *testing.T) {
+	front, sender, _ := newFront(t, "ok")
+	_, address := startServer(t, front)
+	c, reader := dial(t, address)
+	if _, err := io.WriteString(c, "POST /once/x HTTP/1.1\r\nHost: h\r\nAttempt: 1\r\nDeadline: 100\r\nContent-Length: 10\r\n\r\nx"); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusRequestTimeout || !response.Close || len(sender.requests()) > 0 {
+		t.Errorf("status %d, closes %v, %d sends", response.StatusCode, response.Close, len(sender.requests()))
+	}
+}
+
+// A largeSender answers with a body that no socket buffer holds.
+type largeSender struct{}
+
+func (largeSender) Exchange(context.Context, savorystep.Endpoint, *http1.Request) (*http1.Response, error) {
+	return &http1.Response{Status: http.StatusOK, Header: http.Header{"Signature": {"s"}}, Body: make([]byte, 64<<20)}, nil
+}
+
+// TestUnreadAnswerEnds guards against callers who hold memory for ever with
+// answers that they do not read.
+func TestUnreadAnswerEnds(t *testing.T) {
+	_, _, steering := newFront(t, "ok")
+	front := ingress.NewFront(ingress.Config{
+		AnswerWait: 50 * time.Millisecond, Clock: savorystep.SystemClock{}, Names: names, Quarantine: ingress.NewQuarantine(&fakeFacts{}),
+		Place: savorystep.Place{Region: "r", Zone: "z"}, Sender: largeSender{}, Steering: steering,
+	})
+	_, address := startServer(t, front)
+	c, reader := dial(t, address)
+	if _, err := io.WriteString(c, "GET /safe/x HTTP/1.1\r\nHost: h\r\nAttempt: 1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	// The first byte shows that the request is being answered.
+	if _, err := reader.ReadByte(); err != nil {
+		t.Fatal(err)
+	}
+	for front.InFlight() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	response, err := http.ReadResponse(bufio.NewReader(io.MultiReader(strings.NewReader("H"), reader)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if n, err := io.Copy(io.Discard, response.Body); err == nil {
+		t.Errorf("an answer of %d bytes looks whole", n)
+	}
+}
+
+// TestHalfClosedCaller guards against an empty success for a caller that closes
+// its side of the connection and still waits for the answer: the server takes it
+// for gone.
+func TestHalfClosedCaller(t *testing.T) {
+	front, sender, _ := newFront(t, "silent")
+	_, address := startServer(t, front)
+	c, reader := dial(t, address)
+	if _, err := io.WriteString(c, "GET /once/x HTTP/1.1\r\nHost: h\r\nAttempt: 1\r\nDeadline: 60000\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for len(sender.requests()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if err := c.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode < http.StatusInternalServerError || response.StatusCode == http.StatusServiceUnavailable {
+		t.Errorf("status %d for a request that may have run", response.StatusCode)
+	}
+}
