Let safe requests leave an endpoint that another request finds down

Cause: a machine that loses power sends nothing, so a request that waits for an answer from there waits for keep-alive probes, up to 3 s, or for its deadline, although other requests of the instance find within 0.65 s that the machine acknowledges nothing.

Change: a refused connection or bytes that stay without acknowledgement end the safe attempts at that endpoint; they go elsewhere within their attempts and the budget of repeats. Requests that may run only once are left alone. A dial that timed out does not count, since it may be one lost packet.

--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -28,8 +28,9 @@
 
 // A Forwarder has requests run by endpoints.
 type Forwarder struct {
-	config  Config
-	metrics *metrics
+	config   Config
+	metrics  *metrics
+	attempts *attempts
 }
 
 // A result is how one attempt ended.
@@ -126,7 +127,7 @@
 	request.Header = t.Header.Clone()
 	request.Header[f.config.Names.Deadline] = []string{strconv.FormatInt(t.deadline.Sub(now).Milliseconds(), 10)}
 	request.Header[f.config.Names.Expected] = []string{string(choice.Endpoint.ID)}
-	response, err := f.config.Sender.Exchange(ctx, choice.Endpoint, &request)
+	response, err := f.exchange(ctx, t, choice.Endpoint, &request)
 	end := f.config.Clock.Now()
 	r := f.judge(ctx, response, err)
 	var load *endpoint.Load
@@ -139,6 +140,9 @@
 		response.Release()
 	}
 	f.config.Steering.end(end, choice, r.outcome, load)
+	if isDown(err) {
+		f.attempts.giveUp(choice.Endpoint.ID)
+	}
 	f.metrics.attempt(r.outcome)
 	switch {
 	case r.outcome == endpoint.OutcomeAnswered:
@@ -150,6 +154,18 @@
 	return r
 }
 
+// exchange sends a request to an endpoint. If it may run again, it ends as soon as
+// another request finds the endpoint down.
+func (f *Forwarder) exchange(ctx context.Context, t *task, to savorystep.Endpoint, request *http1.Request) (*http1.Response, error) {
+	if t.route.Repetition.MayRunAgain() {
+		var cancel context.CancelCauseFunc
+		ctx, cancel = context.WithCancelCause(ctx)
+		defer cancel(nil)
+		defer f.attempts.add(to.ID, cancel)()
+	}
+	return f.config.Sender.Exchange(ctx, to, request)
+}
+
 // describeService says why no endpoint of a service gets a request. The choice
 // has the soonest answer if all would come too late.
 func (f *Forwarder) describeService(now time.Time, service savorystep.Service, late endpoint.Choice) string {
--- a/ingress/front.go
+++ b/ingress/front.go
@@ -65,7 +65,7 @@
 		config.AnswerWait = defaultAnswerWait
 	}
 	m := newMetrics(config.Registerer)
-	return &Front{config: config, forwarder: Forwarder{config: config, metrics: m}, bodies: http1.NewBudget(bodyBytes(config.Memory)), log: newRequestLog(), metrics: m}
+	return &Front{config: config, forwarder: Forwarder{attempts: newAttempts(), config: config, metrics: m}, bodies: http1.NewBudget(bodyBytes(config.Memory)), log: newRequestLog(), metrics: m}
 }
 
 // bodyBytes returns the bytes for all bodies under a memory limit, zero for
