--- a/endpoint/order.go
+++ b/endpoint/order.go
@@ -21,8 +21,9 @@
 // maxOrder is how many endpoints of an order are looked at.
 const maxOrder = homes + standIns
 
-// An order holds the first endpoints of a place in the order of a request's
-// object. All instances compute the same order from the same list.
+// An order holds the first endpoints of a place (a zone, a region or all) by their
+// scores for a request's object. All instances compute the same order from the
+// same list.
 type order struct {
 	list []ranked
 }
@@ -42,9 +43,9 @@
 	o.list = slices.Insert(o.list, i, r)
 }
 
-// orders returns the orders of endpoints that a request can go to: that of all
-// endpoints and, for a request with large bodies, those of the region and of
-// the availability zone of this instance.
+// orders returns the orders of endpoints that a request can go to, the nearest
+// place first: for a request with large bodies those of the availability zone and
+// of the region of this instance, and always that of all endpoints.
 func (t *Table) orders(query Query) []order {
 	orders := make([]order, 1, 3)
 	if query.Near {
@@ -67,6 +68,7 @@
 			orders[2].add(r)
 		}
 	}
+	// They were filled from the widest to the nearest.
 	slices.Reverse(orders)
 	return orders
 }
--- a/ingress/attempts_test.go
+++ b/ingress/attempts_test.go
@@ -43,8 +43,7 @@
 
 // TestDarkEndpointIsTold guards against safe requests that wait until their
 // deadline at a machine without power though another request of this instance
-// has found it dark,
-// and against ending requests that may run only once.
+// has found it dark, and against ending requests that may run only once.
 func TestDarkEndpointIsTold(t *testing.T) {
 	for _, test := range []struct {
 		name, path string
--- a/ingress/front.go
+++ b/ingress/front.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -35,8 +33,6 @@
 	// answer that is late is still delivered. After it, the memory that the answer
 	// holds serves others.
 	defaultAnswerWait = 30 * time.Second
-	// defaultBody bounds a body while the configuration states no bound.
-	defaultBody = 64 << 20
 )
 
 // A Front takes the requests of callers.
@@ -210,55 +206,6 @@
 	return size
 }
 
-// A bodyLimit bounds the body of a request.
-type bodyLimit struct {
-	bytes int64
-	// until is when the whole body must be there.
-	until time.Time
-}
-
-// readBody reads the whole body into a part of the budget for bodies.
-func readBody(w http.ResponseWriter, r *http.Request, bound bodyLimit, part *http1.Part) ([]byte, *refusal) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	limit := bound.bytes
-	if limit <= 0 {
-		limit = defaultBody
-	}
-	tooLarge := &refusal{status: http.StatusRequestEntityTooLarge, reason: "the body is too large"}
-	if r.ContentLength > limit {
-		w.Header().Set("Connection", "close")
-		return nil, tooLarge
-	}
-	controller := http.NewResponseController(w)
-	setDeadline(controller.SetReadDeadline, bound.until)
-	body, err := part.ReadAll(http.MaxBytesReader(w, r.Body, limit), r.ContentLength)
-	// The server watches the connection for the end of the caller from now on.
-	setDeadline(controller.SetReadDeadline, time.Time{})
-	var large *http.MaxBytesError
-	switch {
-	case errors.As(err, &large):
-		return nil, tooLarge
-	case errors.Is(err, http1.ErrFull):
-		w.Header().Set("Connection", "close")
-		return nil, refuse("the instance holds too many bodies")
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		w.Header().Set("Connection", "close")
-		return nil, &refusal{status: http.StatusRequestTimeout, reason: "the body did not come in time"}
-	case err != nil:
-		return nil, &refusal{status: http.StatusBadRequest, reason: "the body ended early"}
-	}
-	return body, nil
-}
-
-// setDeadline sets a deadline of a connection. Recorders in tests have none.
-func setDeadline(set func(time.Time) error, at time.Time) {
-	if err := set(at); err != nil && !errors.Is(err, errors.ErrUnsupported) {
-		log.Debugf("deadline of a caller's connection: %v", err)
-	}
-}
-
 // respond returns an endpoint's answer unchanged.
 func (f *Front) respond(w http.ResponseWriter, r *http.Request, response *http1.Response) {
 	controller := http.NewResponseController(w)
--- a/ingress/steering.go
+++ b/ingress/steering.go
@@ -1,7 +1,6 @@
 package ingress
 
 import (
-	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,13 +18,13 @@
 	mu    sync.Mutex
 	table *endpoint.Table
 	split map[savorystep.RouteName]*splitter
-	// answers are the mean sizes of the answers of routes in bytes.
-	answers map[savorystep.RouteName]float64
+	// answers are the sizes of the answers of routes.
+	answers answerSizes
 }
 
 // NewSteering returns a steering without routing and endpoints.
 func NewSteering(config endpoint.Config) *Steering {
-	return &Steering{table: endpoint.NewTable(config), split: make(map[savorystep.RouteName]*splitter), answers: make(map[savorystep.RouteName]float64)}
+	return &Steering{table: endpoint.NewTable(config), split: make(map[savorystep.RouteName]*splitter), answers: make(answerSizes)}
 }
 
 // Routing returns the routing in force, nil before the first.
@@ -47,7 +46,7 @@
 		return false
 	}
 	s.table.SetSpecs(routing.Services)
-	s.forgetAnswers(routing)
+	s.answers.keep(routing)
 	s.routing.Store(routing)
 	return true
 }
@@ -98,48 +97,19 @@
 	return service
 }
 
-const (
-	// nearBytes is the size of the bodies of request and answer together from
-	// which a request stays near. Smaller ones fit the first window of a
-	// connection.
-	nearBytes = 16 << 10
-	// answerShare is the share of an answer in the mean size of a route's.
-	answerShare = 0.05
-	// firstDownload stands for the mean size of a download until there is one.
-	firstDownload = 64 << 10
-)
-
 // isNear reports whether a request with a body of a size has so large bodies
 // that it stays near if it can.
 func (s *Steering) isNear(route *savorystep.Route, body int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	answer, ok := s.answers[route.Name]
-	if !ok && route.Repetition == savorystep.RepetitionDownload {
-		answer = firstDownload
-	}
-	return float64(body)+answer >= nearBytes
+	return float64(body)+s.answers.mean(route) >= nearBytes
 }
 
 // noteAnswer takes the size of an answer of a route.
 func (s *Steering) noteAnswer(route savorystep.RouteName, size int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	mean, ok := s.answers[route]
-	if !ok {
-		mean = float64(size)
-	}
-	s.answers[route] = mean + answerShare*(float64(size)-mean)
-}
-
-// forgetAnswers forgets the routes that a routing does not have. The caller
-// holds mu.
-func (s *Steering) forgetAnswers(routing *savorystep.Routing) {
-	known := make(map[savorystep.RouteName]bool, len(routing.Routes))
-	for _, route := range routing.Routes {
-		known[route.Name] = true
-	}
-	maps.DeleteFunc(s.answers, func(name savorystep.RouteName, _ float64) bool { return !known[name] })
+	s.answers.note(route, size)
 }
 
 // mayRepeat reports whether a request may be sent once more.
--- a/peer/relaystart.go
+++ b/peer/relaystart.go
@@ -67,9 +67,9 @@
 // startFromPeers asks peers of the region for the whole catalog when the system
 // starts for the first time. It returns false if the store has to be read. Each of
 // a fleet's calls to the store has a price, and a whole list takes several. At a
-// later start callers wait, and the store answers sooner than peers are known. Only peers that heard of the store lately
-// tell what they know, so that no endpoint that left comes back; the next read
-// brings what changed since.
+// later start callers wait, and the store answers sooner than peers are known.
+// Only peers that heard of the store lately tell what they know, so that no
+// endpoint that left comes back; the next read brings what changed since.
 func startFromPeers[A, C any](ctx context.Context, r *Relay, read catalogRead[A, C]) (C, bool) {
 	var none C
 	for ctx.Err() == nil {
