Stop requests to endpoints that left in an outage when the time for their return is over

Cause: entries that are missing after an instance could not read the list are used for 1.8 s more, since they may have lapsed.

Change: the time stands at the endpoint itself, which gets nothing after it, whenever the next read comes. TestMissingLapsesInTime failed before.

--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -31,7 +31,7 @@
 	p := t.pace(query.Service)
 	var best, late Choice
 	var chosen *server
-	for _, order := range t.orders(query) {
+	for _, order := range t.orders(now, query) {
 		choice, s, tooLate := order.choose(now, query, p)
 		late = late.sooner(tooLate)
 		if s != nil && (chosen == nil || choice.cost(&query, s) < best.cost(&query, chosen)) {
@@ -56,7 +56,7 @@
 func (t *Table) chooseCold(now time.Time, query Query, p *pace) (Choice, *server) {
 	var cold []ranked
 	for _, s := range t.byService[query.Service] {
-		if t.mayGet(s, &query) && !s.isHeld(now) && s.isCold(now) {
+		if t.mayGet(now, s, &query) && !s.isHeld(now) && s.isCold(now) {
 			cold = append(cold, newRanked(s, &query))
 		}
 	}
@@ -121,8 +121,8 @@
 )
 
 // mayGet reports whether an endpoint may get a request at all.
-func (t *Table) mayGet(s *server, query *Query) bool {
-	if s.State != savorystep.StateLive || t.evacuated[s.Place.Zone] || slices.Contains(query.Tried, s.ID) {
+func (t *Table) mayGet(now time.Time, s *server, query *Query) bool {
+	if s.State != savorystep.StateLive || s.hasLapsed(now) || t.evacuated[s.Place.Zone] || slices.Contains(query.Tried, s.ID) {
 		return false
 	}
 	return len(query.Regions) == 0 || slices.Contains(query.Regions, s.Place.Region)
--- a/endpoint/order.go
+++ b/endpoint/order.go
@@ -46,7 +46,7 @@
 // orders returns the orders of endpoints that a request can go to, the nearest
 // place first: for a request with large bodies those of the availability zone and
 // of the region of this instance, and always that of all endpoints.
-func (t *Table) orders(query Query) []order {
+func (t *Table) orders(now time.Time, query Query) []order {
 	orders := make([]order, 1, 3)
 	if query.Near {
 		orders = orders[:3]
@@ -55,7 +55,7 @@
 		orders[i].list = make([]ranked, 0, maxOrder)
 	}
 	for _, s := range t.byService[query.Service] {
-		if !t.mayGet(s, &query) {
+		if !t.mayGet(now, s, &query) {
 			continue
 		}
 		r := newRanked(s, &query)
--- a/endpoint/server.go
+++ b/endpoint/server.go
@@ -39,8 +39,10 @@
 	// sheds and broken count outcomes in a row.
 	sheds, broken int
 	heldUntil     time.Time
-	kept          keptObjects
-	slowness      slowness
+	// lapsesAt is when it gets no more requests, zero if it is listed.
+	lapsesAt time.Time
+	kept     keptObjects
+	slowness slowness
 	// coldSends are the times of recent requests while cold.
 	coldSends []time.Time
 }
@@ -70,6 +72,11 @@
 	return now.Before(s.coldUntil) || (now.Before(s.doubtUntil) && s.Sequence <= s.doubtSequence)
 }
 
+// hasLapsed reports whether the endpoint was not listed again in time.
+func (s *server) hasLapsed(now time.Time) bool {
+	return !s.lapsesAt.IsZero() && !now.Before(s.lapsesAt)
+}
+
 // isHeld reports whether the endpoint failed lately.
 func (s *server) isHeld(now time.Time) bool {
 	return now.Before(s.heldUntil)
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -97,6 +97,14 @@
 	return true
 }
 
+// Lapse lets an endpoint get requests until a time only. A zero time lets it get
+// them on.
+func (t *Table) Lapse(id savorystep.EndpointID, at time.Time) {
+	if s := t.byID[id]; s != nil {
+		s.lapsesAt = at
+	}
+}
+
 // IDs returns the ids of all endpoints.
 func (t *Table) IDs() []savorystep.EndpointID {
 	ids := make([]savorystep.EndpointID, 0, len(t.byID))
@@ -165,7 +173,7 @@
 func (t *Table) Counts(now time.Time, service savorystep.Service) (all, usable int) {
 	for _, s := range t.byService[service] {
 		all++
-		if s.State == savorystep.StateLive && !t.evacuated[s.Place.Zone] && !s.isHeld(now) && !s.isCold(now) {
+		if s.State == savorystep.StateLive && !t.evacuated[s.Place.Zone] && !s.hasLapsed(now) && !s.isHeld(now) && !s.isCold(now) {
 			usable++
 		}
 	}
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -177,6 +177,7 @@
 		w.remove(now, t, removedBy(t, changes), wasAway)
 		for _, entry := range changes.Listed {
 			delete(w.missing, entry.ID)
+			t.Lapse(entry.ID, time.Time{})
 			entry.Place.Region = w.config.Zones[entry.Place.Zone]
 			if t.Put(now, entry) && entry.State == savorystep.StateLeaving {
 				log.Debugf("endpoint %s leaves", entry.ID)
@@ -207,6 +208,7 @@
 		case waits:
 		case wasAway:
 			w.missing[id] = now.Add(returnGrace)
+			t.Lapse(id, w.missing[id])
 		case t.Remove(now, id):
 			log.Infof("endpoint %s is gone", id)
 		}
--- a/ingress/watcher_test.go
+++ b/ingress/watcher_test.go
@@ -62,3 +62,37 @@
 		t.Errorf("pauses %v, want %v", pauses, want)
 	}
 }
+
+// TestMissingLapsesInTime guards against requests at an endpoint that left while
+// this instance was cut off: it was passed over only with the first read of the
+// list after the time for its return, half a second late (scale-2 of
+// corrente-limpa-grown, seed 362451808053).
+func TestMissingLapsesInTime(t *testing.T) {
+	_, _, steering := newFront(t, "ok")
+	watcher := ingress.NewWatcher(ingress.WatcherConfig{Steering: steering, Clock: savorystep.SystemClock{}, Zones: map[savorystep.Zone]savorystep.Region{"z": "r"}})
+	now := time.Now()
+	entry := func(id savorystep.EndpointID) savorystep.Endpoint {
+		return savorystep.Endpoint{ID: id, Service: "s", State: savorystep.StateLive, Slots: 3, Sequence: 1, Written: 1, Place: savorystep.Place{Zone: "z"}}
+	}
+	watcher.ApplyList(now, savorystep.EndpointChanges{Version: 1, Full: true, Listed: []savorystep.Endpoint{entry("a"), entry("b")}})
+	watcher.FailList(now)
+	back := now.Add(10 * time.Second)
+	watcher.ApplyList(back, savorystep.EndpointChanges{Version: 2, Full: true})
+	watcher.ApplyList(back.Add(time.Second), savorystep.EndpointChanges{Version: 3, Listed: []savorystep.Endpoint{entry("b")}})
+	for _, test := range []struct {
+		name  string
+		after time.Duration
+		want  int
+	}{
+		{name: "after the time for its return", after: 1900 * time.Millisecond, want: 1},
+		{name: "within the time for its return", after: 1700 * time.Millisecond, want: 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			usable := 0
+			steering.Update(func(table *endpoint.Table) { _, usable = table.Counts(back.Add(test.after), "s") })
+			if usable != test.want {
+				t.Errorf("%d endpoints can get requests, want %d", usable, test.want)
+			}
+		})
+	}
+}
