Count the time for the return of endpoints from the first sign of the store

Cause: entries that are missing after an outage are used for 1.8 s after the list was read again.

Change: the time counts from the first read of the orders after the outage if that came sooner. TestReturnCountsFromOrders fails without it.

--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -56,3 +56,9 @@
 func (s *Steering) NoteAnswer(route savorystep.RouteName, size int) {
 	s.noteAnswer(route, size)
 }
+
+// OrdersBack takes the first read of the orders after an outage as the watcher
+// does.
+func (w *Watcher) OrdersBack(now time.Time) {
+	w.ordersBack.Store(&now)
+}
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"savorystep"
@@ -50,6 +51,9 @@
 	missing map[savorystep.EndpointID]time.Time
 	// failedSince is when reads of the list began to fail, zero while they work.
 	failedSince time.Time
+	// ordersBack is when the orders were first read after reads of them failed.
+	// It is written by the goroutine that follows the orders.
+	ordersBack atomic.Pointer[time.Time]
 }
 
 // NewWatcher returns a watcher.
@@ -83,14 +87,18 @@
 	var wait time.Duration
 	for ctx.Err() == nil {
 		changes, err := w.config.Catalog.Orders(ctx, version, wait)
-		down.note(w.config.Clock.Now(), err)
+		now := w.config.Clock.Now()
+		if err == nil && down.failures > 0 {
+			w.ordersBack.Store(&now)
+		}
+		down.note(now, err)
 		if err != nil {
 			savorystep.Sleep(ctx, down.pause())
 			continue
 		}
 		isKnown := version != 0
 		version = changes.Version
-		w.applyOrders(w.config.Clock.Now(), changes)
+		w.applyOrders(now, changes)
 		if version == 0 {
 			savorystep.Sleep(ctx, emptyPause)
 			continue
@@ -171,10 +179,13 @@
 
 // applyList takes changes of the endpoint list.
 func (w *Watcher) applyList(now time.Time, changes savorystep.EndpointChanges) {
-	wasAway := !w.failedSince.IsZero() && now.Sub(w.failedSince) >= outage
+	var awayUntil time.Time
+	if !w.failedSince.IsZero() && now.Sub(w.failedSince) >= outage {
+		awayUntil = w.returned(now)
+	}
 	w.failedSince = time.Time{}
 	w.config.Steering.Update(func(t *endpoint.Table) {
-		w.remove(now, t, removedBy(t, changes), wasAway)
+		w.remove(now, t, removedBy(t, changes), awayUntil)
 		for _, entry := range changes.Listed {
 			delete(w.missing, entry.ID)
 			t.Lapse(entry.ID, time.Time{})
@@ -200,14 +211,23 @@
 	return without(t.IDs(), listed)
 }
 
-// remove forgets endpoints. Those whose entries may have lapsed because the
-// store was away are used on for returnGrace.
-func (w *Watcher) remove(now time.Time, t *endpoint.Table, ids []savorystep.EndpointID, wasAway bool) {
+// returned returns when the store was back, if the list is read again now: the
+// orders may have been read before.
+func (w *Watcher) returned(now time.Time) time.Time {
+	if at := w.ordersBack.Load(); at != nil && at.After(w.failedSince) && at.Before(now) {
+		return *at
+	}
+	return now
+}
+
+// remove forgets endpoints. Those whose entries may have lapsed because the store
+// was away until some time are used on for returnGrace after it.
+func (w *Watcher) remove(now time.Time, t *endpoint.Table, ids []savorystep.EndpointID, awayUntil time.Time) {
 	for _, id := range ids {
 		switch _, waits := w.missing[id]; {
 		case waits:
-		case wasAway:
-			w.missing[id] = now.Add(returnGrace)
+		case !awayUntil.IsZero():
+			w.missing[id] = awayUntil.Add(returnGrace)
 			t.Lapse(id, w.missing[id])
 		case t.Remove(now, id):
 			log.Infof("endpoint %s is gone", id)
--- a/ingress/watcher_test.go
+++ b/ingress/watcher_test.go
@@ -63,6 +63,29 @@
 	}
 }
 
+// TestReturnCountsFromOrders guards against requests at an endpoint that left while
+// this instance was cut off: the orders were read 0.9 s before the list was, so the
+// store was back by then (scale-2 of scaba-alertas, seed 439052317867).
+func TestReturnCountsFromOrders(t *testing.T) {
+	_, _, steering := newFront(t, "ok")
+	watcher := ingress.NewWatcher(ingress.WatcherConfig{Steering: steering, Clock: savorystep.SystemClock{}, Zones: map[savorystep.Zone]savorystep.Region{"z": "r"}})
+	now := time.Now()
+	watcher.FailList(now)
+	watcher.OrdersBack(now.Add(10 * time.Second))
+	back := now.Add(10900 * time.Millisecond)
+	watcher.ApplyList(back, savorystep.EndpointChanges{Version: 2, Full: true})
+	usable := func(after time.Duration) (count int) {
+		steering.Update(func(table *endpoint.Table) { _, count = table.Counts(back.Add(after), "s") })
+		return count
+	}
+	if count := usable(800 * time.Millisecond); count != 3 {
+		t.Errorf("%d endpoints can get requests within the time for their return, want 3", count)
+	}
+	if count := usable(time.Second); count != 0 {
+		t.Errorf("%d endpoints can get requests after the time for their return", count)
+	}
+}
+
 // TestMissingLapsesInTime guards against requests at an endpoint that left while
 // this instance was cut off: it was passed over only with the first read of the
 // list after the time for its return, half a second late (scale-2 of
