Read bodies of unknown length in pieces

Change: a body is read in pieces that are joined at the end. The check and its bound stay. The pieces tell the end of a body from one that ended early, which io.ReadFull does not.

--- a/http1/part.go
+++ b/http1/part.go
@@ -9,6 +9,10 @@
 // BodyStep is by how much the part for a body of unknown length grows.
 const BodyStep = 64 << 10
 
+// firstPiece is the size of the first piece of a body of unknown length, which
+// holds most bodies. Each further piece is twice as large, up to BodyStep.
+const firstPiece = 4 << 10
+
 // ErrFull is the error of a body for which its budget has no room.
 var ErrFull = errors.New("too many bodies are held")
 
@@ -49,18 +53,39 @@
 	return body, err
 }
 
-// readToEnd reads a body of unknown length.
+// readToEnd reads a body of unknown length. It is read in pieces that are joined
+// at the end: a buffer that grows would hold up to three times the body.
 func (p *Part) readToEnd(reader io.Reader) ([]byte, error) {
-	var body bytes.Buffer
+	var pieces [][]byte
+	total, size := int64(0), firstPiece
 	for {
-		if !p.grow(BodyStep) {
+		if p.held < total+int64(size) && !p.grow(BodyStep) {
 			return nil, ErrFull
 		}
-		switch _, err := io.CopyN(&body, reader, BodyStep); {
+		piece, err := readPiece(reader, size)
+		pieces = append(pieces, piece)
+		total += int64(len(piece))
+		switch {
 		case errors.Is(err, io.EOF):
-			return body.Bytes(), nil
+			return bytes.Join(pieces, nil), nil
 		case err != nil:
 			return nil, err
 		}
+		size = min(2*size, BodyStep)
+	}
+}
+
+// readPiece reads up to size bytes. Unlike io.ReadFull it tells the end of the
+// body from a body that ended early.
+func readPiece(reader io.Reader, size int) ([]byte, error) {
+	piece := make([]byte, size)
+	read := 0
+	for read < size {
+		n, err := reader.Read(piece[read:])
+		read += n
+		if err != nil {
+			return piece[:read], err
+		}
 	}
+	return piece, nil
 }
