Log the rate limits that endpoints state

Cause: an endpoint can state in its responses how many requests per second it takes from all instances together.

The choice of endpoints is unchanged.

--- a/endpoint/choice.go
+++ b/endpoint/choice.go
@@ -34,6 +34,14 @@
 	// ExpectedLatency is the estimated time until the response.
 	ExpectedLatency time.Duration
 
+	// IsRateLimited is true if the endpoint states a rate limit, RateLimit.
+	IsRateLimited bool
+	RateLimit     savorystep.RequestsPerSecond
+	// RecentRequests is the number of requests that this instance sent to the
+	// endpoint in the last rateLimitWindow, this one included. It is set only if the
+	// endpoint states a rate limit.
+	RecentRequests int
+
 	affinityKey uint64
 	startedAt   time.Time
 	// cached is true if the endpoint was assumed to have the object cached.
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -20,6 +20,11 @@
 	choice.Endpoint, choice.Load = s.Endpoint, s.load(now)
 	choice.affinityKey, choice.startedAt = query.AffinityKey, now
 	s.inFlight++
+	s.recentRequests.add(now)
+	if s.rateLimit.isStated {
+		choice.IsRateLimited, choice.RateLimit = true, s.rateLimit.rate
+		choice.RecentRequests = s.recentRequests.sum(now)
+	}
 	if s.isCold(now) {
 		s.coldRequestTimes = append(s.coldRequestTimes, now)
 	}
--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -47,6 +47,9 @@
 	expiresAt time.Time
 	cached    cachedObjects
 	slowness  slowness
+	rateLimit rateLimit
+	// recentRequests counts the requests that this instance sent to it lately.
+	recentRequests windowCounter
 	// coldRequestTimes are the times of recent requests while it was cold.
 	coldRequestTimes []time.Time
 }
@@ -59,6 +62,7 @@
 		s.foreignLoad, s.shedsInRow, s.failuresInRow, s.backoffUntil = foreignLoad{}, 0, 0, time.Time{}
 		s.suspectUntil = time.Time{}
 		s.cached, s.slowness = make(cachedObjects), slowness{}
+		s.rateLimit = rateLimit{}
 	}
 	if isRestarted || entry.ReportSequence != s.ReportSequence {
 		s.warmAt = now.Add(entry.ColdRemaining)
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -80,7 +80,7 @@
 	if t.isStale(now, entry) {
 		return false
 	}
-	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects)}
+	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), recentRequests: newWindowCounter(rateLimitWindow)}
 	t.byID[entry.ID] = s
 	t.byService[entry.Service] = append(t.byService[entry.Service], s)
 	return true
--- /dev/null
+++ b/endpoint/windowcounter.go
@@ -0,0 +1,54 @@
+package endpoint
+
+import "time"
+
+// windowBuckets is the number of buckets of a window. One more bucket is counted,
+// since the window slides by whole buckets.
+const windowBuckets = 20
+
+// A windowCounter counts events over a sliding window.
+type windowCounter struct {
+	bucketWidth time.Duration
+	// origin is the time of the first event, from which the buckets are numbered.
+	// Subtracting it from other times uses the monotonic clock.
+	origin time.Time
+	// newest is the number of the newest bucket.
+	newest int64
+	counts [windowBuckets + 1]int
+}
+
+func newWindowCounter(window time.Duration) windowCounter {
+	return windowCounter{bucketWidth: max(window/windowBuckets, time.Millisecond)}
+}
+
+// advance returns the index of the current bucket and clears the buckets that are
+// no longer in the window.
+func (c *windowCounter) advance(now time.Time) int {
+	const size = windowBuckets + 1
+	if c.origin.IsZero() {
+		c.origin = now
+	}
+	current := max(c.newest, int64(now.Sub(c.origin)/c.bucketWidth))
+	if current-c.newest > size {
+		c.newest = current - size
+	}
+	for ; c.newest < current; c.newest++ {
+		c.counts[(c.newest+1)%size] = 0
+	}
+	return int(current % size)
+}
+
+// add counts an event.
+func (c *windowCounter) add(now time.Time) {
+	c.counts[c.advance(now)]++
+}
+
+// sum returns the number of events in the window.
+func (c *windowCounter) sum(now time.Time) int {
+	c.advance(now)
+	total := 0
+	for _, count := range c.counts {
+		total += count
+	}
+	return total
+}
--- a/headernames.go
+++ b/headernames.go
@@ -22,6 +22,9 @@
 	Load string
 	// NotExecuted marks the response of an endpoint that did not run the request.
 	NotExecuted string
+	// RateLimit is the number of requests per second that an endpoint takes from all
+	// instances together, for as long as its responses state it.
+	RateLimit string
 	// Signature proves that the response comes from the endpoint.
 	Signature string
 }
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -19,7 +19,7 @@
 // names are the header names in the tests.
 var names = savorystep.HeaderNames{
 	AffinityKey: "Affinity", AttemptID: "Attempt", Deadline: "Deadline", ExpectedEndpoint: "Expected",
-	Load: "Load", NotExecuted: "Not-Run", Signature: "Signature",
+	Load: "Load", NotExecuted: "Not-Run", RateLimit: "Limit", Signature: "Signature",
 }
 
 // errReset is the cause of failed exchanges.
@@ -63,6 +63,14 @@
 	switch outcome {
 	case "ok":
 		return respond(http.StatusOK, "Signature", "s", "Load", "1,0,3")
+	case "limited":
+		return respond(http.StatusOK, "Signature", "s", "Limit", "4.4")
+	case "limited shed":
+		return respond(http.StatusServiceUnavailable, "Not-Run", "1", "Limit", "4.4")
+	case "limited gone":
+		return respond(http.StatusMisdirectedRequest, "Limit", "4.4")
+	case "limited badly":
+		return respond(http.StatusOK, "Signature", "s", "Limit", "many")
 	case "failed":
 		return respond(http.StatusInternalServerError, "Signature", "s")
 	case "shed":
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -142,6 +142,9 @@
 		if reported, ok := endpoint.ParseLoad(response.Header.Get(f.config.HeaderNames.Load)); ok {
 			load = &reported
 		}
+		if statement, ok := f.rateLimitStatement(response); ok {
+			f.config.Router.recordRateLimit(endedAt, choice, statement)
+		}
 	}
 	if response != nil && result.response == nil {
 		response.Release()
@@ -150,17 +153,32 @@
 	if isEndpointDown(err) {
 		f.attempts.cancelAll(choice.Endpoint.ID)
 	}
-	f.metrics.countAttempt(result.outcome)
+	f.metrics.countAttempt(result.outcome, choice.IsRateLimited)
 	switch {
 	case result.outcome == endpoint.OutcomeAnswered:
 		f.config.Quarantine.clear(pr.fingerprint)
 	case isClosedByEndpoint(err) && refusesConnections(ctx, choice.Endpoint.Address):
 		f.config.Quarantine.recordCrash(endedAt, pr.fingerprint, choice.Endpoint)
 	}
-	pr.addStep(fmt.Sprintf("%s %s load %.1f expected %v: %s in %v", choice.Endpoint.ID, choice.Reason, choice.Load, choice.ExpectedLatency.Round(time.Millisecond), describeResult(result, err), endedAt.Sub(now).Round(time.Millisecond)))
+	pr.addStep(fmt.Sprintf("%s: %s in %v", describeChoice(choice), describeResult(result, err), endedAt.Sub(now).Round(time.Millisecond)))
 	return result
 }
 
+// rateLimitStatement returns what a response says about the rate limit of its
+// endpoint. It returns false if the response may come from another endpoint, if its
+// limit is not valid, or if it has none and an intermediary may have made it.
+func (f *Forwarder) rateLimitStatement(response *http1.Response) (endpoint.RateLimitStatement, bool) {
+	if response.Status == http.StatusMisdirectedRequest {
+		return endpoint.RateLimitStatement{}, false
+	}
+	values := response.Header.Values(f.config.HeaderNames.RateLimit)
+	if len(values) == 0 {
+		return endpoint.RateLimitStatement{}, response.Header.Get(f.config.HeaderNames.Signature) != ""
+	}
+	rate, ok := endpoint.ParseRateLimit(values[0])
+	return endpoint.RateLimitStatement{IsLimited: true, Rate: rate}, ok
+}
+
 // exchange sends a request to an endpoint. If the request is safe to retry, the
 // exchange is cancelled as soon as another request finds the endpoint down.
 func (f *Forwarder) exchange(ctx context.Context, pr *proxiedRequest, target savorystep.Endpoint, request *http1.Request) (*http1.Response, error) {
@@ -185,6 +203,16 @@
 	return fmt.Sprintf("no endpoint has room, %d of %d can get requests", usable, total)
 }
 
+// describeChoice returns the endpoint of an attempt and why it was chosen, for the
+// log.
+func describeChoice(choice endpoint.Choice) string {
+	text := fmt.Sprintf("%s %s load %.1f expected %v", choice.Endpoint.ID, choice.Reason, choice.Load, choice.ExpectedLatency.Round(time.Millisecond))
+	if choice.IsRateLimited {
+		text += fmt.Sprintf(" limit %.1f/s recent %d", choice.RateLimit, choice.RecentRequests)
+	}
+	return text
+}
+
 // describeResult returns the status or error of an attempt for the log.
 func describeResult(result attemptResult, err error) string {
 	if result.response != nil {
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -15,6 +15,8 @@
 	latency  *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
 	choices  *prometheus.CounterVec
+	// limitedAttempts counts the attempts at endpoints that state a rate limit.
+	limitedAttempts prometheus.Counter
 }
 
 // latencyBuckets are the upper bounds of the latency histogram in seconds. The
@@ -37,9 +39,12 @@
 		choices: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "savorystep_ingress_choices_total", Help: "Choices of endpoints by reason; none means that no endpoint had room.",
 		}, []string{"reason"}),
+		limitedAttempts: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "savorystep_ingress_limited_attempts_total", Help: "Attempts at endpoints that state a rate limit.",
+		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.latency, m.attempts, m.choices)
+		registerer.MustRegister(m.requests, m.latency, m.attempts, m.choices, m.limitedAttempts)
 	}
 	return m
 }
@@ -55,9 +60,13 @@
 	m.latency.WithLabelValues(repetition).Observe(duration.Seconds())
 }
 
-// countAttempt counts a completed attempt.
-func (m *metrics) countAttempt(outcome endpoint.Outcome) {
+// countAttempt counts a completed attempt. isLimited is true if its endpoint states a
+// rate limit.
+func (m *metrics) countAttempt(outcome endpoint.Outcome, isLimited bool) {
 	m.attempts.WithLabelValues(outcome.String()).Inc()
+	if isLimited {
+		m.limitedAttempts.Inc()
+	}
 }
 
 // countChoice counts a selection of an endpoint. The reason is empty if no
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -81,6 +81,29 @@
 	r.table.Finish(now, choice, outcome, load)
 }
 
+// recordRateLimit records what the response to an attempt says about the rate limit
+// of its endpoint, and logs when the limit begins, changes or ends.
+func (r *Router) recordRateLimit(now time.Time, choice endpoint.Choice, statement endpoint.RateLimitStatement) {
+	r.mu.Lock()
+	changed := r.table.RecordRateLimit(now, choice, statement)
+	recent := r.table.RecentRequests(now, choice.Endpoint.ID)
+	r.mu.Unlock()
+	switch {
+	case !changed:
+	case statement.IsLimited:
+		log.Infof("endpoint %s states a rate limit of %.1f requests/s for all instances together, %d were sent from here in the last 4s", choice.Endpoint.ID, statement.Rate, recent)
+	default:
+		log.Infof("endpoint %s states no rate limit any more", choice.Endpoint.ID)
+	}
+}
+
+// CountRateLimited returns the number of endpoints that state a rate limit.
+func (r *Router) CountRateLimited() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.CountRateLimited()
+}
+
 // nextService returns the service for the next request of a route by the weights
 // of the route, and counts the request for the service.
 func (r *Router) nextService(now time.Time, route *savorystep.Route) savorystep.Service {
--- /dev/null
+++ b/requestspersecond.go
@@ -0,0 +1,4 @@
+package savorystep
+
+// RequestsPerSecond is a rate of requests.
+type RequestsPerSecond float64
