Reproduce requests beyond the rate limit of an endpoint

Callers saw nothing; an endpoint that states a limit of requests per second for all instances together gets as many as before from instances that it has told.

--- a/simulation/endpoint.go
+++ b/simulation/endpoint.go
@@ -24,6 +24,8 @@
 	// wastedWork is the time spent running requests that then timed out.
 	wastedWork time.Duration
 
+	// sheds counts the requests that found the queue full.
+	sheds   int
 	running int
 	queue   []*attempt
 	// cached holds the keys of the cached objects, the least recently used first.
@@ -34,6 +36,12 @@
 	warmAt     time.Duration
 	// coldKnownAt is when all instances have read that it is cold.
 	coldKnownAt time.Duration
+	// isUnlisted is true while it is missing from the endpoint list although it runs.
+	isUnlisted bool
+	// failShare is the fraction of the requests that it answers with an error.
+	failShare float64
+	// rateLimit is the rate limit that it states, with the requests that it got.
+	rateLimit rateLimitLog
 	// coldArrivals holds the times of requests that were received while cold, in the
 	// last second.
 	coldArrivals []time.Duration
@@ -44,6 +52,8 @@
 // An attempt is a request that was sent to an endpoint.
 type attempt struct {
 	key uint64
+	// from is the instance that sent it.
+	from *instance
 	// sentAt is when the instance sent it. The caller waits until the deadline.
 	sentAt, deadline time.Duration
 	// finish is called once with the outcome and the reported load.
@@ -55,6 +65,21 @@
 	return endpoint.Load{Running: e.running, Queued: len(e.queue), Slots: int(e.Slots)}
 }
 
+// stateRateLimit returns what the response with an outcome says about the rate limit.
+// It returns false if there is no response, or one that was not signed and says
+// nothing about a limit.
+func (e *simulatedEndpoint) stateRateLimit(outcome endpoint.Outcome) (endpoint.RateLimitStatement, bool) {
+	statement := e.rateLimit.statement()
+	switch outcome {
+	case endpoint.OutcomeAnswered, endpoint.OutcomeFailed:
+		return statement, true
+	case endpoint.OutcomeShed:
+		return statement, statement.IsLimited
+	default:
+		return statement, false
+	}
+}
+
 // receive runs, queues or sheds a request.
 func (e *simulatedEndpoint) receive(a *attempt) {
 	now := e.scheduler.now
@@ -65,12 +90,14 @@
 	if now < e.warmAt {
 		e.countCold(a.sentAt, now)
 	}
+	e.rateLimit.addArrival(now, a.from)
 	switch {
 	case e.running < int(e.Slots):
 		e.run(a)
 	case float64(len(e.queue)) < e.scenario.QueuePerSlot*float64(e.Slots):
 		e.queue = append(e.queue, a)
 	default:
+		e.sheds++
 		a.finish(endpoint.OutcomeShed, e.load())
 	}
 }
@@ -99,6 +126,8 @@
 		// The caller cancels the request at the deadline, which ends the work.
 		work, outcome = max(left, 0), endpoint.OutcomeTimedOut
 		e.wastedWork += work
+	} else if e.failShare > 0 && e.random.Float64() < e.failShare {
+		outcome = endpoint.OutcomeFailed
 	}
 	e.scheduler.after(work, func() {
 		e.running--
@@ -155,6 +184,7 @@
 // running ones when their work ends if the endpoint is still down then.
 func (e *simulatedEndpoint) goDown() {
 	e.isDown = true
+	e.rateLimit.end(e.scheduler.now)
 	queue := e.queue
 	e.queue = nil
 	for _, a := range queue {
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -37,6 +37,13 @@
 	for _, e := range f.endpoints {
 		f.result.MaxColdPerSecond = max(f.result.MaxColdPerSecond, e.maxColdPerSecond)
 		f.result.Wasted += e.wastedWork
+		if e.rateLimit.windows > 0 {
+			f.result.RateLimitExcess = max(f.result.RateLimitExcess, e.rateLimit.maxExcess)
+			f.result.RateLimitWindows += e.rateLimit.windows
+		}
+		if !e.rateLimit.wasLimited() {
+			f.result.Sheds += e.sheds
+		}
 	}
 	f.result.MaxRegionShift = f.regionShifts.maxShift()
 	f.result.RetriesOverBound = f.retries.maxOverBound(scenario.Limits)
@@ -93,7 +100,9 @@
 // pollEndpointList reads the endpoint list for an instance now and then
 // periodically.
 func (f *fleet) pollEndpointList(i *instance) {
-	f.readEndpointList(i)
+	if i.frozenUntil <= f.scheduler.now {
+		f.readEndpointList(i)
+	}
 	if !f.isOver() {
 		f.scheduler.after(listPeriod, func() { f.pollEndpointList(i) })
 	}
@@ -103,7 +112,7 @@
 func (f *fleet) readEndpointList(i *instance) {
 	listed := make(map[savorystep.EndpointID]bool)
 	for _, e := range f.endpoints {
-		if e.isDown {
+		if e.isDown || e.isUnlisted {
 			continue
 		}
 		listed[e.ID] = true
@@ -124,16 +133,25 @@
 func (f *fleet) pollMembership(i *instance) {
 	var visible []savorystep.InstanceID
 	for _, other := range f.instances {
-		if other == i || (!i.isPartitioned && !other.isPartitioned && !f.policy.IgnoresPeers) {
+		if other == i || (f.isConnected(i, other) && !f.policy.IgnoresPeers) {
 			visible = append(visible, other.id)
 		}
 	}
-	i.table.SetInstances(f.now(), visible)
+	if i.frozenUntil <= f.scheduler.now {
+		i.table.SetInstances(f.now(), visible)
+	}
 	if !f.isOver() {
 		f.scheduler.after(membershipPeriod, func() { f.pollMembership(i) })
 	}
 }
 
+// isConnected reports whether two instances see each other. A frozen instance counts
+// as partitioned.
+func (f *fleet) isConnected(i, other *instance) bool {
+	now := f.scheduler.now
+	return !i.isPartitioned && !other.isPartitioned && i.frozenUntil <= now && other.frozenUntil <= now
+}
+
 // scheduleArrival schedules the next request of a region, and that one schedules
 // its successor. Arrivals are a Poisson process whose rate follows a sine wave with
 // another phase in each region.
@@ -179,32 +197,53 @@
 	switch event.Kind {
 	case EventBurst:
 		f.rateFactor = event.Factor
-	case EventCold:
+	case EventFreeze, EventPartition, EventRestart:
+		f.startInstanceEvent(event, instances)
+	default:
 		for _, e := range endpoints {
-			e.becomeCold(listPeriod)
+			f.startEndpointEvent(event, e)
 		}
-	case EventPartition:
-		for _, i := range instances {
+	}
+	if event.Duration > 0 {
+		f.scheduler.after(event.Duration, func() { f.endEvent(event.Kind, instances, endpoints) })
+	}
+}
+
+// startInstanceEvent starts an event for the instances that it affects.
+func (f *fleet) startInstanceEvent(event Event, instances []*instance) {
+	for n, i := range instances {
+		switch event.Kind {
+		case EventFreeze:
+			i.frozenUntil = f.scheduler.now + event.Duration
+		case EventPartition:
 			i.isPartitioned = true
-		}
-	case EventDown:
-		for _, e := range endpoints {
-			e.goDown()
-		}
-	case EventRestart:
-		for n, i := range instances {
+		default:
 			i.start(n, f.scenario.Limits)
 			i.isPartitioned = true
 			f.readEndpointList(i)
 			f.scheduler.after(membershipDelay, func() { i.isPartitioned = false })
 		}
-	case EventSlow:
-		for _, e := range endpoints {
-			e.slowFactor = event.Factor
-		}
 	}
-	if event.Duration > 0 {
-		f.scheduler.after(event.Duration, func() { f.endEvent(event.Kind, instances, endpoints) })
+}
+
+// startEndpointEvent starts an event for an endpoint that it affects.
+func (f *fleet) startEndpointEvent(event Event, e *simulatedEndpoint) {
+	switch event.Kind {
+	case EventCold:
+		e.becomeCold(listPeriod)
+	case EventDown:
+		e.goDown()
+	case EventDrain:
+		e.State = savorystep.StateLeaving
+	case EventFail:
+		e.failShare = event.Factor
+	case EventRateLimit:
+		e.rateLimit.set(f.scheduler.now, savorystep.RequestsPerSecond(event.Factor))
+	case EventSlow:
+		e.slowFactor = event.Factor
+	case EventUnlist:
+		e.isUnlisted = true
+	default:
 	}
 }
 
@@ -217,18 +256,32 @@
 		for _, i := range instances {
 			i.isPartitioned = false
 		}
-	case EventDown:
+	default:
 		for _, e := range endpoints {
-			e.isDown = false
-			e.StartedAtMillis++
-			e.ReportSequence = 0
-			e.becomeCold(0)
+			f.endEndpointEvent(kind, e)
 		}
+	}
+}
+
+// endEndpointEvent ends an event for an endpoint that it affects.
+func (f *fleet) endEndpointEvent(kind EventKind, e *simulatedEndpoint) {
+	switch kind {
+	case EventDown:
+		e.isDown = false
+		e.StartedAtMillis++
+		e.ReportSequence = 0
+		e.becomeCold(0)
+	case EventDrain:
+		e.goDown()
+	case EventFail:
+		e.failShare = 0
+	case EventRateLimit:
+		e.rateLimit.end(f.scheduler.now)
 	case EventSlow:
-		for _, e := range endpoints {
-			e.slowFactor = 1
-		}
-	case EventCold, EventRestart:
+		e.slowFactor = 1
+	case EventUnlist:
+		e.isUnlisted = false
+	default:
 	}
 }
 
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -17,6 +17,14 @@
 	starts int
 	// isPartitioned is true while it and the other instances do not see each other.
 	isPartitioned bool
+	// frozenUntil is when a frozen instance runs again.
+	frozenUntil time.Duration
+}
+
+// delay returns how long after now the instance handles what arrives after a
+// network delay.
+func (i *instance) delay(now, network time.Duration) time.Duration {
+	return max(network, i.frozenUntil-now)
 }
 
 // start starts the instance with an empty table and a new id.
--- a/simulation/request.go
+++ b/simulation/request.go
@@ -50,6 +50,10 @@
 // attempts or the retry budget are used up or if no endpoint can take it.
 func (r *request) sendToEndpoint() {
 	f := r.fleet
+	if frozen := r.instance.frozenUntil - f.scheduler.now; frozen > 0 {
+		f.scheduler.after(frozen, r.sendToEndpoint)
+		return
+	}
 	if f.scheduler.now >= r.deadline {
 		r.fail()
 		return
@@ -80,9 +84,15 @@
 	if len(r.attempted) == 1 {
 		f.regionShifts.add(f.scheduler.now, f.scenario.Regions, r.region, e.region)
 	}
-	a := &attempt{key: r.key, sentAt: f.scheduler.now, deadline: r.deadline}
+	from := r.instance
+	a := &attempt{key: r.key, from: from, sentAt: f.scheduler.now, deadline: r.deadline}
 	a.finish = func(outcome endpoint.Outcome, load endpoint.Load) {
-		f.scheduler.after(networkDelay(r.instance.place, e), func() {
+		statement, isStated := e.stateRateLimit(outcome)
+		f.scheduler.after(from.delay(f.scheduler.now, networkDelay(from.place, e)), func() {
+			if isStated {
+				table.RecordRateLimit(f.now(), choice, statement)
+				e.rateLimit.markTold(f.scheduler.now, from, statement)
+			}
 			reported := &load
 			if load.Slots == 0 {
 				reported = nil
@@ -91,7 +101,7 @@
 			r.finishAttempt(outcome)
 		})
 	}
-	f.scheduler.after(networkDelay(r.instance.place, e), func() { e.receive(a) })
+	f.scheduler.after(networkDelay(from.place, e), func() { e.receive(a) })
 }
 
 // finishAttempt finishes the request according to the outcome of an attempt, or
--- a/simulation/result.go
+++ b/simulation/result.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"math"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -24,6 +25,13 @@
 	// RetriesOverBound is the highest number of retries in a window beyond the
 	// allowed number, negative if there were always fewer.
 	RetriesOverBound float64
+	// RateLimitExcess is the highest number of requests in rateLimitWindow beyond what
+	// the rate limit of an endpoint allows, over the instances that had been told of
+	// it. RateLimitWindows is the number of windows that were checked.
+	RateLimitExcess  float64
+	RateLimitWindows int
+	// Sheds counts the requests shed by endpoints that never stated a rate limit.
+	Sheds int
 	// MaxRegionShift is the largest fraction of a region's requests that moved to
 	// endpoints of other regions from one window of shiftWindow to the next.
 	MaxRegionShift float64
@@ -47,7 +55,7 @@
 func newResult(s *Scenario, policy Policy) *Result {
 	return &Result{
 		Policy: policy, ColdBound: s.Limits.ColdBound(), Latencies: hdrhistogram.New(minLatencyMicros, maxLatencyMicros, latencyDigits),
-		Seconds: make([]Second, int(s.Duration/time.Second)+1),
+		RateLimitExcess: math.Inf(-1), Seconds: make([]Second, int(s.Duration/time.Second)+1),
 	}
 }
 
@@ -66,8 +74,8 @@
 }
 
 // Add adds the counts of another run of the same scenario and policy, and takes the
-// higher ones of MaxColdPerSecond and RetriesOverBound. MaxRegionShift stays that
-// of the first run.
+// higher ones of MaxColdPerSecond, RetriesOverBound and RateLimitExcess.
+// MaxRegionShift stays that of the first run.
 func (r *Result) Add(other *Result) {
 	r.Requests += other.Requests
 	r.InTarget += other.InTarget
@@ -78,6 +86,9 @@
 	r.Latencies.Merge(other.Latencies)
 	r.MaxColdPerSecond = max(r.MaxColdPerSecond, other.MaxColdPerSecond)
 	r.RetriesOverBound = max(r.RetriesOverBound, other.RetriesOverBound)
+	r.RateLimitExcess = max(r.RateLimitExcess, other.RateLimitExcess)
+	r.RateLimitWindows += other.RateLimitWindows
+	r.Sheds += other.Sheds
 	for i, second := range other.Seconds {
 		r.Seconds[i].Requests += second.Requests
 		r.Seconds[i].InTarget += second.InTarget
--- a/simulation/scenario.go
+++ b/simulation/scenario.go
@@ -71,15 +71,29 @@
 	EventPartition EventKind = "cut"
 	// EventDown stops endpoints, which are cold when they start again.
 	EventDown EventKind = "down"
+	// EventDrain makes endpoints leave. They stop for good when it ends.
+	EventDrain EventKind = "drain"
+	// EventFail makes endpoints answer the fraction Factor of the requests that they
+	// run with an error.
+	EventFail EventKind = "fail"
+	// EventFreeze keeps instances from running.
+	EventFreeze EventKind = "freeze"
+	// EventRateLimit makes endpoints state a rate limit of Factor requests per second
+	// in their responses. It replaces an earlier one.
+	EventRateLimit EventKind = "limit"
 	// EventRestart restarts instances under new ids.
 	EventRestart EventKind = "restart"
 	// EventSlow multiplies the time that endpoints take for a request by Factor.
 	EventSlow EventKind = "slow"
+	// EventUnlist removes endpoints from the endpoint list, although they run.
+	EventUnlist EventKind = "unlist"
 )
 
 // EventKinds returns all kinds of events.
 func EventKinds() []EventKind {
-	return []EventKind{EventBurst, EventCold, EventPartition, EventDown, EventRestart, EventSlow}
+	return []EventKind{
+		EventBurst, EventCold, EventPartition, EventDown, EventDrain, EventFail, EventFreeze, EventRateLimit, EventRestart, EventSlow, EventUnlist,
+	}
 }
 
 // An Event is a change of the load or a fault during a run.
@@ -90,7 +104,8 @@
 	Kind            EventKind
 	// Share is the fraction of the instances or endpoints that the event affects.
 	Share float64
-	// Factor is the factor of EventBurst and EventSlow.
+	// Factor is the factor of EventBurst and EventSlow, the fraction of EventFail and
+	// the rate of EventRateLimit.
 	Factor float64
 }
 
