Excuse restarted instances in the check of rate limits until they are told

Cause: TestEndpointRateLimit counted requests that the users' rule excuses: "A restart, freeze or cut of a machine excuses that machine."

No instance remembers a limit over a restart, and none sees its peers in the first 2 s.

Change: requests of a restarted instance count from the response on that tells it again. Frozen and partitioned instances still count, and so do restarted ones that have been told, although the rule excuses all three.

--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -220,6 +220,9 @@
 		default:
 			i.start(n, f.scenario.Limits)
 			i.isPartitioned = true
+			for _, e := range f.endpoints {
+				e.rateLimit.forget(i)
+			}
 			f.readEndpointList(i)
 			f.scheduler.after(membershipDelay, func() { i.isPartitioned = false })
 		}
--- a/simulation/ratelimitlog.go
+++ b/simulation/ratelimitlog.go
@@ -27,7 +27,7 @@
 	changes  []rateLimitChange
 	arrivals []rateLimitArrival
 	// toldAt maps the instances that got a response with a limit to the time of the
-	// first one. A restart does not remove an instance.
+	// first one since their start.
 	toldAt map[*instance]time.Duration
 	// maxExcess is the highest number of requests beyond the bound, and windows the
 	// number of windows that were checked.
@@ -82,6 +82,11 @@
 	}
 }
 
+// forget records that an instance was restarted and has to be told again.
+func (l *rateLimitLog) forget(restarted *instance) {
+	delete(l.toldAt, restarted)
+}
+
 // addArrival records a request and checks the window that ends with it.
 func (l *rateLimitLog) addArrival(now time.Duration, from *instance) {
 	l.arrivals = append(l.arrivals, rateLimitArrival{at: now, from: from})
@@ -92,7 +97,11 @@
 	}
 	count := 0
 	for _, a := range l.arrivals {
-		if toldAt, ok := l.toldAt[a.from]; ok && now-toldAt >= rateLimitNotice {
+		toldAt, ok := l.toldAt[a.from]
+		// The rule excuses restarted instances altogether. Here only the requests that
+		// they send before they are told again do not count.
+		isExcused := a.from.starts > 1 && a.at < toldAt
+		if ok && now-toldAt >= rateLimitNotice && !isExcused {
 			count++
 		}
 	}
