Heed the rate limits that endpoints state, as a sum over all instances

Cause: no instance read the limit. Class: a limit that the rule sums over all instances that were told, so reading it is not enough: each instance that kept 4.4 a second by itself would still have sent what it did.

Evidence: arrivals at the limited endpoints did not change when they stated their limits; a gateway that knew a limit of 6.0 sent 184 in 4 s.

Change: an instance uses an equal part of three quarters of the limit in 4 s, by the division that the limit of cold endpoints uses, counted over all requests of the last 4 s and spread over the window. An endpoint without room is not eligible: the next in the ranking replaces it under the same bounds of load, or the request is refused at once. Limits and their ends are facts between instances; responses that overtake each other, reports of peers that are older, entries that expire and return, and restarts of endpoints are told apart. Builds that do not know the new kind of fact pass it on.

Why it works: the parts of instances that know each other add up to three quarters of the limit, whoever sends; one that is cut off keeps its part for 30 s, one that starts has none for 2 s.

TestEndpointRateLimitCanFail shows that the check fails for instances that each keep the limit alone.

--- a/endpoint/choice.go
+++ b/endpoint/choice.go
@@ -34,12 +34,12 @@
 	// ExpectedLatency is the estimated time until the response.
 	ExpectedLatency time.Duration
 
-	// IsRateLimited is true if the endpoint states a rate limit, RateLimit.
+	// IsRateLimited is true if a rate limit of the endpoint is in force, RateLimit.
 	IsRateLimited bool
 	RateLimit     savorystep.RequestsPerSecond
 	// RecentRequests is the number of requests that this instance sent to the
-	// endpoint in the last rateLimitWindow, this one included. It is set only if the
-	// endpoint states a rate limit.
+	// endpoint in the last rateLimitWindow, this one included. It is set only if a
+	// rate limit is in force.
 	RecentRequests int
 
 	affinityKey uint64
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -20,10 +20,10 @@
 	choice.Endpoint, choice.Load = s.Endpoint, s.load(now)
 	choice.affinityKey, choice.startedAt = query.AffinityKey, now
 	s.inFlight++
-	s.recentRequests.add(now)
-	if s.rateLimit.isStated {
-		choice.IsRateLimited, choice.RateLimit = true, s.rateLimit.rate
-		choice.RecentRequests = s.recentRequests.sum(now)
+	s.rateLimiter.countRequest(now)
+	if s.rateLimiter.isLimited(now) {
+		choice.IsRateLimited, choice.RateLimit = true, s.rateLimiter.statement.Rate
+		choice.RecentRequests = s.rateLimiter.requests.sum(now)
 	}
 	if s.isCold(now) {
 		s.coldRequestTimes = append(s.coldRequestTimes, now)
@@ -132,12 +132,16 @@
 )
 
 // isEligible reports whether an endpoint may get a request, whatever its load,
-// backoff and warm-up.
+// backoff and warm-up. An endpoint whose rate limit has no room is not, so that the
+// next one in the ranking replaces it.
 func (t *Table) isEligible(now time.Time, s *endpointState, query *Query) bool {
 	if s.State != savorystep.StateLive || s.isExpired(now) || t.evacuatedZones[s.Place.Zone] || slices.Contains(query.AttemptedEndpoints, s.ID) {
 		return false
 	}
-	return len(query.AllowedRegions) == 0 || slices.Contains(query.AllowedRegions, s.Place.Region)
+	if len(query.AllowedRegions) > 0 && !slices.Contains(query.AllowedRegions, s.Place.Region) {
+		return false
+	}
+	return t.hasRateLimitRoom(now, s)
 }
 
 // mixBits spreads the bits of a hash (the finalizer of splitmix64).
--- a/endpoint/coldlimit.go
+++ b/endpoint/coldlimit.go
@@ -13,19 +13,12 @@
 	// coldUtilization is the fraction of the limit that is used. The remainder
 	// covers instances that do not know each other yet.
 	coldUtilization = 0.75
-	// coldHoldoff is how long an instance sends nothing to cold endpoints after
-	// its start. It does not know the other instances yet, which may all have
-	// started at the same time.
-	coldHoldoff = 2 * time.Second
 )
 
 // allowColdRequest reports whether this instance may send a request to a cold
 // endpoint now. The limit applies to all instances together, so each uses its own
 // share of it.
 func (t *Table) allowColdRequest(now time.Time, s *endpointState) bool {
-	if now.Sub(t.startedAt) < coldHoldoff {
-		return false
-	}
 	limit := t.specs[s.Service].ColdRate*t.config.ColdFactor + t.config.ColdSlack
 	s.coldRequestTimes = slices.DeleteFunc(s.coldRequestTimes, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
 	return len(s.coldRequestTimes) < t.instanceShare(now, int(limit*coldUtilization), s.idHash)
--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -44,12 +44,10 @@
 	shedsInRow, failuresInRow int
 	backoffUntil              time.Time
 	// expiresAt is when it stops getting requests, zero if it is listed.
-	expiresAt time.Time
-	cached    cachedObjects
-	slowness  slowness
-	rateLimit rateLimit
-	// recentRequests counts the requests that this instance sent to it lately.
-	recentRequests windowCounter
+	expiresAt   time.Time
+	cached      cachedObjects
+	slowness    slowness
+	rateLimiter rateLimiter
 	// coldRequestTimes are the times of recent requests while it was cold.
 	coldRequestTimes []time.Time
 }
@@ -62,7 +60,7 @@
 		s.foreignLoad, s.shedsInRow, s.failuresInRow, s.backoffUntil = foreignLoad{}, 0, 0, time.Time{}
 		s.suspectUntil = time.Time{}
 		s.cached, s.slowness = make(cachedObjects), slowness{}
-		s.rateLimit = rateLimit{}
+		s.rateLimiter = newRateLimiter()
 	}
 	if isRestarted || entry.ReportSequence != s.ReportSequence {
 		s.warmAt = now.Add(entry.ColdRemaining)
--- a/endpoint/instances.go
+++ b/endpoint/instances.go
@@ -14,6 +14,10 @@
 	// share of each limit. It exceeds the usual network partitions, which last up
 	// to 12 s.
 	instanceTTL = 30 * time.Second
+	// startupHoldoff is how long an instance uses no share of a limit after its start.
+	// It does not know the other instances yet, which may all have started at the
+	// same time.
+	startupHoldoff = 2 * time.Second
 	// startupPeriod is how long an instance divides limits among at least
 	// minInstances after its start. It learns of nearly all others within 2 s.
 	startupPeriod = 5 * time.Second
@@ -41,6 +45,9 @@
 // of the division goes to the instances that rank first for the key, which differ
 // from key to key.
 func (t *Table) instanceShare(now time.Time, total int, key uint64) int {
+	if now.Sub(t.startedAt) < startupHoldoff {
+		return 0
+	}
 	instances := max(1, len(t.instanceSeenAt))
 	if now.Sub(t.startedAt) < startupPeriod {
 		instances = max(instances, minInstances)
--- a/endpoint/ratelimit.go
+++ b/endpoint/ratelimit.go
@@ -13,9 +13,25 @@
 	// rateLimitWindow is the window for which the platform sums the requests to an
 	// endpoint with a rate limit.
 	rateLimitWindow = 4 * time.Second
-	// rateLimitChange is the least relative change of a rate limit that
-	// RecordRateLimit reports. Endpoints may state a slightly different limit in each
-	// response.
+	// rateLimitUtilization is the fraction of a rate limit that is used. The platform
+	// allows 1.5 times the limit, so two parts of a fleet that have lost sight of
+	// each other for longer than instanceTTL stay within it.
+	rateLimitUtilization = 0.75
+	// maxRateLimitTotal bounds the requests in a window that a rate limit allows, so
+	// that the number of requests fits an int whatever an endpoint states.
+	maxRateLimitTotal = 1 << 30
+	// rateLimitTTL is how long a rate limit applies without a response or a report of
+	// another instance that states it. It exceeds two reports, so that one may be
+	// lost.
+	rateLimitTTL = 40 * time.Second
+	// rateLimitReportInterval is the time between two reports of an unchanged limit
+	// to the other instances.
+	rateLimitReportInterval = 15 * time.Second
+	// ownStatementTTL is how long a limit that this instance got from the endpoint
+	// itself is neither raised nor ended by reports of others, which may be older.
+	ownStatementTTL = 10 * time.Second
+	// rateLimitChange is the least relative change of a limit that is reported.
+	// Endpoints may state a slightly different limit in each response.
 	rateLimitChange = 0.1
 )
 
@@ -27,6 +43,12 @@
 	Rate savorystep.RequestsPerSecond
 }
 
+// differs reports whether one of the statements has a limit and the other has none,
+// or one that differs by more than rateLimitChange.
+func (r RateLimitStatement) differs(other RateLimitStatement) bool {
+	return r.IsLimited != other.IsLimited || math.Abs(float64(r.Rate-other.Rate)) > rateLimitChange*float64(other.Rate)
+}
+
 // ParseRateLimit parses a rate limit in requests per second. It returns false if the
 // text is not a non-negative decimal number.
 func ParseRateLimit(text string) (savorystep.RequestsPerSecond, bool) {
@@ -37,43 +59,168 @@
 	return savorystep.RequestsPerSecond(rate), true
 }
 
-// A rateLimit is the rate limit that an endpoint states.
-type rateLimit struct {
-	isStated bool
-	rate     savorystep.RequestsPerSecond
-	// reported is the statement that RecordRateLimit last reported as a change.
-	reported RateLimitStatement
+// A rateLimiter holds the rate limit that an endpoint states and counts the requests
+// that this instance sends to it. Requests are counted without a limit, too, so that
+// those sent before a limit was known are part of the window.
+type rateLimiter struct {
+	statement RateLimitStatement
+	// statedAt is when a response or another instance last stated the limit. ownAt is
+	// when a response to this instance last did.
+	statedAt, ownAt time.Time
+	// peerEndedAt is when another instance reported that the endpoint states no limit
+	// any more, zero if the limit was stated again since.
+	peerEndedAt time.Time
+	// reported is the last statement that this instance and the others know of, as of
+	// reportedAt.
+	reported   RateLimitStatement
+	reportedAt time.Time
+	// requests counts the requests that this instance sent. The last one was sent at
+	// lastRequestAt.
+	requests      windowCounter
+	lastRequestAt time.Time
+}
+
+func newRateLimiter() rateLimiter {
+	return rateLimiter{requests: newWindowCounter(rateLimitWindow)}
+}
+
+// isLimited reports whether a limit is in force.
+func (l *rateLimiter) isLimited(now time.Time) bool {
+	isEnded := !l.peerEndedAt.IsZero() && now.Sub(l.ownAt) >= ownStatementTTL
+	return l.statement.IsLimited && !isEnded && now.Sub(l.statedAt) < rateLimitTTL
+}
+
+// countRequest counts a request that is sent now.
+func (l *rateLimiter) countRequest(now time.Time) {
+	l.requests.add(now)
+	l.lastRequestAt = now
+}
+
+// expire removes a limit that is no longer in force.
+func (l *rateLimiter) expire(now time.Time) {
+	if l.statement.IsLimited && !l.isLimited(now) {
+		l.statement, l.reported, l.peerEndedAt = RateLimitStatement{}, RateLimitStatement{}, time.Time{}
+	}
+}
+
+// isStricter reports whether a statement has a limit and no lower one is in force.
+func (l *rateLimiter) isStricter(statement RateLimitStatement) bool {
+	return statement.IsLimited && (!l.statement.IsLimited || statement.Rate <= l.statement.Rate)
+}
+
+// recordOwn records the statement of a response to a request that this instance sent
+// at sentAt. Responses may arrive in another order than the endpoint sent them: a
+// statement that is less strict than the one in force applies only if the request was
+// sent after that one arrived. It returns false if the statement does not apply.
+func (l *rateLimiter) recordOwn(now, sentAt time.Time, statement RateLimitStatement) bool {
+	if !l.isStricter(statement) && !sentAt.After(l.ownAt) {
+		return false
+	}
+	l.statement = statement
+	if statement.IsLimited {
+		l.statedAt, l.ownAt, l.peerEndedAt = now, now, time.Time{}
+	}
+	return true
+}
+
+// recordPeer records a statement that another instance got. While a limit that the
+// endpoint stated to this instance is recent, it is not raised, and it ends only when
+// it is no longer recent.
+func (l *rateLimiter) recordPeer(now time.Time, statement RateLimitStatement) {
+	isOwnRecent := now.Sub(l.ownAt) < ownStatementTTL
+	switch {
+	case !statement.IsLimited && isOwnRecent:
+		l.peerEndedAt = now
+	case !statement.IsLimited:
+		l.statement = statement
+	default:
+		if l.isStricter(statement) || !isOwnRecent {
+			l.statement = statement
+		}
+		l.statedAt, l.peerEndedAt = now, time.Time{}
+	}
+}
+
+// A RateLimitReport says what to do after a statement about a rate limit was recorded.
+type RateLimitReport struct {
+	// Statement is the one that applies.
+	Statement RateLimitStatement
+	// IsChanged is true if the limit has begun, ended or changed by more than
+	// rateLimitChange since the last report.
+	IsChanged bool
+	// IsDue is true if the other instances are due to hear of the statement.
+	IsDue bool
+}
+
+// takeReport returns the report of the statement that applies. The other instances
+// count as informed if it is due.
+func (l *rateLimiter) takeReport(now time.Time) RateLimitReport {
+	report := RateLimitReport{Statement: l.statement, IsChanged: l.statement.differs(l.reported)}
+	report.IsDue = report.IsChanged || (l.statement.IsLimited && now.Sub(l.reportedAt) >= rateLimitReportInterval)
+	if report.IsDue {
+		l.reported, l.reportedAt = l.statement, now
+	}
+	return report
 }
 
 // RecordRateLimit records what the response to a choice says about the rate limit of
-// the endpoint. It returns true if the limit begins, ends or changes by at least
-// rateLimitChange.
-func (t *Table) RecordRateLimit(now time.Time, choice Choice, statement RateLimitStatement) bool {
+// the endpoint.
+func (t *Table) RecordRateLimit(now time.Time, choice Choice, statement RateLimitStatement) RateLimitReport {
 	s := t.byID[choice.Endpoint.ID]
 	if s == nil || s.StartedAtMillis != choice.Endpoint.StartedAtMillis {
-		return false
+		return RateLimitReport{}
 	}
-	_ = now
-	s.rateLimit.isStated, s.rateLimit.rate = statement.IsLimited, statement.Rate
-	return s.rateLimit.reportChange(statement)
+	l := &s.rateLimiter
+	l.expire(now)
+	if (!statement.IsLimited && !l.statement.IsLimited) || !l.recordOwn(now, choice.startedAt, statement) {
+		return RateLimitReport{}
+	}
+	return l.takeReport(now)
+}
+
+// ApplyRateLimit applies a statement that another instance got from the incarnation
+// of an endpoint that started at startedAtMillis.
+func (t *Table) ApplyRateLimit(now time.Time, id savorystep.EndpointID, startedAtMillis int64, statement RateLimitStatement) RateLimitReport {
+	s := t.byID[id]
+	if s == nil || s.StartedAtMillis != startedAtMillis {
+		return RateLimitReport{}
+	}
+	l := &s.rateLimiter
+	l.expire(now)
+	l.recordPeer(now, statement)
+	report := l.takeReport(now)
+	l.reportedAt = now
+	return report
 }
 
-// reportChange reports whether a statement differs enough from the last reported one
-// to be reported.
-func (l *rateLimit) reportChange(statement RateLimitStatement) bool {
-	last := l.reported
-	if statement.IsLimited == last.IsLimited && math.Abs(float64(statement.Rate-last.Rate)) <= rateLimitChange*float64(last.Rate) {
+// hasRateLimitRoom reports whether the rate limit of an endpoint, if it states one,
+// allows this instance to send it a request now. The limit applies to all instances
+// together, so each uses its own share of it and spreads that over the window.
+func (t *Table) hasRateLimitRoom(now time.Time, s *endpointState) bool {
+	l := &s.rateLimiter
+	if !l.isLimited(now) {
+		return true
+	}
+	share := t.rateLimitShare(now, s)
+	if l.requests.sum(now) >= share {
 		return false
 	}
-	l.reported = statement
-	return true
+	return now.Sub(l.lastRequestAt) >= rateLimitWindow/time.Duration(2*share)
+}
+
+// rateLimitShare returns the number of requests that this instance may send to an
+// endpoint with a rate limit in rateLimitWindow. The fleet sends at least one, which
+// is how it learns that the limit has ended.
+func (t *Table) rateLimitShare(now time.Time, s *endpointState) int {
+	total := float64(s.rateLimiter.statement.Rate) * rateLimitWindow.Seconds() * rateLimitUtilization
+	return t.instanceShare(now, int(min(max(1, total), maxRateLimitTotal)), s.idHash)
 }
 
-// CountRateLimited returns the number of endpoints that state a rate limit.
-func (t *Table) CountRateLimited() int {
+// CountRateLimited returns the number of endpoints with a rate limit in force.
+func (t *Table) CountRateLimited(now time.Time) int {
 	count := 0
 	for _, s := range t.byID {
-		if s.rateLimit.isStated {
+		if s.rateLimiter.isLimited(now) {
 			count++
 		}
 	}
@@ -87,5 +234,5 @@
 	if s == nil {
 		return 0
 	}
-	return s.recentRequests.sum(now)
+	return s.rateLimiter.requests.sum(now)
 }
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -77,10 +77,11 @@
 	if t.startedAt.IsZero() {
 		t.startedAt = now
 	}
+	limiter := t.rateLimiterOf(entry)
 	if t.isStale(now, entry) {
 		return false
 	}
-	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), recentRequests: newWindowCounter(rateLimitWindow)}
+	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter}
 	t.byID[entry.ID] = s
 	t.byService[entry.Service] = append(t.byService[entry.Service], s)
 	return true
@@ -95,7 +96,7 @@
 	}
 	delete(t.byID, id)
 	t.evictTombstones(now)
-	t.tombstones[id] = &tombstone{startedAtMillis: s.StartedAtMillis, reportSequence: s.ReportSequence, removedAt: now}
+	t.tombstones[id] = &tombstone{startedAtMillis: s.StartedAtMillis, reportSequence: s.ReportSequence, removedAt: now, rateLimiter: s.rateLimiter}
 	t.byService[s.Service] = slices.DeleteFunc(t.byService[s.Service], func(other *endpointState) bool { return other == s })
 	return true
 }
@@ -178,7 +179,7 @@
 func (t *Table) CountEndpoints(now time.Time, service savorystep.Service) (all, usable int) {
 	for _, s := range t.byService[service] {
 		all++
-		if s.State == savorystep.StateLive && !t.evacuatedZones[s.Place.Zone] && !s.isExpired(now) && !s.isInBackoff(now) && !s.isCold(now) {
+		if s.State == savorystep.StateLive && !t.evacuatedZones[s.Place.Zone] && !s.isExpired(now) && !s.isInBackoff(now) && !s.isCold(now) && t.hasRateLimitRoom(now, s) {
 			usable++
 		}
 	}
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -66,6 +66,10 @@
 		return s.choose(t, d)
 	case "finish":
 		s.finish(t, d)
+	case "respond":
+		return s.respond(t, d)
+	case "peer-limit":
+		return formatReport(s.table.ApplyRateLimit(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started")), statementArg(t, d)))
 	case "retry":
 		return s.retry(t, d)
 	default:
@@ -210,3 +214,48 @@
 	}
 	return fmt.Sprintf("%d retries\n", allowed)
 }
+
+// statementArg returns the rate limit in the argument limit, none without it.
+func statementArg(t *testing.T, d *datadriven.TestData) endpoint.RateLimitStatement {
+	t.Helper()
+	text := arg(t, d, "limit")
+	if text == "" {
+		return endpoint.RateLimitStatement{}
+	}
+	rate, ok := endpoint.ParseRateLimit(text)
+	if !ok {
+		d.Fatalf(t, "limit %q is not a rate", text)
+	}
+	return endpoint.RateLimitStatement{IsLimited: true, Rate: rate}
+}
+
+// formatReport returns a report as one line.
+func formatReport(report endpoint.RateLimitReport) string {
+	text := "no limit"
+	if report.Statement.IsLimited {
+		text = fmt.Sprintf("limit %.1f", report.Statement.Rate)
+	}
+	switch {
+	case report.IsChanged:
+		return text + ", changed\n"
+	case report.IsDue:
+		return text + ", due\n"
+	default:
+		return "nothing to report\n"
+	}
+}
+
+// respond answers the oldest attempt at an endpoint, or the one with an index, with a
+// response that states a rate limit or none.
+func (s *script) respond(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	id, index := savorystep.EndpointID(arg(t, d, "id")), intArg(t, d, "index")
+	if index >= len(s.inFlight[id]) {
+		d.Fatalf(t, "%d attempts are in flight at endpoint %s, index %d", len(s.inFlight[id]), id, index)
+	}
+	choice := s.inFlight[id][index]
+	s.inFlight[id] = slices.Delete(s.inFlight[id], index, index+1)
+	report := s.table.RecordRateLimit(s.now, choice, statementArg(t, d))
+	s.table.Finish(s.now, choice, endpoint.OutcomeAnswered, nil)
+	return formatReport(report)
+}
--- a/endpoint/tombstone.go
+++ b/endpoint/tombstone.go
@@ -19,6 +19,9 @@
 	// laterSequence is the report sequence of the first report after the one that
 	// was known at the removal, zero before such a report.
 	laterSequence uint64
+	// rateLimiter is kept because the entry of a live endpoint may expire and be
+	// added again while its rate limit stands.
+	rateLimiter rateLimiter
 }
 
 // recordRewrite records that the entry was written again by a report that is not
@@ -30,6 +33,15 @@
 	}
 }
 
+// rateLimiterOf returns the rate limiter of an endpoint that is added: that of its
+// tombstone if it is the same incarnation, or else a new one.
+func (t *Table) rateLimiterOf(entry savorystep.Endpoint) rateLimiter {
+	if tomb := t.tombstones[entry.ID]; tomb != nil && tomb.startedAtMillis == entry.StartedAtMillis {
+		return tomb.rateLimiter
+	}
+	return newRateLimiter()
+}
+
 // evictTombstones deletes tombstones older than tombstoneTTL.
 func (t *Table) evictTombstones(now time.Time) {
 	for id, tomb := range t.tombstones {
--- a/factbodies.go
+++ b/factbodies.go
@@ -45,3 +45,15 @@
 type UnknownFact struct {
 	Count uint64 `cbor:"1,keyasint"`
 }
+
+// A RateLimitFact is what an endpoint states about its rate limit, as one instance
+// got it.
+type RateLimitFact struct {
+	// StartedAtMillis is the start of the endpoint in Unix milliseconds. A limit does
+	// not outlast a restart.
+	StartedAtMillis int64 `cbor:"1,keyasint"`
+	// IsLimited is false if the endpoint states no limit any more.
+	IsLimited bool `cbor:"2,keyasint,omitempty"`
+	// Rate is the limit for all instances together.
+	Rate RequestsPerSecond `cbor:"3,keyasint,omitempty"`
+}
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -20,6 +20,8 @@
 	Place            savorystep.Place
 	// Quarantine rejects requests that crashed several endpoints.
 	Quarantine *Quarantine
+	// RateLimits shares the rate limits of endpoints with the other instances.
+	RateLimits *RateLimits
 	// Registerer registers the metrics. It is optional.
 	Registerer prometheus.Registerer
 	Transport  Transport
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -136,7 +136,7 @@
 	watcher := ingress.NewWatcher(ingress.WatcherConfig{Router: router, Clock: savorystep.SystemClock{}, RegionByZone: map[savorystep.Zone]savorystep.Region{"z": "r"}})
 	watcher.ApplyList(time.Now(), changes)
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
-		Clock: savorystep.SystemClock{}, MemoryLimitBytes: memoryLimit, HeaderNames: names, Quarantine: ingress.NewQuarantine(&fakeFacts{}), Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
+		Clock: savorystep.SystemClock{}, MemoryLimitBytes: memoryLimit, HeaderNames: names, Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
 	})
 	return proxy, transport, router
 }
@@ -144,20 +144,23 @@
 // fakeFacts delivers facts to the subscribers of all instances immediately.
 type fakeFacts struct {
 	mu          sync.Mutex
-	subscribers []func(savorystep.ReceivedFact)
+	subscribers map[savorystep.FactKind][]func(savorystep.ReceivedFact)
 }
 
 func (*fakeFacts) Facts(savorystep.FactKind) []savorystep.ReceivedFact { return nil }
 
 func (f *fakeFacts) Broadcast(_ context.Context, kind savorystep.FactKind, subject string, body any) (acked, missing int) {
 	f.Publish(kind, subject, body)
-	return len(f.subscribers), 0
+	return len(f.subscribers[kind]), 0
 }
 
-func (f *fakeFacts) Subscribe(_ savorystep.FactKind, subscriber func(savorystep.ReceivedFact)) {
+func (f *fakeFacts) Subscribe(kind savorystep.FactKind, subscriber func(savorystep.ReceivedFact)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.subscribers = append(f.subscribers, subscriber)
+	if f.subscribers == nil {
+		f.subscribers = make(map[savorystep.FactKind][]func(savorystep.ReceivedFact))
+	}
+	f.subscribers[kind] = append(f.subscribers[kind], subscriber)
 }
 
 func (f *fakeFacts) Publish(kind savorystep.FactKind, subject string, body any) {
@@ -166,7 +169,7 @@
 		panic(err)
 	}
 	f.mu.Lock()
-	subscribers := f.subscribers
+	subscribers := f.subscribers[kind]
 	f.mu.Unlock()
 	for _, subscriber := range subscribers {
 		subscriber(savorystep.ReceivedFact{Fact: savorystep.Fact{Kind: kind, Subject: subject, Body: data}, ReceivedAt: time.Now()})
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -143,7 +143,7 @@
 			load = &reported
 		}
 		if statement, ok := f.rateLimitStatement(response); ok {
-			f.config.Router.recordRateLimit(endedAt, choice, statement)
+			f.config.RateLimits.record(endedAt, choice, statement)
 		}
 	}
 	if response != nil && result.response == nil {
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -81,27 +81,11 @@
 	r.table.Finish(now, choice, outcome, load)
 }
 
-// recordRateLimit records what the response to an attempt says about the rate limit
-// of its endpoint, and logs when the limit begins, changes or ends.
-func (r *Router) recordRateLimit(now time.Time, choice endpoint.Choice, statement endpoint.RateLimitStatement) {
-	r.mu.Lock()
-	changed := r.table.RecordRateLimit(now, choice, statement)
-	recent := r.table.RecentRequests(now, choice.Endpoint.ID)
-	r.mu.Unlock()
-	switch {
-	case !changed:
-	case statement.IsLimited:
-		log.Infof("endpoint %s states a rate limit of %.1f requests/s for all instances together, %d were sent from here in the last 4s", choice.Endpoint.ID, statement.Rate, recent)
-	default:
-		log.Infof("endpoint %s states no rate limit any more", choice.Endpoint.ID)
-	}
-}
-
-// CountRateLimited returns the number of endpoints that state a rate limit.
-func (r *Router) CountRateLimited() int {
+// CountRateLimited returns the number of endpoints with a rate limit in force.
+func (r *Router) CountRateLimited(now time.Time) int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.table.CountRateLimited()
+	return r.table.CountRateLimited(now)
 }
 
 // nextService returns the service for the next request of a route by the weights
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -44,6 +44,28 @@
 	}
 }
 
+// TestExchangeUnknownKind guards against facts of a newer build that end a connection
+// to an older one or keep other facts from its peers.
+func TestExchangeUnknownKind(t *testing.T) {
+	const unknownKind savorystep.FactKind = 77
+	f := newFleet(t, 3, nil)
+	f.waitForFullMembership(t)
+	f.nodes[0].Publish(unknownKind, "subject", map[int]string{1: "body"})
+	f.nodes[0].Publish(savorystep.FactRateLimit, "endpoint-1", savorystep.RateLimitFact{StartedAtMillis: 5, IsLimited: true, Rate: 4.4})
+	eventually(t, "facts known to all nodes", func() bool {
+		for _, n := range f.nodes {
+			if len(n.Facts(unknownKind)) != 1 || len(n.Facts(savorystep.FactRateLimit)) != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	late := f.add(t)
+	eventually(t, "facts known to a node that started later", func() bool {
+		return len(late.Facts(unknownKind)) == 1 && len(late.Facts(savorystep.FactRateLimit)) == 1
+	})
+}
+
 // TestExchangeRemovesKilledInstance guards against a killed instance that
 // remains a member.
 func TestExchangeRemovesKilledInstance(t *testing.T) {
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -37,6 +37,9 @@
 	// crashRetention and drainingRetention are the maximum ages of these facts.
 	crashRetention    = 10 * time.Minute
 	drainingRetention = 10 * time.Minute
+	// rateLimitRetention is the maximum age of statements about rate limits. It is
+	// twice the interval in which instances publish them again.
+	rateLimitRetention = 30 * time.Second
 	// unknownRetention is the maximum age of the count of an unknown name.
 	unknownRetention = time.Hour
 	// neutralRetention is the maximum age of scoped facts that have the same
@@ -64,6 +67,8 @@
 		return drainingRetention
 	case savorystep.FactCrash:
 		return crashRetention
+	case savorystep.FactRateLimit:
+		return rateLimitRetention
 	case savorystep.FactUnknown:
 		return unknownRetention
 	case factSuspicion:
@@ -83,7 +88,7 @@
 // the next gossip round.
 func isUrgent(kind savorystep.FactKind) bool {
 	switch kind {
-	case savorystep.FactDraining, savorystep.FactStatus, savorystep.FactCrash, factSuspicion:
+	case savorystep.FactDraining, savorystep.FactStatus, savorystep.FactCrash, savorystep.FactRateLimit, factSuspicion:
 		return true
 	default:
 		return false
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"savorystep"
+	"savorystep/endpoint"
 )
 
 // A fleet is the state of a scenario while it runs.
@@ -152,6 +153,22 @@
 	return !i.isPartitioned && !other.isPartitioned && i.frozenUntil <= now && other.frozenUntil <= now
 }
 
+// shareRateLimit sends what an endpoint stated to an instance to the others, if they
+// are due to hear of it.
+func (f *fleet) shareRateLimit(from *instance, target savorystep.Endpoint, report endpoint.RateLimitReport) {
+	if !report.IsDue || f.policy.IgnoresPeers {
+		return
+	}
+	for _, other := range f.instances {
+		if other == from || !f.isConnected(from, other) {
+			continue
+		}
+		f.scheduler.after(factDelay, func() {
+			other.table.ApplyRateLimit(f.now(), target.ID, target.StartedAtMillis, report.Statement)
+		})
+	}
+}
+
 // scheduleArrival schedules the next request of a region, and that one schedules
 // its successor. Arrivals are a Poisson process whose rate follows a sine wave with
 // another phase in each region.
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -49,6 +49,8 @@
 	// membershipDelay is how long after its start an instance and the others see
 	// each other.
 	membershipDelay = 2 * time.Second
+	// factDelay is how long a fact takes to the other instances.
+	factDelay = 150 * time.Millisecond
 	// warmup is how long an endpoint is cold.
 	warmup = 3 * time.Second
 	// sameRegionDelay and otherRegionDelay are the one-way network delays within a
--- a/simulation/ratelimit_test.go
+++ b/simulation/ratelimit_test.go
@@ -100,6 +100,7 @@
 				t.Parallel()
 				for seed := range rateLimitSeeds(size) {
 					result := simulation.Run(rateLimitScenario(seed, size, test.events), simulation.DefaultPolicy())
+					t.Logf("seed %d: %.1f requests in 4 s beyond the bound at most, in %d windows", seed, result.RateLimitExcess, result.RateLimitWindows)
 					if result.RateLimitWindows == 0 {
 						t.Errorf("seed %d: no window was checked", seed)
 					}
@@ -111,3 +112,30 @@
 		}
 	}
 }
+
+// TestEndpointRateLimitSparesOthers guards against requests turned away by a rate
+// limit that overload the endpoints without one.
+func TestEndpointRateLimitSparesOthers(t *testing.T) {
+	for seed := range min(4, seedCount()) {
+		result := simulation.Run(rateLimitScenario(seed, 8, []simulation.Event{twoLimits()}), simulation.DefaultPolicy())
+		if result.Sheds > 0 {
+			t.Errorf("seed %d: endpoints without a rate limit shed %d requests, want 0", seed, result.Sheds)
+		}
+		if share := result.Share(result.Refused + result.Failed); share > 0.01 {
+			t.Errorf("seed %d: %.3f of the requests were refused or failed, want at most 0.01", seed, share)
+		}
+	}
+}
+
+// TestEndpointRateLimitCanFail shows that TestEndpointRateLimit can fail: instances
+// that each heed the limit alone exceed it together.
+func TestEndpointRateLimitCanFail(t *testing.T) {
+	policy := simulation.DefaultPolicy()
+	policy.IgnoresPeers = true
+	for _, size := range []int{8, 83} {
+		result := simulation.Run(rateLimitScenario(1, size, []simulation.Event{twoLimits()}), policy)
+		if result.RateLimitExcess <= 0 {
+			t.Errorf("%d instances that ignore each other: %.1f requests in 4 s beyond the bound, want more than 0", size, result.RateLimitExcess)
+		}
+	}
+}
--- a/simulation/request.go
+++ b/simulation/request.go
@@ -90,7 +90,8 @@
 		statement, isStated := e.stateRateLimit(outcome)
 		f.scheduler.after(from.delay(f.scheduler.now, networkDelay(from.place, e)), func() {
 			if isStated {
-				table.RecordRateLimit(f.now(), choice, statement)
+				report := table.RecordRateLimit(f.now(), choice, statement)
+				f.shareRateLimit(from, choice.Endpoint, report)
 				e.rateLimit.markTold(f.scheduler.now, from, statement)
 			}
 			reported := &load
