Bound what rate limits turn away to other endpoints

Callers: when many endpoints of a service state a rate limit at the same time, those that the instances hear of last get everything that the others turn away, and are overloaded in the moment before they state a limit, too.

Cause: a request without room went to any endpoint without a known limit.

Ruled out: the division of the limit. In the traced windows no request was sent by an instance that knew the limit, but one after its window had passed.

Change: requests that spill over to endpoints without a limit may at most double the requests of these. The share follows from the numbers of endpoints with and without room, which all instances know, so that it holds for their sum.

--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -35,6 +35,7 @@
 // the lowest expected latency, locality penalty included. Cold endpoints are
 // picked only if the rankings propose none.
 func (t *Table) choose(now time.Time, query Query) (Choice, *endpointState) {
+	t.limitSpillover(now, &query)
 	latency := t.latency(query.Service)
 	var best, late Choice
 	var chosen *endpointState
@@ -131,17 +132,23 @@
 	maxNonAffinityLoadPerSlot = 0.5
 )
 
+// isAvailable reports whether an endpoint may get a request, whatever its load,
+// backoff, warm-up and rate limit.
+func (t *Table) isAvailable(now time.Time, s *endpointState, query *Query) bool {
+	if s.State != savorystep.StateLive || s.isExpired(now) || t.evacuatedZones[s.Place.Zone] || slices.Contains(query.AttemptedEndpoints, s.ID) {
+		return false
+	}
+	return len(query.AllowedRegions) == 0 || slices.Contains(query.AllowedRegions, s.Place.Region)
+}
+
 // isEligible reports whether an endpoint may get a request, whatever its load,
 // backoff and warm-up. An endpoint whose rate limit has no room is not, so that the
 // next one in the ranking replaces it.
 func (t *Table) isEligible(now time.Time, s *endpointState, query *Query) bool {
-	if s.State != savorystep.StateLive || s.isExpired(now) || t.evacuatedZones[s.Place.Zone] || slices.Contains(query.AttemptedEndpoints, s.ID) {
-		return false
-	}
-	if len(query.AllowedRegions) > 0 && !slices.Contains(query.AllowedRegions, s.Place.Region) {
+	if query.excludesUnlimited && !s.rateLimiter.isLimited(now) {
 		return false
 	}
-	return t.hasRateLimitRoom(now, s)
+	return t.isAvailable(now, s, query) && t.hasRateLimitRoom(now, s)
 }
 
 // mixBits spreads the bits of a hash (the finalizer of splitmix64).
--- a/endpoint/query.go
+++ b/endpoint/query.go
@@ -22,6 +22,23 @@
 	AttemptedEndpoints []savorystep.EndpointID
 	// TimeLeft is the time until the deadline, zero if there is none.
 	TimeLeft time.Duration
+
+	// excludesUnlimited excludes the endpoints without a rate limit.
+	excludesUnlimited bool
+}
+
+// proximity returns how near a place is for a request that prefers local endpoints: 2
+// for the local zone, 1 for the local region. It is 0 for other places and for other
+// requests.
+func (q *Query) proximity(place savorystep.Place) int {
+	switch {
+	case !q.PreferLocal || place.Region != q.Local.Region:
+		return 0
+	case place.Zone != q.Local.Zone:
+		return 1
+	default:
+		return 2
+	}
 }
 
 // isTooLate reports whether a choice is expected to respond after the deadline.
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -19,6 +19,9 @@
 	specs          map[savorystep.Service]savorystep.ServiceSpec
 	retryBudgets   map[savorystep.Service]*retryBudget
 	latencies      map[savorystep.Service]*latencyEstimate
+	// spilloverCredits holds the numbers of requests of each service that may spill
+	// over, see limitSpillover.
+	spilloverCredits map[savorystep.Service]float64
 	// instanceSeenAt maps the instances that count, this one included, to the times
 	// at which they were last seen.
 	instanceSeenAt map[savorystep.InstanceID]time.Time
@@ -31,14 +34,15 @@
 // NewTable returns a table without endpoints.
 func NewTable(config Config) *Table {
 	return &Table{
-		config:         config,
-		byID:           make(map[savorystep.EndpointID]*endpointState),
-		byService:      make(map[savorystep.Service][]*endpointState),
-		evacuatedZones: make(map[savorystep.Zone]bool),
-		retryBudgets:   make(map[savorystep.Service]*retryBudget),
-		latencies:      make(map[savorystep.Service]*latencyEstimate),
-		instanceSeenAt: make(map[savorystep.InstanceID]time.Time),
-		tombstones:     make(map[savorystep.EndpointID]*tombstone),
+		config:           config,
+		byID:             make(map[savorystep.EndpointID]*endpointState),
+		byService:        make(map[savorystep.Service][]*endpointState),
+		evacuatedZones:   make(map[savorystep.Zone]bool),
+		retryBudgets:     make(map[savorystep.Service]*retryBudget),
+		latencies:        make(map[savorystep.Service]*latencyEstimate),
+		spilloverCredits: make(map[savorystep.Service]float64),
+		instanceSeenAt:   make(map[savorystep.InstanceID]time.Time),
+		tombstones:       make(map[savorystep.EndpointID]*tombstone),
 	}
 }
 
--- a/simulation/ratelimit_test.go
+++ b/simulation/ratelimit_test.go
@@ -127,6 +127,22 @@
 	}
 }
 
+// TestRateLimitsAtOnce guards against endpoints that get what all others turn away, in
+// the moment before the instances know that they state a rate limit, too.
+func TestRateLimitsAtOnce(t *testing.T) {
+	seeds := uint64(30)
+	if testing.Short() {
+		seeds = 3
+	}
+	for seed := range seeds {
+		scenario := rateLimitScenario(seed, 8, []simulation.Event{limitOf(6*time.Second, 1, 4.4)})
+		scenario.Duration = 14 * time.Second
+		if result := simulation.Run(scenario, simulation.DefaultPolicy()); result.RateLimitExcess > 0 {
+			t.Errorf("seed %d: %.1f requests in 4 s beyond the bound of a rate limit", seed, result.RateLimitExcess)
+		}
+	}
+}
+
 // TestEndpointRateLimitCanFail shows that TestEndpointRateLimit can fail: instances
 // that each heed the limit alone exceed it together.
 func TestEndpointRateLimitCanFail(t *testing.T) {
