--- a/simulation/simulation_test.go
+++ b/simulation/simulation_test.go
@@ -169,3 +169,41 @@
 		t.Errorf("the counts of ended requests add up to %d, want %d", sum, first.Requests)
 	}
 }
+
+// TestRetryLimitAfterRestart guards against retries beyond the bound when all
+// instances are restarted shortly after endpoints begin to fail requests: the new
+// ones do not know the retries of the old ones.
+func TestRetryLimitAfterRestart(t *testing.T) {
+	for _, size := range fleetSizes {
+		for seed := range min(6, seedCount()) {
+			scenario := siteScenario(seed)
+			scenario.Instances = size
+			scenario.Events = []simulation.Event{
+				{Kind: simulation.EventFail, Start: 6 * time.Second, Duration: 12 * time.Second, Share: 1, Factor: 0.5},
+				{Kind: simulation.EventRestart, Start: 9 * time.Second, Share: 1},
+			}
+			if result := simulation.Run(scenario, simulation.DefaultPolicy()); result.RetriesOverBound > 0 {
+				t.Errorf("%d instances, seed %d: %.0f retries in a window beyond the bound", size, seed, result.RetriesOverBound)
+			}
+		}
+	}
+}
+
+// TestColdLimitAfterFreeze guards against instances that were frozen while endpoints
+// became cold, and then send them what has arrived meanwhile.
+func TestColdLimitAfterFreeze(t *testing.T) {
+	for _, size := range fleetSizes {
+		for seed := range min(6, seedCount()) {
+			scenario := siteScenario(seed)
+			scenario.Instances = size
+			scenario.Events = []simulation.Event{
+				{Kind: simulation.EventFreeze, Start: 6 * time.Second, Duration: 5 * time.Second, Share: 0.4},
+				{Kind: simulation.EventCold, Start: 9 * time.Second, Share: 1},
+			}
+			result := simulation.Run(scenario, simulation.DefaultPolicy())
+			if float64(result.MaxColdPerSecond) > result.ColdBound {
+				t.Errorf("%d instances, seed %d: %d requests at a cold endpoint in a second, bound %.1f", size, seed, result.MaxColdPerSecond, result.ColdBound)
+			}
+		}
+	}
+}
