Send the greatest revision in force with missing statuses

Callers: an entry that starts while the platform is down could become ready without the newest change of the configuration, and route by the one before.

Cause: a starting instance takes the greatest revision in its peers' statuses for the one in force. A status holds the revision of the time at which it was published, and a change of the revision alone does not publish it again; the revision vector that says so comes later, over another connection.

TestCatchUpRevision asks a seed for statuses without any other connection, and gets revision 0 where 7 is in force.

Ruled out: publishing a status with each revision, which costs 75 KB for each change with 2,500 instances, and a new field of the response, which older builds reject.

Change: the response names, in a header, the greatest revision in force at a live member, and which one. Older builds ignore it.

Result: TestCatchUpRevision failed and passes.

--- a/peer/catchup.go
+++ b/peer/catchup.go
@@ -89,12 +89,31 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	merged := e.mergeStatuses(e.config.Clock.Now(), response.Statuses)
+	e.raiseMemberRevision(response.latest)
 	if merged > 0 {
 		e.wakeOverlay()
 	}
 	return merged
 }
 
+// latestMemberRevision returns the greatest revision in force at a live member.
+func (e *Exchange) latestMemberRevision(now time.Time) memberRevision {
+	var latest memberRevision
+	for id, m := range e.store.members {
+		if m.revision > latest.revision && !e.store.isLost(now, id) {
+			latest = memberRevision{revision: m.revision, instance: id}
+		}
+	}
+	return latest
+}
+
+// raiseMemberRevision records the revision in force at a member that a peer reported.
+func (e *Exchange) raiseMemberRevision(reported memberRevision) {
+	if m := e.store.members[reported.instance]; m != nil && reported.instance != e.config.Self.ID && e.store.revisions.raise(m, reported.revision) {
+		e.notify(revisionFact(reported.instance, m))
+	}
+}
+
 // chooseCatchUpPeer returns the address of a random member, closer ones with a
 // greater probability, or of a seed while no other member is known. It returns
 // "" if there is none.
--- a/peer/catchupwire.go
+++ b/peer/catchupwire.go
@@ -4,8 +4,11 @@
 	"bytes"
 	"context"
 	"crypto/subtle"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"savorystep"
@@ -25,6 +28,36 @@
 // A catchUpResponse is the response to a catchUpRequest.
 type catchUpResponse struct {
 	Statuses []catchUpStatus `cbor:"1,keyasint,omitempty"`
+	// latest is sent in revisionHeader, since decoding is strict and older builds
+	// would reject a new field.
+	latest memberRevision
+}
+
+// revisionHeader is the header of a response with the greatest revision in force at
+// a live member and the ID of the member, separated by a space. A status contains
+// only the revision of the time at which it was published.
+const revisionHeader = "Savorystep-Revision"
+
+// A memberRevision is the revision in force at a member.
+type memberRevision struct {
+	revision savorystep.Revision
+	instance savorystep.InstanceID
+}
+
+// String returns the value of revisionHeader.
+func (m memberRevision) String() string {
+	return fmt.Sprintf("%d %s", m.revision, m.instance)
+}
+
+// parseMemberRevision parses the value of revisionHeader. It returns the zero value
+// if the text has another form, as that of a build without the header.
+func parseMemberRevision(text string) memberRevision {
+	number, id, _ := strings.Cut(text, " ")
+	revision, err := strconv.ParseUint(number, 10, 64)
+	if err != nil {
+		return memberRevision{}
+	}
+	return memberRevision{revision: savorystep.Revision(revision), instance: savorystep.InstanceID(id)}
 }
 
 // A catchUpStatus is the status fact of one instance.
@@ -84,7 +117,9 @@
 	if err != nil {
 		return decoded, savorystep.WrapError(savorystep.KindNotReady, err, "read statuses from peer %s", address)
 	}
-	return catchUpResponseCodec.Decode(data)
+	decoded, err = catchUpResponseCodec.Decode(data)
+	decoded.latest = parseMemberRevision(response.Header.Get(revisionHeader))
+	return decoded, err
 }
 
 // serveStatuses answers a peer's request for statuses.
@@ -107,6 +142,7 @@
 	now := e.config.Clock.Now()
 	e.mergeStatuses(now, []catchUpStatus{request.Self})
 	response := e.newCatchUpResponse(now, request.Known)
+	response.latest = e.latestMemberRevision(now)
 	e.mu.Unlock()
 	data, err = catchUpResponseCodec.Encode(response)
 	if err != nil {
@@ -115,5 +151,6 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/cbor")
+	w.Header().Set(revisionHeader, response.latest.String())
 	_, _ = w.Write(data)
 }
--- a/peer/export_test.go
+++ b/peer/export_test.go
@@ -1,6 +1,10 @@
 package peer
 
-import "savorystep"
+import (
+	"context"
+
+	"savorystep"
+)
 
 // ReaderOf returns the address of the first reader that a relay queries, "" if
 // it reads the store itself.
@@ -40,3 +44,8 @@
 	config.FirstStart = false
 	return config
 }
+
+// CatchUp requests missing statuses from a peer once and returns how many were new.
+func CatchUp(ctx context.Context, e *Exchange) int {
+	return e.catchUp(ctx)
+}
