Keep the rank of an instance among the others for each endpoint

Cause: the part of a limit that an instance gets depends on its rank for the endpoint, for which the ids of all instances were hashed, for each endpoint and three times for each request.

Change: the rank is kept until the set of instances changes, and the sum of a window is counted along.

--- a/endpoint/coldlimit.go
+++ b/endpoint/coldlimit.go
@@ -21,5 +21,5 @@
 func (t *Table) allowColdRequest(now time.Time, s *endpointState) bool {
 	limit := t.specs[s.Service].ColdRate*t.config.ColdFactor + t.config.ColdSlack
 	s.coldRequestTimes = slices.DeleteFunc(s.coldRequestTimes, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
-	return len(s.coldRequestTimes) < t.instanceShare(now, int(limit*coldUtilization), s.idHash)
+	return len(s.coldRequestTimes) < t.instanceShare(now, int(limit*coldUtilization), s)
 }
--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -30,9 +30,12 @@
 // has measured of it.
 type endpointState struct {
 	savorystep.Endpoint
-	idHash      uint64
-	inFlight    savorystep.Slots
-	foreignLoad foreignLoad
+	idHash uint64
+	// ownRank is the position of this instance in the ranking of the instances for the
+	// endpoint, as of ownRankVersion of the set of instances.
+	ownRank, ownRankVersion int
+	inFlight                savorystep.Slots
+	foreignLoad             foreignLoad
 	// warmAt is when its warm-up ends according to its last report.
 	warmAt time.Time
 	// suspectUntil is when the suspicion that it was restarted ends at the latest.
--- a/endpoint/instances.go
+++ b/endpoint/instances.go
@@ -31,20 +31,24 @@
 // Instances that are missing still count for instanceTTL.
 func (t *Table) SetInstances(now time.Time, instances []savorystep.InstanceID) {
 	for _, id := range instances {
+		if _, ok := t.instanceSeenAt[id]; !ok {
+			t.instancesVersion++
+		}
 		t.instanceSeenAt[id] = now
 	}
 	for id, seenAt := range t.instanceSeenAt {
 		if now.Sub(seenAt) >= instanceTTL {
 			delete(t.instanceSeenAt, id)
+			t.instancesVersion++
 		}
 	}
 }
 
-// instanceShare returns the share of a total that this instance may use. The
-// shares of instances that all know each other add up to the total. The remainder
-// of the division goes to the instances that rank first for the key, which differ
-// from key to key.
-func (t *Table) instanceShare(now time.Time, total int, key uint64) int {
+// instanceShare returns the share of a total for an endpoint that this instance may
+// use. The shares of instances that all know each other add up to the total. The
+// remainder of the division goes to the instances that rank first for the endpoint,
+// which differ from endpoint to endpoint.
+func (t *Table) instanceShare(now time.Time, total int, s *endpointState) int {
 	if now.Sub(t.startedAt) < startupHoldoff {
 		return 0
 	}
@@ -53,21 +57,24 @@
 		instances = max(instances, minInstances)
 	}
 	share := total / instances
-	if t.ownRank(key) < total%instances {
+	if t.ownRank(s) < total%instances {
 		share++
 	}
 	return share
 }
 
 // ownRank returns the position of this instance in the rendezvous ranking of the
-// instances for a key.
-func (t *Table) ownRank(key uint64) int {
-	own := mixBits(key ^ xxh3.HashString(string(t.config.Self)))
-	rank := 0
+// instances for an endpoint.
+func (t *Table) ownRank(s *endpointState) int {
+	if s.ownRankVersion == t.instancesVersion {
+		return s.ownRank
+	}
+	own := mixBits(s.idHash ^ xxh3.HashString(string(t.config.Self)))
+	s.ownRank, s.ownRankVersion = 0, t.instancesVersion
 	for id := range t.instanceSeenAt {
-		if id != t.config.Self && mixBits(key^xxh3.HashString(string(id))) > own {
-			rank++
+		if id != t.config.Self && mixBits(s.idHash^xxh3.HashString(string(id))) > own {
+			s.ownRank++
 		}
 	}
-	return rank
+	return s.ownRank
 }
--- a/endpoint/ratelimit.go
+++ b/endpoint/ratelimit.go
@@ -213,7 +213,7 @@
 // is how it learns that the limit has ended.
 func (t *Table) rateLimitShare(now time.Time, s *endpointState) int {
 	total := float64(s.rateLimiter.statement.Rate) * rateLimitWindow.Seconds() * rateLimitUtilization
-	return t.instanceShare(now, int(min(max(1, total), maxRateLimitTotal)), s.idHash)
+	return t.instanceShare(now, int(min(max(1, total), maxRateLimitTotal)), s)
 }
 
 // CountRateLimited returns the number of endpoints with a rate limit in force.
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -25,7 +25,9 @@
 	// instanceSeenAt maps the instances that count, this one included, to the times
 	// at which they were last seen.
 	instanceSeenAt map[savorystep.InstanceID]time.Time
-	tombstones     map[savorystep.EndpointID]*tombstone
+	// instancesVersion counts the changes of the set of instances. It starts at 1.
+	instancesVersion int
+	tombstones       map[savorystep.EndpointID]*tombstone
 	// startedAt is when the first endpoint was put. It counts as the start of this
 	// instance.
 	startedAt time.Time
@@ -35,6 +37,7 @@
 func NewTable(config Config) *Table {
 	return &Table{
 		config:           config,
+		instancesVersion: 1,
 		byID:             make(map[savorystep.EndpointID]*endpointState),
 		byService:        make(map[savorystep.Service][]*endpointState),
 		evacuatedZones:   make(map[savorystep.Zone]bool),
--- a/endpoint/windowcounter.go
+++ b/endpoint/windowcounter.go
@@ -15,6 +15,7 @@
 	// newest is the number of the newest bucket.
 	newest int64
 	counts [windowBuckets + 1]int
+	total  int
 }
 
 func newWindowCounter(window time.Duration) windowCounter {
@@ -33,7 +34,9 @@
 		c.newest = current - size
 	}
 	for ; c.newest < current; c.newest++ {
-		c.counts[(c.newest+1)%size] = 0
+		i := (c.newest + 1) % size
+		c.total -= c.counts[i]
+		c.counts[i] = 0
 	}
 	return int(current % size)
 }
@@ -41,14 +44,11 @@
 // add counts an event.
 func (c *windowCounter) add(now time.Time) {
 	c.counts[c.advance(now)]++
+	c.total++
 }
 
 // sum returns the number of events in the window.
 func (c *windowCounter) sum(now time.Time) int {
 	c.advance(now)
-	total := 0
-	for _, count := range c.counts {
-		total += count
-	}
-	return total
+	return c.total
 }
