Log where the catalog is read and which regions lookups name

A request that ran outside its homes could not be told apart from its cause: the line about a new routing did not say how old the picture was before, a follower that left a stale reader said so for debugging only, and a lookup that named instances of other regions left no trace. A routing that is older than the one in force was dropped without a line.

The relay takes an HTTP client, so that tests can run instances without a network.

--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -18,12 +18,13 @@
 
 // ApplyOperatorChanges exports Watcher.applyOperatorChanges.
 func (w *Watcher) ApplyOperatorChanges(now time.Time, changes savorystep.OperatorChanges) {
-	w.applyOperatorChanges(now, changes)
+	w.applyOperatorChanges(now, changes, 0)
 }
 
 // ReadyAddresses exports readyAddresses.
 func ReadyAddresses(members []savorystep.Member, region savorystep.Region) []savorystep.Address {
-	return readyAddresses(members, region)
+	addresses, _ := readyAddresses(members, region)
+	return addresses
 }
 
 // SplitRequests returns how many of the given number of requests of a route the
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -92,6 +92,7 @@
 	// The first configuration may come from a peer and be seconds old, so the
 	// second read does not wait for changes.
 	var wait time.Duration
+	lastReadAt := w.config.Clock.Now()
 	for ctx.Err() == nil {
 		changes, err := w.config.Catalog.OperatorChanges(ctx, version, wait)
 		now := w.config.Clock.Now()
@@ -105,7 +106,8 @@
 		}
 		hadVersion := version != 0
 		version = changes.Version
-		w.applyOperatorChanges(now, changes)
+		w.applyOperatorChanges(now, changes, now.Sub(lastReadAt))
+		lastReadAt = now
 		if version == 0 {
 			savorystep.Sleep(ctx, emptyStoreInterval)
 			continue
@@ -117,10 +119,16 @@
 }
 
 // applyOperatorChanges applies changes of the routing and of zone evacuations.
-func (w *Watcher) applyOperatorChanges(now time.Time, changes savorystep.OperatorChanges) {
+// sinceLastRead is the time since the configuration was last read, which bounds how
+// long a change was pending.
+func (w *Watcher) applyOperatorChanges(now time.Time, changes savorystep.OperatorChanges, sinceLastRead time.Duration) {
 	router := w.config.Router
-	if changes.Routing != nil && router.SetRouting(changes.Routing) {
-		log.Infof("routing revision %d with %d routes is in force", changes.Routing.Revision, len(changes.Routing.Routes))
+	if routing := changes.Routing; routing != nil {
+		if router.SetRouting(routing) {
+			log.Infof("routing revision %d with %d routes is in force, the read before ended %v ago", routing.Revision, len(routing.Routes), sinceLastRead.Round(time.Millisecond))
+		} else if current := router.Routing(); routing.Revision < current.Revision {
+			log.Warningf("routing revision %d from the store is older than revision %d in force, which stays", routing.Revision, current.Revision)
+		}
 	}
 	router.WithTable(func(t *endpoint.Table) {
 		restored := changes.RestoredZones
--- a/peer/catalogrelay.go
+++ b/peer/catalogrelay.go
@@ -45,6 +45,8 @@
 type CatalogRelayConfig struct {
 	// Catalog reads the platform's store.
 	Catalog savorystep.Catalog
+	// Client sends requests to peers. If it is nil, the relay creates one.
+	Client  *http.Client
 	Clock   savorystep.Clock
 	Members savorystep.Members
 	// FirstStart is true if the whole system starts for the first time, so that
@@ -70,13 +72,17 @@
 	startedAt time.Time
 	// fullReads limits the concurrent requests of peers for the whole catalog.
 	fullReads *semaphore.Weighted
+	sources   catalogSources
 }
 
 // NewCatalogRelay returns a relay that has not read the catalog yet.
 func NewCatalogRelay(config CatalogRelayConfig) *CatalogRelay {
+	if config.Client == nil {
+		config.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxPeerHeaderBytes, IdleConnTimeout: 10 * time.Second}}
+	}
 	return &CatalogRelay{
 		config:        config,
-		client:        &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxPeerHeaderBytes, IdleConnTimeout: 10 * time.Second}},
+		client:        config.Client,
 		authorization: peerAuthorization(config.Secret),
 		mirror:        newMirror(),
 
@@ -127,6 +133,7 @@
 // readCatalog reads changes from the readers, then from the store, then from
 // any other peer.
 func readCatalog[R, C any](ctx context.Context, r *CatalogRelay, query catalogQuery, section catalogSection[R, C]) (C, error) {
+	var readerErr error
 	switch {
 	case query.after == 0 && r.config.FirstStart:
 		if changes, ok := fetchAtFirstStart(ctx, r, section); ok {
@@ -136,8 +143,10 @@
 		for _, reader := range r.readers() {
 			changes, err := fetchChanges(ctx, r, reader, query, section)
 			if err == nil {
+				r.sources.record(section.path, "reader "+string(reader), nil)
 				return changes, nil
 			}
+			readerErr = err
 			logger.Debugf("read %s from reader %s: %v", section.path, reader, err)
 			if !errors.Is(err, errStale) {
 				// Waiting for another unreachable reader would take too long.
@@ -147,6 +156,7 @@
 	}
 	changes, err := section.readStore(ctx, query.after, query.maxWait)
 	if err == nil {
+		r.sources.record(section.path, "the store", readerErr)
 		section.apply(r.config.Clock.Now(), changes, originStore)
 		return changes, nil
 	}
@@ -181,6 +191,7 @@
 		logger.Debugf("read %s from next reader %s: %v", section.path, address, peerErr)
 		return storeChanges, storeErr
 	}
+	r.sources.record(section.path, "next reader "+string(address), storeErr)
 	return peerChanges, nil
 }
 
