Leave a reader as soon as its picture of the catalog is too old

Callers saw requests run outside the homes of their route (HOME), and other changes of the configuration in force late, at instances that reach the store.

Cause: a follower that asks a reader for changes waits up to 1.5 s there. Whether the reader's last read of the store is recent enough (2.2 s) was checked when the wait began and when it ended. A reader that had just lost the store accepted the follower 2.1 s after its last read and turned it away 1.5 s later, so that a change was in force up to 3.7 s after its confirmation. Deployments allow 2.5 or 3 s.

Ruled out: a newer routing that is refused, since no log has the line for it.

The wait now ends at the moment at which the picture becomes too old. The follower then asks the next reader and the store.

--- a/ingress/homefleet_test.go
+++ b/ingress/homefleet_test.go
@@ -38,6 +38,9 @@
 	accessRejected storeAccess = "rejected"
 	// accessSilent means that calls get no response.
 	accessSilent storeAccess = "silent"
+	// accessGone means that the instance has lost power: neither the store nor other
+	// instances hear of it.
+	accessGone storeAccess = "gone"
 )
 
 // A homeStore is the store of a homeFleet. Its configuration has one route, whose
@@ -148,7 +151,7 @@
 			return errTurnedAway
 		case isRead:
 			return nil
-		case access == accessSilent:
+		case access == accessSilent, access == accessGone:
 			timer = nil
 		}
 		select {
@@ -237,14 +240,28 @@
 	if i < 0 {
 		return nil, errors.New("no instance has address " + request.URL.Host)
 	}
+	if f.isGone(f.instances[i].ID) {
+		<-request.Context().Done()
+		return nil, request.Context().Err()
+	}
 	recorder := httptest.NewRecorder()
 	f.instances[i].relay.Handler().ServeHTTP(recorder, request)
+	if f.isGone(f.instances[i].ID) {
+		<-request.Context().Done()
+	}
 	if err := request.Context().Err(); err != nil {
 		return nil, err
 	}
 	return recorder.Result(), nil
 }
 
+// isGone reports whether an instance has lost power.
+func (f *homeFleet) isGone(id savorystep.InstanceID) bool {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return f.store.access[id] == accessGone
+}
+
 // setAccess sets how the store treats some of the instances.
 func (f *homeFleet) setAccess(access storeAccess, ids []savorystep.InstanceID) {
 	f.store.update(func() {
--- a/peer/catalogrelaywire.go
+++ b/peer/catalogrelaywire.go
@@ -169,8 +169,8 @@
 type mirrorReadFunc[T any] func(*mirror, savorystep.CatalogVersion) (T, time.Time, bool)
 
 // waitForChanges returns the changes that a query requests as soon as there is
-// one or maxWait has passed. It returns false if the mirror was last up to date
-// maxAge ago or earlier, or if ctx ends. A query that allows a stale response
+// one or maxWait has passed. It returns false as soon as the mirror was last up to
+// date maxAge ago, or if ctx ends. A query that allows a stale response
 // does not wait; it gets false if there is no change.
 func waitForChanges[T any](ctx context.Context, r *CatalogRelay, query catalogQuery, maxAge time.Duration, readMirror mirrorReadFunc[T]) (T, bool) {
 	timer := time.NewTimer(query.maxWait)
@@ -184,17 +184,25 @@
 		if query.allowStale {
 			return response, hasChanges
 		}
-		if r.config.Clock.Now().Sub(upToDateAt) >= maxAge {
+		remaining := maxAge - r.config.Clock.Now().Sub(upToDateAt)
+		if remaining <= 0 {
 			return response, false
 		}
 		if hasChanges || !isWaiting {
 			return response, true
 		}
+		// The follower must look elsewhere as soon as the mirror is too old, so
+		// its wait does not add to the age.
+		expiry := time.NewTimer(remaining)
 		select {
 		case <-changed:
+		case <-expiry.C:
 		case <-timer.C:
 			isWaiting = false
 		case <-ctx.Done():
+		}
+		expiry.Stop()
+		if ctx.Err() != nil {
 			return response, false
 		}
 	}
