Name instances in the homes of a host's routes before those of other regions

Callers whose region had no ready instance were sent to the instances of all regions, so requests of routes with homes went to regions that are neither a home nor the caller's (HOME). An instance that had just started did the same before it knew the routes.

Lookups now name ready instances of the caller's region, then of the homes of the host's routes, then of all regions if a route of the host has no homes; none before the routes are known.

--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -97,8 +97,8 @@
 	return peer.New(peer.Config{Clock: clock, Seeds: settings.Seeds, Secret: peerSecret(settings), Self: self})
 }
 
-func newGatewayDirectory(clock savorystep.Clock, exchange *peer.Exchange, registry *prometheus.Registry) *ingress.Directory {
-	return ingress.NewDirectory(ingress.DirectoryConfig{Clock: clock, Members: exchange, Registerer: registry})
+func newGatewayDirectory(clock savorystep.Clock, exchange *peer.Exchange, registry *prometheus.Registry, router *ingress.Router) *ingress.Directory {
+	return ingress.NewDirectory(ingress.DirectoryConfig{Clock: clock, Members: exchange, Registerer: registry, Router: router})
 }
 
 // responseMemoryDivisor is the quotient of the memory limit and the memory that all
--- a/ingress/decisions_test.go
+++ b/ingress/decisions_test.go
@@ -9,43 +9,6 @@
 	"savorystep/ingress"
 )
 
-// TestReadyAddresses guards against sending callers to instances that are leaving
-// or not ready, or to another region while the own one has ready instances.
-func TestReadyAddresses(t *testing.T) {
-	member := func(name, region string, ready, leaving bool) savorystep.Member {
-		return savorystep.Member{StatusFact: savorystep.StatusFact{
-			Instance: savorystep.Instance{CallerAddress: savorystep.Address(name), Place: savorystep.Place{Region: savorystep.Region(region)}},
-			Ready:    ready, Leaving: leaving,
-		}}
-	}
-	members := []savorystep.Member{
-		member("far", "south", true, false), member("leaving", "north", true, true),
-		member("near", "north", true, false), member("unready", "north", false, false),
-	}
-	cases := []struct {
-		name, region string
-		members      []savorystep.Member
-		want         []savorystep.Address
-	}{
-		{name: "none ready", region: "north", members: members[1:2], want: nil},
-		{name: "ready in region", region: "north", members: members, want: []savorystep.Address{"near"}},
-		{name: "none in region", region: "west", members: members, want: []savorystep.Address{"far", "near"}},
-	}
-	for _, c := range cases {
-		t.Run(c.name, func(t *testing.T) {
-			got := ingress.ReadyAddresses(c.members, savorystep.Region(c.region))
-			if len(got) != len(c.want) {
-				t.Fatalf("addresses %v, want %v", got, c.want)
-			}
-			for i := range got {
-				if got[i] != c.want[i] {
-					t.Errorf("addresses %v, want %v", got, c.want)
-				}
-			}
-		})
-	}
-}
-
 // TestWeightedSplit guards against services whose number of requests differs from
 // their weight by more than one request.
 func TestWeightedSplit(t *testing.T) {
--- a/ingress/directory.go
+++ b/ingress/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,8 @@
 	Members savorystep.Members
 	// Registerer registers the metrics, unless it is nil.
 	Registerer prometheus.Registerer
+	// Router has the routing, whose routes may bind requests to regions.
+	Router *Router
 }
 
 // A Directory answers lookups of the instances that callers can connect to. It is
@@ -35,7 +38,7 @@
 // NewDirectory returns a directory and registers its metrics.
 func NewDirectory(config DirectoryConfig) *Directory {
 	d := &Directory{config: config, scopes: make(map[savorystep.Region]lookupScope), lookups: prometheus.NewCounterVec(prometheus.CounterOpts{
-		Name: "savorystep_ingress_lookups_total", Help: "Lookups of callers by the places of the instances in the result: region, all or none.",
+		Name: "savorystep_ingress_lookups_total", Help: "Lookups of callers by the places of the instances in the result: region, homes, all or none.",
 	}, []string{"scope"})}
 	if config.Registerer != nil {
 		config.Registerer.MustRegister(d.lookups)
@@ -43,11 +46,17 @@
 	return d
 }
 
-// Addresses returns the caller addresses of the ready instances in region or, if
-// there are none, in all regions. It returns a random selection of 64 if there
-// are more.
-func (d *Directory) Addresses(region savorystep.Region) []savorystep.Address {
-	addresses, scope := readyAddresses(d.config.Members.Members(d.config.Clock.Now()), region)
+// Addresses returns the caller addresses of ready instances for a lookup of a host
+// from a region: those in the region or, if there are none, in the homes of the
+// host's routes or, if a route has no homes, in all regions. It returns a random
+// selection of 64 if there are more.
+func (d *Directory) Addresses(host string, region savorystep.Region) []savorystep.Address {
+	lookup := lookup{region: region}
+	// An instance that does not know the routes yet does not know their homes.
+	if routing := d.config.Router.Routing(); routing != nil {
+		lookup.homes, lookup.isUnbound = routing.Homes(host)
+	}
+	addresses, scope := readyAddresses(d.config.Members.Members(d.config.Clock.Now()), lookup)
 	d.recordScope(region, scope)
 	return addresses
 }
@@ -70,36 +79,59 @@
 const (
 	// scopeRegion means the caller's region.
 	scopeRegion lookupScope = "region"
+	// scopeHomes means the homes of the host's routes.
+	scopeHomes lookupScope = "homes"
 	// scopeAll means all regions.
 	scopeAll lookupScope = "all"
-	// scopeNone means that no instance is ready.
+	// scopeNone means that no instance may be named.
 	scopeNone lookupScope = "none"
 )
 
-// readyAddresses selects the addresses for a lookup from region.
-func readyAddresses(members []savorystep.Member, region savorystep.Region) ([]savorystep.Address, lookupScope) {
-	var inRegion, all []savorystep.Address
+// A lookup is a caller's lookup of a host.
+type lookup struct {
+	region savorystep.Region
+	// homes and isUnbound are those of the host, see savorystep.Routing.
+	homes     []savorystep.Region
+	isUnbound bool
+}
+
+// scopeOf returns the narrowest scope that includes a region.
+func (l *lookup) scopeOf(region savorystep.Region) lookupScope {
+	switch {
+	case region == l.region:
+		return scopeRegion
+	case slices.Contains(l.homes, region):
+		return scopeHomes
+	case l.isUnbound:
+		return scopeAll
+	default:
+		return scopeNone
+	}
+}
+
+// readyAddresses selects the addresses for a lookup from the narrowest scope that has
+// ready instances.
+func readyAddresses(members []savorystep.Member, lookup lookup) ([]savorystep.Address, lookupScope) {
+	byScope := make(map[lookupScope][]savorystep.Address)
 	for _, m := range members {
 		if !m.Ready || m.Leaving || m.Instance.CallerAddress == "" {
 			continue
 		}
-		all = append(all, m.Instance.CallerAddress)
-		if m.Instance.Place.Region == region {
-			inRegion = append(inRegion, m.Instance.CallerAddress)
-		}
-	}
-	scope := scopeAll
-	switch {
-	case len(inRegion) > 0:
-		all, scope = inRegion, scopeRegion
-	case len(all) == 0:
-		scope = scopeNone
+		scope := lookup.scopeOf(m.Instance.Place.Region)
+		byScope[scope] = append(byScope[scope], m.Instance.CallerAddress)
 	}
-	if len(all) > maxAddresses {
-		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
-		all = all[:maxAddresses]
+	for _, scope := range []lookupScope{scopeRegion, scopeHomes, scopeAll} {
+		addresses := byScope[scope]
+		if len(addresses) == 0 {
+			continue
+		}
+		if len(addresses) > maxAddresses {
+			rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+			addresses = addresses[:maxAddresses]
+		}
+		return addresses, scope
 	}
-	return all, scope
+	return nil, scopeNone
 }
 
 // LookupTTL is how long callers may cache the result of a lookup. Some cache it
--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -21,12 +21,6 @@
 	w.applyOperatorChanges(now, changes, 0)
 }
 
-// ReadyAddresses exports readyAddresses.
-func ReadyAddresses(members []savorystep.Member, region savorystep.Region) []savorystep.Address {
-	addresses, _ := readyAddresses(members, region)
-	return addresses
-}
-
 // SplitRequests returns how many of the given number of requests of a route the
 // splitter sends to each service.
 func SplitRequests(route *savorystep.Route, requests int) map[savorystep.Service]int {
--- a/routing.go
+++ b/routing.go
@@ -35,13 +35,35 @@
 // Match returns the route of the host whose prefix is the longest one that path
 // begins with, or nil. The case of the host and its port are ignored.
 func (r *Routing) Match(host, path string) *Route {
-	if name, _, ok := strings.Cut(host, ":"); ok {
-		host = name
-	}
-	for _, route := range r.byHost[strings.ToLower(host)] {
+	for _, route := range r.routesOf(host) {
 		if strings.HasPrefix(path, route.Prefix) {
 			return route
 		}
 	}
 	return nil
 }
+
+// Homes returns the regions in which requests of any route of a host may run.
+// isUnbound is true if the host has a route whose requests may run in all regions,
+// or has no route; homes then are the regions of its other routes.
+func (r *Routing) Homes(host string) (homes []Region, isUnbound bool) {
+	routes := r.routesOf(host)
+	isUnbound = len(routes) == 0
+	for _, route := range routes {
+		isUnbound = isUnbound || len(route.Regions) == 0
+		for _, region := range route.Regions {
+			if !slices.Contains(homes, region) {
+				homes = append(homes, region)
+			}
+		}
+	}
+	return homes, isUnbound
+}
+
+// routesOf returns the routes of a host, longest prefix first.
+func (r *Routing) routesOf(host string) []*Route {
+	if name, _, ok := strings.Cut(host, ":"); ok {
+		host = name
+	}
+	return r.byHost[strings.ToLower(host)]
+}
