Send a request to the homes that its route has at the time of the attempt

Callers of a route whose home moved while their request waited got it run in the former home (HOME): the regions were those of the route that matched when the header came. The body of an upload may take seconds to arrive, and a retry comes later still, so an attempt went to the former home after this instance and its endpoints had the new configuration.

Evidence: TestHomeChangeWhileRequestWaits; both cases (while the body arrives, between two attempts) ran in the former home before and run in the new one now.

Each attempt now takes the homes of the route that matches in the routing in force. The service stays the one that was chosen when the request came.

--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -85,7 +85,7 @@
 func (f *Forwarder) query(now time.Time, pr *proxiedRequest) endpoint.Query {
 	return endpoint.Query{
 		Service: pr.service, AffinityKey: pr.affinityKey, Local: f.config.Place, TimeLeft: pr.deadline.Sub(now),
-		PreferLocal: f.config.Router.prefersLocal(pr.route, len(pr.Body)), AllowedRegions: pr.route.Regions, AttemptedEndpoints: pr.attemptedEndpoints,
+		PreferLocal: f.config.Router.prefersLocal(pr.route, len(pr.Body)), AllowedRegions: f.config.Router.homesFor(pr), AttemptedEndpoints: pr.attemptedEndpoints,
 	}
 }
 
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -106,6 +107,19 @@
 	return service
 }
 
+// homesFor returns the regions in which a request may run now, empty if in all. If
+// the routing has changed since the request was matched, those of the route that
+// matches it now count.
+func (r *Router) homesFor(pr *proxiedRequest) []savorystep.Region {
+	if routing := r.routing.Load(); routing.Revision != pr.revision {
+		path, _, _ := strings.Cut(pr.Target, "?")
+		if route := routing.Match(pr.Host, path); route != nil {
+			return route.Regions
+		}
+	}
+	return pr.route.Regions
+}
+
 // prefersLocal reports whether a request with a body of bodyBytes is expected to
 // transfer so much that it should stay in its zone or region.
 func (r *Router) prefersLocal(route *savorystep.Route, bodyBytes int) bool {
