Start from the peer with the newest configuration while the store is away

An instance that started while the store was away took the catalog of any ready peer, also of one that had been cut from the store for long, although another had a newer configuration.

Peers state the revision in force in their status. They are asked in descending order of it now. TestRelayStartTakesNewestCatalog got revision 3 of 3, 9 and 5 before and gets 9 now.

--- a/peer/catalogrelay.go
+++ b/peer/catalogrelay.go
@@ -213,14 +213,16 @@
 }
 
 // fetchFromAnyPeer fetches the whole catalog, of any age, from the first ready
-// peer that responds. An instance uses it when it starts while the store does
+// peer that responds, those with the newest configuration first. An instance uses it when it starts while the store does
 // not respond: an old catalog is better than none, and later reads deliver the
 // changes since.
 func fetchFromAnyPeer[T any](ctx context.Context, r *CatalogRelay, path string) (T, error) {
 	var response T
 	err := error(savorystep.NewError(savorystep.KindNotReady, "read %s from peers: none is ready", path))
 	self := r.config.Members.Self()
-	for _, m := range r.config.Members.Members(r.config.Clock.Now()) {
+	members := slices.Clone(r.config.Members.Members(r.config.Clock.Now()))
+	slices.SortStableFunc(members, func(a, b savorystep.Member) int { return cmp.Compare(b.Revision, a.Revision) })
+	for _, m := range members {
 		if m.Instance.ID == self.ID || !m.Ready {
 			continue
 		}
