--- a/cmd/gatewaymetrics.go
+++ b/cmd/gatewaymetrics.go
@@ -23,6 +23,7 @@
 			}
 			return 0
 		}},
+		{name: "savorystep_gateway_store_era", help: "Era of the store. It rises when the store comes back from a copy.", value: func() float64 { return float64(g.client.Era()) }},
 	}
 	for _, gauge := range gauges {
 		g.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.name, Help: gauge.help}, gauge.value))
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -125,9 +125,9 @@
 	router := w.config.Router
 	if routing := changes.Routing; routing != nil {
 		if router.SetRouting(routing) {
-			log.Infof("routing revision %d with %d routes is in force, the read before ended %v ago", routing.Revision, len(routing.Routes), sinceLastRead.Round(time.Millisecond))
+			log.Infof("routing revision %d with %d routes at catalog version %d is in force, the read before ended %v ago", routing.Revision, len(routing.Routes), changes.Version, sinceLastRead.Round(time.Millisecond))
 		} else if current := router.Routing(); routing.Revision < current.Revision {
-			log.Warningf("routing revision %d from the store is older than revision %d in force, which stays", routing.Revision, current.Revision)
+			log.Warningf("routing revision %d at catalog version %d is older than revision %d in force, which stays", routing.Revision, changes.Version, current.Revision)
 		}
 	}
 	router.WithTable(func(t *endpoint.Table) {
