Reproduce requests outside their homes after a reader loses power

A follower does not know how old the picture is, so that it waits its whole 1.9 s at a reader that does not respond any more, although it has taken that reader's word at an age of up to 2.2 s: together 4.1 s. It would be refuted by runs in which followers keep the limit when a reader loses the store and then power.

No logic is changed.

--- a/ingress/home_test.go
+++ b/ingress/home_test.go
@@ -25,10 +25,23 @@
 // of their route at an instance that reaches the store, because it follows a reader
 // that does not.
 func TestHomeWhileReadersLackStore(t *testing.T) {
+	runHomeScenarios(t, "testdata/home")
+}
+
+// TestHomeWhileReadersLosePower guards against the same at followers of a reader
+// that first loses the store and then power, so that it does not say any more how
+// old its picture is.
+func TestHomeWhileReadersLosePower(t *testing.T) {
+	runHomeScenarios(t, "testdata/homepower")
+}
+
+// runHomeScenarios runs the scenarios of a file.
+func runHomeScenarios(t *testing.T, path string) {
+	t.Helper()
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
 	t.Cleanup(func() { klog.LogToStderr(true) })
-	datadriven.RunTest(t, "testdata/home", func(t *testing.T, d *datadriven.TestData) string {
+	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 		var scenario homeScenario
 		var access, limit string
 		d.ScanArgs(t, "instances", &scenario.instances)
@@ -37,6 +50,13 @@
 		d.ScanArgs(t, "limit", &limit)
 		scenario.access = storeAccess(access)
 		var err error
+		if d.HasArg("gone-after") {
+			var goneAfter string
+			d.ScanArgs(t, "gone-after", &goneAfter)
+			if scenario.goneAfter, err = time.ParseDuration(goneAfter); err != nil {
+				t.Fatal(err)
+			}
+		}
 		if scenario.limit, err = time.ParseDuration(limit); err != nil {
 			t.Fatal(err)
 		}
@@ -69,6 +89,9 @@
 type homeScenario struct {
 	instances, faulty int
 	access            storeAccess
+	// goneAfter is the time from the change to when the faulty instances lose power,
+	// zero if they do not.
+	goneAfter time.Duration
 	// limit is the time in which a change must be in force.
 	limit time.Duration
 }
@@ -94,6 +117,9 @@
 		time.Sleep(delay)
 		changedAt := time.Now()
 		fleet.store.changeConfiguration(changedAt)
+		if s.goneAfter > 0 {
+			time.AfterFunc(s.goneAfter, func() { fleet.setAccess(accessGone, ids) })
+		}
 		for time.Since(changedAt) < homeFaultLength {
 			for _, instance := range fleet.instances {
 				if isFaulty[instance.ID] {
