Bound how long a follower waits by the age of its own picture

Callers saw requests run outside the homes of their route (HOME) at instances that reach the store, up to 3.5 s after a change, when a reader lost the store and then power.

Cause: readers alone kept the bound on the age of a picture. A follower took a reader's word at an age of up to 2.2 s, did not know that age, and then waited 1.9 s at the same reader, which did not respond any more. The endpoint list had the same: an age of up to 1.5 s, 0.8 s until the next read, and 1.2 s at the reader.

Responses now state the age of the picture (Catalog-Age-Ms). A follower counts the age of its own picture, waits at a reader until that is 0.2 s below the reader's bound at most, and takes no word that leaves it with an older one. Builds that do not state the age count as up to date, as before.

--- /dev/null
+++ b/peer/catalogage.go
@@ -0,0 +1,49 @@
+package peer
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+)
+
+// ageHeader is the header of a response that says how many milliseconds ago the
+// sender's picture of the catalog was up to date. Older builds do not send it.
+const ageHeader = "Catalog-Age-Ms"
+
+// followerMargin is how much earlier than a reader a follower takes a picture for too
+// old. A reader that does not respond any more holds the follower up for
+// readerTimeoutMargin, and with the read of the store after it the change must be in
+// force in 2.5 s, the shortest limit of deployments.
+const followerMargin = 200 * time.Millisecond
+
+// setAge states an age in the header of a response.
+func setAge(header http.Header, age time.Duration) {
+	header.Set(ageHeader, strconv.FormatInt(age.Milliseconds(), 10))
+}
+
+// ageOf returns the age that the header of a response states, zero if it states none.
+func ageOf(header http.Header) time.Duration {
+	milliseconds, err := strconv.ParseUint(header.Get(ageHeader), 10, 31)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(milliseconds) * time.Millisecond //nolint:gosec // It has 31 bits.
+}
+
+// maxWaitAt returns how long a follower may wait at a reader, so that the wait does
+// not add to the age of the follower's own picture. It returns maxWait if that age is
+// not known.
+func maxWaitAt(now, updatedAt time.Time, maxWait, maxAge time.Duration) time.Duration {
+	if updatedAt.IsZero() {
+		return maxWait
+	}
+	return max(0, min(maxWait, updatedAt.Add(maxAge-followerMargin).Sub(now)))
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- a/peer/catalogrelay.go
+++ b/peer/catalogrelay.go
@@ -99,6 +99,8 @@
 		readStore:      r.config.Catalog.EndpointChanges,
 		decodeResponse: r.mirror.expandReports,
 		apply:          r.mirror.applyEndpoints,
+		freshness:      &r.mirror.endpoints.freshness,
+		maxAge:         maxEndpointsAge,
 	})
 }
 
@@ -111,6 +113,8 @@
 		decodeResponse: operatorResponse.changes,
 		apply:          r.mirror.applyOperator,
 		nextReader:     r.nextReader,
+		freshness:      &r.mirror.operator.freshness,
+		maxAge:         maxOperatorAge,
 	})
 }
 
@@ -121,7 +125,12 @@
 	readStore      func(context.Context, savorystep.CatalogVersion, time.Duration) (C, error)
 	decodeResponse func(R) (C, error)
 	// apply applies changes from the store or from a peer to the mirror.
-	apply func(now time.Time, changes C, origin changeOrigin)
+	// They were up to date at the given time.
+	apply func(upToDateAt time.Time, changes C, origin changeOrigin)
+	// freshness is that of the section in the mirror, under the mirror's mutex. maxAge
+	// is the greatest age of a picture that a reader hands out.
+	freshness *freshness
+	maxAge    time.Duration
 	// nextReader, if not nil, returns the instance that the first reader
 	// queries when the store rejects its read. The endpoint list has none: the
 	// response of a peer would hide that the store fails, and endpoints whose
@@ -195,21 +204,32 @@
 	return peerChanges, nil
 }
 
-// fetchChanges fetches changes from a peer and applies them to the mirror.
+// fetchChanges fetches changes from a peer and applies them to the mirror. The error
+// wraps errStale if the picture of this instance, with them, is about to become too
+// old.
 func fetchChanges[R, C any](ctx context.Context, r *CatalogRelay, address savorystep.Address, query catalogQuery, section catalogSection[R, C]) (C, error) {
 	var changes C
-	response, err := fetchCatalog[R](ctx, r, address, section.path, query)
+	updatedAt := r.mirror.updatedAt(section.freshness)
+	if query.after != 0 {
+		query.maxWait = maxWaitAt(r.config.Clock.Now(), updatedAt, query.maxWait, section.maxAge)
+	}
+	response, age, err := fetchCatalog[R](ctx, r, address, section.path, query)
 	if err == nil {
 		changes, err = section.decodeResponse(response)
 	}
-	if err == nil {
-		origin := originReader
-		if query.after == 0 {
-			origin = originPeer
+	if err != nil {
+		return changes, err
+	}
+	now, origin := r.config.Clock.Now(), originPeer
+	upToDateAt := latest(updatedAt, now.Add(-age))
+	if query.after != 0 {
+		origin = originReader
+		if pictureAge := now.Sub(upToDateAt); pictureAge >= section.maxAge-followerMargin {
+			return changes, savorystep.WrapError(savorystep.KindNotReady, errStale, "read %s from peer %s: the picture is %v old", section.path, address, pictureAge)
 		}
-		section.apply(r.config.Clock.Now(), changes, origin)
 	}
-	return changes, err
+	section.apply(upToDateAt, changes, origin)
+	return changes, nil
 }
 
 // fetchFromAnyPeer fetches the whole catalog, of any age, from the first ready
@@ -226,7 +246,7 @@
 		if m.Instance.ID == self.ID || !m.Ready {
 			continue
 		}
-		response, err = fetchCatalog[T](ctx, r, m.Instance.PeerAddress, path, catalogQuery{allowStale: true})
+		response, _, err = fetchCatalog[T](ctx, r, m.Instance.PeerAddress, path, catalogQuery{allowStale: true})
 		if err == nil {
 			logger.Infof("read %s from peer %s because the store failed", path, m.Instance.ID)
 			return response, nil
--- a/peer/catalogrelaywire.go
+++ b/peer/catalogrelaywire.go
@@ -115,34 +115,35 @@
 	return catalogQuery{after: savorystep.CatalogVersion(after), maxWait: time.Duration(maxWait) * time.Millisecond, allowStale: allowStale}, nil //nolint:gosec // maxWait has 16 bits.
 }
 
-// fetchCatalog fetches the changes after a version from a peer. The error wraps
-// errStale if the peer has not read the store recently or serves too many
+// fetchCatalog fetches the changes after a version from a peer, and the age of the
+// peer's picture. The error wraps errStale if the peer has not read the store recently or serves too many
 // peers.
-func fetchCatalog[T any](ctx context.Context, r *CatalogRelay, address savorystep.Address, path string, query catalogQuery) (T, error) {
+func fetchCatalog[T any](ctx context.Context, r *CatalogRelay, address savorystep.Address, path string, query catalogQuery) (T, time.Duration, error) {
 	var decoded T
 	ctx, cancel := context.WithTimeout(ctx, query.maxWait+readerTimeoutMargin)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(address)+path+"?"+query.urlValues().Encode(), http.NoBody)
 	if err != nil {
-		return decoded, savorystep.WrapError(savorystep.KindBadRequest, err, "create request to peer %s", address)
+		return decoded, 0, savorystep.WrapError(savorystep.KindBadRequest, err, "create request to peer %s", address)
 	}
 	request.Header.Set("Authorization", r.authorization)
 	response, err := r.client.Do(request)
 	if err != nil {
-		return decoded, savorystep.WrapError(savorystep.KindNotReady, err, "request %s from peer %s", path, address)
+		return decoded, 0, savorystep.WrapError(savorystep.KindNotReady, err, "request %s from peer %s", path, address)
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
 	if err != nil {
-		return decoded, savorystep.WrapError(savorystep.KindNotReady, err, "read response of peer %s to request for %s", address, path)
+		return decoded, 0, savorystep.WrapError(savorystep.KindNotReady, err, "read response of peer %s to request for %s", address, path)
 	}
 	if response.StatusCode == http.StatusServiceUnavailable {
-		return decoded, savorystep.WrapError(savorystep.KindNotReady, errStale, "request %s from peer %s", path, address)
+		return decoded, 0, savorystep.WrapError(savorystep.KindNotReady, errStale, "request %s from peer %s", path, address)
 	}
 	if response.StatusCode != http.StatusOK {
-		return decoded, savorystep.NewError(savorystep.KindNotReady, "peer %s responded to request for %s with status %d, want %d", address, path, response.StatusCode, http.StatusOK)
+		return decoded, 0, savorystep.NewError(savorystep.KindNotReady, "peer %s responded to request for %s with status %d, want %d", address, path, response.StatusCode, http.StatusOK)
 	}
-	return Codec[T]{Limit: maxListBytes}.Decode(data)
+	decoded, err = Codec[T]{Limit: maxListBytes}.Decode(data)
+	return decoded, ageOf(response.Header), err
 }
 
 // Handler serves the catalog, as this instance has read it, to other instances.
@@ -168,11 +169,11 @@
 // the mirror's mutex held.
 type mirrorReadFunc[T any] func(*mirror, savorystep.CatalogVersion) (T, time.Time, bool)
 
-// waitForChanges returns the changes that a query requests as soon as there is
-// one or maxWait has passed. It returns false as soon as the mirror was last up to
+// waitForChanges returns the changes that a query requests, and the time at which
+// the mirror was last up to date, as soon as there is a change or maxWait has passed. It returns false as soon as the mirror was last up to
 // date maxAge ago, or if ctx ends. A query that allows a stale response
 // does not wait; it gets false if there is no change.
-func waitForChanges[T any](ctx context.Context, r *CatalogRelay, query catalogQuery, maxAge time.Duration, readMirror mirrorReadFunc[T]) (T, bool) {
+func waitForChanges[T any](ctx context.Context, r *CatalogRelay, query catalogQuery, maxAge time.Duration, readMirror mirrorReadFunc[T]) (T, time.Time, bool) {
 	timer := time.NewTimer(query.maxWait)
 	defer timer.Stop()
 	isWaiting := true
@@ -182,14 +183,14 @@
 		changed := r.mirror.changeSignal
 		r.mirror.mu.Unlock()
 		if query.allowStale {
-			return response, hasChanges
+			return response, upToDateAt, hasChanges
 		}
 		remaining := maxAge - r.config.Clock.Now().Sub(upToDateAt)
 		if remaining <= 0 {
-			return response, false
+			return response, upToDateAt, false
 		}
 		if hasChanges || !isWaiting {
-			return response, true
+			return response, upToDateAt, true
 		}
 		// The follower must look elsewhere as soon as the mirror is too old, so
 		// its wait does not add to the age.
@@ -203,7 +204,7 @@
 		}
 		expiry.Stop()
 		if ctx.Err() != nil {
-			return response, false
+			return response, upToDateAt, false
 		}
 	}
 }
@@ -227,7 +228,7 @@
 		}
 		defer r.fullReads.Release(1)
 	}
-	response, ok := waitForChanges(request.Context(), r, query, maxAge, readMirror)
+	response, upToDateAt, ok := waitForChanges(request.Context(), r, query, maxAge, readMirror)
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
@@ -239,5 +240,6 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/cbor")
+	setAge(w.Header(), r.config.Clock.Now().Sub(upToDateAt))
 	_, _ = w.Write(data)
 }
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -58,13 +58,14 @@
 	storeReadAt, updatedAt time.Time
 }
 
-// recordUpdate records that changes were read from an origin.
-func (f *freshness) recordUpdate(now time.Time, origin changeOrigin) {
+// recordUpdate records that changes were read from an origin, which was up to date
+// at the given time.
+func (f *freshness) recordUpdate(upToDateAt time.Time, origin changeOrigin) {
 	switch origin {
 	case originStore:
-		f.storeReadAt, f.updatedAt = now, now
+		f.storeReadAt, f.updatedAt = upToDateAt, upToDateAt
 	case originReader:
-		f.updatedAt = now
+		f.updatedAt = upToDateAt
 	case originPeer:
 	}
 }
@@ -80,12 +81,19 @@
 	return f.storeReadAt
 }
 
+// updatedAt returns when a section was last up to date.
+func (m *mirror) updatedAt(f *freshness) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return f.updatedAt
+}
+
 // applyEndpoints applies changes of the endpoint list.
-func (m *mirror) applyEndpoints(now time.Time, changes savorystep.EndpointChanges, origin changeOrigin) {
+func (m *mirror) applyEndpoints(upToDateAt time.Time, changes savorystep.EndpointChanges, origin changeOrigin) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.endpoints.recordUpdate(now, origin)
-	m.endpoints.apply(now, changes)
+	m.endpoints.recordUpdate(upToDateAt, origin)
+	m.endpoints.apply(upToDateAt, changes)
 	m.notifyWaiters()
 }
 
@@ -107,10 +115,10 @@
 }
 
 // applyOperator applies changes of the operators' configuration.
-func (m *mirror) applyOperator(now time.Time, changes savorystep.OperatorChanges, origin changeOrigin) {
+func (m *mirror) applyOperator(upToDateAt time.Time, changes savorystep.OperatorChanges, origin changeOrigin) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.operator.recordUpdate(now, origin)
+	m.operator.recordUpdate(upToDateAt, origin)
 	if m.operator.apply(changes) {
 		m.notifyWaiters()
 	}
