Keep the service and the homes of an attempt to one routing

Cause: an attempt takes the homes of the route that matches in the routing in force, but keeps the service that was chosen when the header came. If the two stem from different routings, no routing allows them together.

The homes of the route that matches now count only if it sends requests to the service of the attempt; else those of the former route stay. A request is also matched again once its body has come, so that an upload goes by the routing at its end. Without a route that matches now it is handled by the former one.

--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -152,6 +152,8 @@
 	if reply != nil {
 		return nil, reply
 	}
+	// The body may have taken seconds to arrive.
+	routing, route = p.config.Router.matchAgain(routing, route, r.Host, path)
 	pr := p.newProxiedRequest(receivedAt, deadline, r, route, body)
 	pr.revision = routing.Revision
 	return pr, nil
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -89,6 +89,19 @@
 	return r.table.CountRateLimited(now)
 }
 
+// matchAgain returns the routing in force and the route that matches a request in it.
+// It returns the earlier ones if the routing has not changed, or has no such route.
+func (r *Router) matchAgain(earlier *savorystep.Routing, route *savorystep.Route, host, path string) (*savorystep.Routing, *savorystep.Route) {
+	routing := r.routing.Load()
+	if routing == earlier {
+		return earlier, route
+	}
+	if matched := routing.Match(host, path); matched != nil {
+		return routing, matched
+	}
+	return earlier, route
+}
+
 // nextService returns the service for the next request of a route by the weights
 // of the route, and counts the request for the service.
 func (r *Router) nextService(now time.Time, route *savorystep.Route) savorystep.Service {
@@ -109,11 +122,11 @@
 
 // homesFor returns the regions in which a request may run now, empty if in all. If
 // the routing has changed since the request was matched, those of the route that
-// matches it now count.
+// matches it now count, unless that route does not send requests to its service.
 func (r *Router) homesFor(pr *proxiedRequest) []savorystep.Region {
 	if routing := r.routing.Load(); routing.Revision != pr.revision {
 		path, _, _ := strings.Cut(pr.Target, "?")
-		if route := routing.Match(pr.Host, path); route != nil {
+		if route := routing.Match(pr.Host, path); route != nil && route.SendsTo(pr.service) {
 			return route.Regions
 		}
 	}
--- a/route.go
+++ b/route.go
@@ -1,6 +1,9 @@
 package savorystep
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // A RouteName identifies a route.
 type RouteName string
@@ -38,3 +41,9 @@
 	Service Service
 	Weight  float64
 }
+
+// SendsTo reports whether the route sends requests to a service. The weight of a
+// service that is the only one does not matter.
+func (r *Route) SendsTo(service Service) bool {
+	return slices.ContainsFunc(r.Split, func(w WeightedService) bool { return w.Service == service && (w.Weight > 0 || len(r.Split) == 1) })
+}
