--- a/peer/catalogrelay.go
+++ b/peer/catalogrelay.go
@@ -43,6 +43,9 @@
 
 // A CatalogRelayConfig configures a CatalogRelay.
 type CatalogRelayConfig struct {
+	// AgeClock measures the age of the catalog. It should count the time during which
+	// the machine was suspended. If it is nil, Clock is used.
+	AgeClock savorystep.Clock
 	// Catalog reads the platform's store.
 	Catalog savorystep.Catalog
 	// Client sends requests to peers. If it is nil, the relay creates one.
@@ -80,6 +83,9 @@
 	if config.Client == nil {
 		config.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxPeerHeaderBytes, IdleConnTimeout: 10 * time.Second}}
 	}
+	if config.AgeClock == nil {
+		config.AgeClock = config.Clock
+	}
 	return &CatalogRelay{
 		config:        config,
 		client:        config.Client,
--- a/peer/catalogrelay_test.go
+++ b/peer/catalogrelay_test.go
@@ -74,6 +74,8 @@
 	catalog          *fakeCatalog
 	clock            *offsetClock
 	reader, follower *peer.CatalogRelay
+	// serveReader replaces the handler at the reader's address.
+	serveReader func(http.Handler)
 }
 
 // newRelayPair returns a pair of relays. Which of them is the reader follows
@@ -109,6 +111,7 @@
 	for i, relay := range relays {
 		if peer.ReaderOf(relay) == "" {
 			r.reader, r.follower = relay, relays[1-i]
+			r.serveReader = func(handler http.Handler) { handlers[i] = handler }
 		}
 	}
 	if r.reader == nil || peer.ReaderOf(r.follower) == "" {
@@ -117,6 +120,14 @@
 	return r
 }
 
+// replaceReader replaces the reader by one whose configuration change changes.
+func (r *relayPair) replaceReader(change func(*peer.CatalogRelayConfig)) {
+	config := peer.RestartConfig(r.reader)
+	change(&config)
+	r.reader = peer.NewCatalogRelay(config)
+	r.serveReader(r.reader.Handler())
+}
+
 // readAll reads the whole catalog with both relays and resets the count of
 // reads.
 func (r *relayPair) readAll(t *testing.T) {
