Count the time of a suspension in the age of the catalog

Callers could get requests handled by older routes, and outside their homes (HOME), at followers of a reader whose machine was suspended and which lost the store: the reader took its picture for recent, by as much as the suspension, until its own read of the store ended.

Cause: ages were measured on the monotonic clock, which does not count a suspension, and a read of the store counted as made when its end was seen, although the response may have been there before the suspension.

The relay measures ages on the clock since boot, which no change of the time of day moves, and takes the time of a suspension during a read off its end.

--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -62,7 +62,7 @@
 // newGatewayRelay returns the relay through which the instances of a region share
 // their reads of the catalog.
 func newGatewayRelay(settings platform.Settings, client *platform.Client, clock savorystep.Clock, exchange *peer.Exchange) *peer.CatalogRelay {
-	return peer.NewCatalogRelay(peer.CatalogRelayConfig{Catalog: client, Clock: clock, FirstStart: settings.FirstStart, Members: exchange, Secret: peerSecret(settings)})
+	return peer.NewCatalogRelay(peer.CatalogRelayConfig{AgeClock: savorystep.NewBootClock(), Catalog: client, Clock: clock, FirstStart: settings.FirstStart, Members: exchange, Secret: peerSecret(settings)})
 }
 
 // peerSecret returns the secret that peers must present. The platform keeps other
--- a/peer/catalogage.go
+++ b/peer/catalogage.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"savorystep"
 )
 
 // ageHeader is the header of a response that says how many milliseconds ago the
@@ -47,3 +49,23 @@
 	}
 	return b
 }
+
+// A storeReading is a read of the store in progress.
+type storeReading struct {
+	clock, ageClock         savorystep.Clock
+	startedAt, ageStartedAt time.Time
+}
+
+// startReading returns a read that starts now.
+func (r *CatalogRelay) startReading() storeReading {
+	return storeReading{clock: r.config.Clock, ageClock: r.config.AgeClock, startedAt: r.config.Clock.Now(), ageStartedAt: r.config.AgeClock.Now()}
+}
+
+// upToDateAt returns the time at which the result of a read that ends now was up to
+// date. If the machine was suspended during the read, the store may have responded
+// before that.
+func (s storeReading) upToDateAt() time.Time {
+	endedAt := s.ageClock.Now()
+	suspended := endedAt.Sub(s.ageStartedAt) - s.clock.Now().Sub(s.startedAt)
+	return endedAt.Add(-max(0, suspended))
+}
--- a/peer/catalogrelay.go
+++ b/peer/catalogrelay.go
@@ -169,10 +169,11 @@
 			}
 		}
 	}
+	reading := r.startReading()
 	changes, err := section.readStore(ctx, query.after, query.maxWait)
 	if err == nil {
 		r.sources.record(section.path, "the store", readerErr)
-		section.apply(r.config.Clock.Now(), changes, originStore)
+		section.apply(reading.upToDateAt(), changes, originStore)
 		return changes, nil
 	}
 	if query.after != 0 {
@@ -186,7 +187,7 @@
 	if peerErr != nil {
 		return changes, err
 	}
-	section.apply(r.config.Clock.Now(), peerChanges, originPeer)
+	section.apply(r.config.AgeClock.Now(), peerChanges, originPeer)
 	return peerChanges, nil
 }
 
@@ -217,7 +218,7 @@
 	var changes C
 	updatedAt := r.mirror.updatedAt(section.freshness)
 	if query.after != 0 {
-		query.maxWait = maxWaitAt(r.config.Clock.Now(), updatedAt, query.maxWait, section.maxAge)
+		query.maxWait = maxWaitAt(r.config.AgeClock.Now(), updatedAt, query.maxWait, section.maxAge)
 	}
 	response, age, err := fetchCatalog[R](ctx, r, address, section.path, query)
 	if err == nil {
@@ -226,7 +227,7 @@
 	if err != nil {
 		return changes, err
 	}
-	now, origin := r.config.Clock.Now(), originPeer
+	now, origin := r.config.AgeClock.Now(), originPeer
 	upToDateAt := latest(updatedAt, now.Add(-age))
 	if query.after != 0 {
 		origin = originReader
--- a/peer/catalogrelaywire.go
+++ b/peer/catalogrelaywire.go
@@ -185,7 +185,7 @@
 		if query.allowStale {
 			return response, upToDateAt, hasChanges
 		}
-		remaining := maxAge - r.config.Clock.Now().Sub(upToDateAt)
+		remaining := maxAge - r.config.AgeClock.Now().Sub(upToDateAt)
 		if remaining <= 0 {
 			return response, upToDateAt, false
 		}
@@ -240,6 +240,6 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/cbor")
-	setAge(w.Header(), r.config.Clock.Now().Sub(upToDateAt))
+	setAge(w.Header(), r.config.AgeClock.Now().Sub(upToDateAt))
 	_, _ = w.Write(data)
 }
--- a/peer/export_test.go
+++ b/peer/export_test.go
@@ -32,7 +32,7 @@
 // ServesFullCatalog reports whether a relay sends its endpoint list and its
 // operators' configuration to a starting instance.
 func ServesFullCatalog(r *CatalogRelay) (endpoints, operator bool) {
-	now := r.config.Clock.Now()
+	now := r.config.AgeClock.Now()
 	r.mirror.mu.Lock()
 	defer r.mirror.mu.Unlock()
 	return now.Sub(r.mirror.endpoints.upToDateAt(0)) < maxEndpointsAge, now.Sub(r.mirror.operator.upToDateAt(0)) < maxOperatorAge
