--- a/endpoint/homes_test.go
+++ b/endpoint/homes_test.go
@@ -18,6 +18,7 @@
 func TestChooseKeepsHomes(t *testing.T) {
 	regions := []savorystep.Region{"east", "north", "south"}
 	reasons := make(map[endpoint.Reason]int)
+	rateLimited := 0
 	for seed := range uint64(200) {
 		random := rand.New(rand.NewPCG(seed, 0)) //nolint:gosec // A test with fixed seeds.
 		table := endpoint.NewTable(endpoint.Config{Self: "self", ColdFactor: 1, ColdSlack: 8})
@@ -60,6 +61,12 @@
 					continue
 				}
 				reasons[choice.Reason]++
+				if random.IntN(8) == 0 {
+					table.RecordRateLimit(now, choice, endpoint.RateLimitStatement{IsLimited: true, Rate: 1})
+				}
+				if choice.IsRateLimited {
+					rateLimited++
+				}
 				pending = append(pending, choice)
 				if !slices.Contains(homes, choice.Endpoint.Place.Region) {
 					t.Fatalf("seed %d: request bound to %v goes to endpoint %s in region %s, reason %s", seed, homes, choice.Endpoint.ID, choice.Endpoint.Place.Region, choice.Reason)
@@ -67,6 +74,9 @@
 			}
 		}
 	}
+	if rateLimited == 0 {
+		t.Error("no endpoint with a rate limit was chosen")
+	}
 	for _, reason := range []endpoint.Reason{endpoint.ReasonPrimary, endpoint.ReasonOverflow, endpoint.ReasonNonAffinity, endpoint.ReasonCold} {
 		if reasons[reason] == 0 {
 			t.Errorf("no endpoint was chosen for reason %s", reason)
