Accept a refusal only with the attempt id of its request

Callers were told 503, not run, for requests that an endpoint was running (REFUSED), or such a request ran at a second endpoint (TWICE), when an endpoint wrote an earlier refusal without an attempt id once more on a kept connection. Reported by operators of similar systems.

Cause: a response with Not-Executed or status 421 was accepted without an attempt id, on the assumption that endpoints don't echo it in refusals. A copy that arrived after the request was written, or behind an interim response, was taken for its response. Copies that arrive before the request is written or behind a complete response already ended the use of the connection.

Change: a response without the attempt id is a response to another request, also a refusal; the one that follows is read.

TestExchangeRefusalWithoutAttemptID demanded that a refusal without an id is accepted. TestExchangeRefusal replaces it: one with the id is accepted, one without is not. The fuzz test has the same check without the exception.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -160,8 +160,9 @@
 	return &ExchangeError{Stage: stage, NewConnection: isNew, Cause: err}
 }
 
-// readMatchingResponse reads responses until one belongs to request, and discards
-// those to other requests. It returns true if the connection can be used again.
+// readMatchingResponse reads responses until one has the attempt id of request, and
+// discards the others. A refusal without an attempt id may be a copy of an earlier
+// one. It returns true if the connection can be used again.
 func (c *conn) readMatchingResponse(request *Request, config *Config) (*Response, bool, error) {
 	inSync := true
 	for range maxMismatchedResponses {
@@ -170,7 +171,7 @@
 			return nil, false, err
 		}
 		id := response.Header.Get(config.HeaderNames.AttemptID)
-		if id == string(request.AttemptID) || (id == "" && mayOmitAttemptID(response, config.HeaderNames.NotExecuted)) {
+		if id == string(request.AttemptID) {
 			return response, inSync && persistent && c.reader.Buffered() == 0, nil
 		}
 		response.Release()
@@ -183,12 +184,6 @@
 	return nil, false, &ExchangeError{Stage: StageSent, InvalidResponse: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "%d answers to other requests", maxMismatchedResponses)}
 }
 
-// mayOmitAttemptID reports whether a response is valid without an attempt id:
-// endpoints refuse requests without echoing it.
-func mayOmitAttemptID(response *Response, notRun string) bool {
-	return response.Header.Get(notRun) != "" || response.Status == http.StatusMisdirectedRequest
-}
-
 // readResponse reads one response with its body. It returns false if the
 // connection must not be used again.
 func (c *conn) readResponse(request *Request, config *Config) (*Response, bool, error) {
--- a/http1/fuzz_test.go
+++ b/http1/fuzz_test.go
@@ -54,8 +54,7 @@
 		}
 		response, _, err := c.exchange(t.Context(), request, &config)
 		if err == nil {
-			id := response.Header.Get("Attempt")
-			if id != "1" && (id != "" || !mayOmitAttemptID(response, "Not-Run")) {
+			if id := response.Header.Get("Attempt"); id != "1" {
 				t.Errorf("response with attempt id %q is accepted, want %q", id, "1")
 			}
 			if len(response.Body) > len(data) {
--- a/http1/pool_test.go
+++ b/http1/pool_test.go
@@ -282,16 +282,26 @@
 	}
 }
 
-// TestExchangeRefusalWithoutAttemptID guards against rejecting an endpoint's
-// refusal as mismatched because it has no attempt id.
-func TestExchangeRefusalWithoutAttemptID(t *testing.T) {
-	target, _ := startEndpoint(t, func(c *serverConn) {
-		_, _ = c.readRequest()
-		_, _ = c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"))
-	})
-	response, err := newPool().Exchange(t.Context(), target, newRequest("1"))
-	if err != nil || response.Status != http.StatusServiceUnavailable {
-		t.Errorf("response %v, error %v, want status 503", response, err)
+// TestExchangeRefusal guards against rejecting an endpoint's refusal, which has no
+// signature, and against accepting one without the attempt id of the request.
+func TestExchangeRefusal(t *testing.T) {
+	for _, test := range []struct {
+		name, header string
+		isAccepted   bool
+	}{
+		{name: "with attempt id", header: "Attempt: 1\r\n", isAccepted: true},
+		{name: "without attempt id"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			target, _ := startEndpoint(t, func(c *serverConn) {
+				_, _ = c.readRequest()
+				_, _ = c.Write([]byte("HTTP/1.1 503 Service Unavailable\r\nNot-Run: 1\r\n" + test.header + "Content-Length: 0\r\n\r\n"))
+			})
+			response, err := newPool().Exchange(t.Context(), target, newRequest("1"))
+			if (err == nil) != test.isAccepted || (err == nil && response.Status != http.StatusServiceUnavailable) {
+				t.Errorf("response %v, error %v, want accepted %t with status 503", response, err, test.isAccepted)
+			}
+		})
 	}
 }
 
