Reject a response that has several attempt ids

A caller could get another request's body under its own signature (MIXED) when an endpoint stopped within a line of a response's head and then wrote the response to another request on the same connection.

Cause: the second head was read as the continuation of the line, so the response had both attempt ids, of which only the first was checked.

Change: a response with more than one attempt id belongs to no request. The first exchange in testdata/response/joined failed before: status 200 with the body of request 2 for request 1, and the connection was used again. It fails as sent now. The others passed before.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -170,13 +170,13 @@
 		if err != nil {
 			return nil, false, err
 		}
-		id := response.Header.Get(config.HeaderNames.AttemptID)
-		if id == string(request.AttemptID) {
+		ids := response.Header.Values(config.HeaderNames.AttemptID)
+		if belongsTo(ids, request.AttemptID) {
 			return response, inSync && persistent && c.reader.Buffered() == 0, nil
 		}
 		response.Release()
 		if !persistent {
-			return nil, false, &ExchangeError{Stage: StageSent, InvalidResponse: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "answer to %q", id)}
+			return nil, false, &ExchangeError{Stage: StageSent, InvalidResponse: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "answer to %q", ids)}
 		}
 		// Further responses on this connection may be mismatched, too.
 		inSync = false
@@ -184,6 +184,20 @@
 	return nil, false, &ExchangeError{Stage: StageSent, InvalidResponse: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "%d answers to other requests", maxMismatchedResponses)}
 }
 
+// belongsTo reports whether a response with the given attempt ids is the one to a
+// request. A response that has several is made up of two: the head of the first one
+// ended early, and that of the second one was read as its continuation.
+func belongsTo(ids []string, request savorystep.RequestID) bool {
+	switch len(ids) {
+	case 0:
+		return request == ""
+	case 1:
+		return ids[0] == string(request)
+	default:
+		return false
+	}
+}
+
 // readResponse reads one response with its body. It returns false if the
 // connection must not be used again.
 func (c *conn) readResponse(request *Request, config *Config) (*Response, bool, error) {
