Treat a refusal that has a signature as one that may have run

A request that an endpoint had run was told not to have run (REFUSED), or ran at a second endpoint (TWICE), if a refusal on a kept connection ended within its head and the response completed it.

Cause: the response then has the refusal's status and Not-Executed, and the attempt id and the signature of the response, and the signature was not looked at.

Change: such a response is broken and the request may have run.

--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -77,6 +77,10 @@
 		return respond(http.StatusServiceUnavailable, "Not-Run", "1")
 	case "gone":
 		return respond(http.StatusMisdirectedRequest)
+	case "shed signed":
+		return respond(http.StatusServiceUnavailable, "Not-Run", "1", "Signature", "s")
+	case "gone signed":
+		return respond(http.StatusMisdirectedRequest, "Signature", "s")
 	case "unsigned":
 		return respond(http.StatusOK)
 	case "encoded":
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -226,17 +226,22 @@
 
 // classify returns the result of an exchange. A response without the endpoint's
 // signature or with a content encoding counts as broken, because an intermediary
-// made or changed it.
+// made or changed it. So does a refusal with a signature, which endpoints give only to
+// what they ran: its head ended early, and that of a later response completed it.
 func (f *Forwarder) classify(ctx context.Context, response *http1.Response, err error) attemptResult {
 	if err != nil {
 		return f.classifyError(ctx, err)
 	}
+	isSigned := response.Header.Get(f.config.HeaderNames.Signature) != ""
+	isRefusal := response.Status == http.StatusMisdirectedRequest || response.Header.Get(f.config.HeaderNames.NotExecuted) != ""
 	switch {
+	case isRefusal && isSigned:
+		return attemptResult{outcome: endpoint.OutcomeBrokenResponse, mayHaveRun: true}
 	case response.Status == http.StatusMisdirectedRequest:
 		return attemptResult{outcome: endpoint.OutcomeMisdirected}
-	case response.Header.Get(f.config.HeaderNames.NotExecuted) != "":
+	case isRefusal:
 		return attemptResult{outcome: endpoint.OutcomeShed}
-	case response.Header.Get("Content-Encoding") != "", response.Header.Get(f.config.HeaderNames.Signature) == "":
+	case response.Header.Get("Content-Encoding") != "", !isSigned:
 		return attemptResult{outcome: endpoint.OutcomeBrokenResponse, mayHaveRun: true}
 	case response.Status >= http.StatusInternalServerError:
 		return attemptResult{response: response, outcome: endpoint.OutcomeFailed, mayHaveRun: true}
