Reject a request that a shutdown would cut off

During a planned stop, requests that came late in the grace period were sent to an endpoint and cut off without a response at its end, among them requests that may run once (LOST).

Cause: during the first half of the time, requests were served whatever their deadline. A request that came after 2.7 s, on a route with a timeout of 4 s, could last until 6.7 s, but connections are closed after 5.5 s. The same holds for a body that arrives late, and for a retry.

A retry of a request that may have run is not made either; its caller gets the failure.

--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -41,6 +41,8 @@
 	sent     []sentRequest
 	// block is closed to complete the exchanges with outcome "block".
 	block chan struct{}
+	// onExchange is called at the start of each exchange unless it is nil.
+	onExchange func()
 }
 
 var _ ingress.Transport = &fakeTransport{}
@@ -53,6 +55,9 @@
 		f.outcomes = f.outcomes[1:]
 	}
 	f.mu.Unlock()
+	if f.onExchange != nil {
+		f.onExchange()
+	}
 	respond := func(status int, header ...string) (*http1.Response, error) {
 		response := &http1.Response{Status: status, Header: http.Header{}, Body: []byte("body")}
 		for i := 0; i+1 < len(header); i += 2 {
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -33,6 +33,7 @@
 	config   ProxyConfig
 	metrics  *metrics
 	attempts *inFlightAttempts
+	drain    *drainState
 }
 
 // An attemptResult is the result of one attempt.
@@ -55,6 +56,10 @@
 		if pr.deadline.Sub(now) < minTimeLeft {
 			break
 		}
+		if !f.drain.canFinish(pr.deadline) {
+			pr.addStep("the instance stops before the deadline")
+			break
+		}
 		if f.config.Quarantine.isQuarantined(now, pr.fingerprint) {
 			pr.addStep(fmt.Sprintf("quarantined, %d endpoints died with it", quarantineThreshold))
 			break
@@ -117,6 +122,8 @@
 	switch {
 	case pr.failedResponse != nil:
 		return pr.failedResponse, nil
+	case !pr.isOutcomeUnknown && pr.possibleRuns == 0 && !f.drain.canFinish(pr.deadline):
+		return nil, unavailable(reasonStopping)
 	case !pr.isOutcomeUnknown && pr.possibleRuns == 0:
 		return nil, unavailable("the request did not run, no endpoint has room")
 	case !f.config.Clock.Now().Before(pr.deadline):
--- a/ingress/localreply.go
+++ b/ingress/localreply.go
@@ -24,6 +24,9 @@
 	retryAfterJitter = 400 * time.Millisecond
 )
 
+// reasonStopping is the reason of requests that are rejected during a shutdown.
+const reasonStopping = "the request did not run, the instance stops"
+
 // unavailable returns a 503 reply with a Retry-After header, which states that the
 // request did not run.
 func unavailable(reason string) *localReply {
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -45,27 +45,18 @@
 	bodyBudget *http1.MemoryBudget
 	requestLog *requestLog
 	metrics    *metrics
-	stage      atomic.Int32
+	drain      *drainState
 	inFlight   atomic.Int64
 }
 
-// The stages of a proxy, in the order in which it passes through them.
-const (
-	stageServing int32 = iota
-	// stageDraining means that requests are served and their connections closed,
-	// so that callers connect to another instance.
-	stageDraining
-	// stageRejecting means that new requests get a 503.
-	stageRejecting
-)
-
 // NewProxy returns a proxy that serves requests.
 func NewProxy(config ProxyConfig) *Proxy {
 	if config.ResponseWriteTimeout <= 0 {
 		config.ResponseWriteTimeout = defaultResponseWriteTimeout
 	}
 	m := newMetrics(config.Registerer)
-	return &Proxy{config: config, forwarder: Forwarder{attempts: newInFlightAttempts(), config: config, metrics: m}, bodyBudget: http1.NewMemoryBudget(bodyBudgetBytes(config.MemoryLimitBytes)), requestLog: newRequestLog(), metrics: m}
+	drain := &drainState{}
+	return &Proxy{config: config, drain: drain, forwarder: Forwarder{attempts: newInFlightAttempts(), config: config, drain: drain, metrics: m}, bodyBudget: http1.NewMemoryBudget(bodyBudgetBytes(config.MemoryLimitBytes)), requestLog: newRequestLog(), metrics: m}
 }
 
 // bodyBudgetBytes returns the budget for all request bodies under a memory limit.
@@ -78,14 +69,16 @@
 }
 
 // Drain makes the proxy close connections after their next response, so that
-// callers connect to another instance. Requests are still served.
-func (p *Proxy) Drain() {
-	p.stage.Store(stageDraining)
+// callers connect to another instance. Requests are still served if they end before
+// endsAt, when their connections are closed.
+func (p *Proxy) Drain(endsAt time.Time) {
+	p.drain.endsAt.Store(&endsAt)
+	p.drain.stage.Store(stageDraining)
 }
 
 // RejectRequests makes the proxy respond to new requests with 503.
 func (p *Proxy) RejectRequests() {
-	p.stage.Store(stageRejecting)
+	p.drain.stage.Store(stageRejecting)
 }
 
 // InFlight returns the number of requests in flight.
@@ -98,7 +91,7 @@
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	receivedAt := p.config.Clock.Now()
-	if p.stage.Load() != stageServing {
+	if p.drain.stage.Load() != stageServing {
 		w.Header().Set("Connection", "close")
 	}
 	reservation := p.bodyBudget.NewReservation()
@@ -129,8 +122,8 @@
 // accept validates a request, matches its route and reads its body into
 // reservation. It returns a reply if the request is rejected.
 func (p *Proxy) accept(receivedAt time.Time, w http.ResponseWriter, r *http.Request, reservation *http1.Reservation) (*proxiedRequest, *localReply) {
-	if p.stage.Load() == stageRejecting {
-		return nil, unavailable("the instance stops")
+	if p.drain.stage.Load() == stageRejecting {
+		return nil, unavailable(reasonStopping)
 	}
 	if !p.awaitReady(r.Context(), receivedAt) {
 		return nil, unavailable("the instance is not ready")
@@ -148,6 +141,9 @@
 		return nil, &localReply{status: http.StatusRequestHeaderFieldsTooLarge, reason: "the header is too large"}
 	}
 	deadline := p.requestDeadline(receivedAt, r, route)
+	if !p.drain.canFinish(deadline) {
+		return nil, unavailable(reasonStopping)
+	}
 	body, reply := readBody(w, r, bodyLimit{maxBytes: routing.Limits.BodyBytes, deadline: deadline}, reservation)
 	if reply != nil {
 		return nil, reply
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -108,10 +108,11 @@
 // Shutdown stops the server within timeout. During the first half it serves
 // requests and closes their connections, so that callers connect to another
 // instance. After that it closes the listener, responds to new requests with 503,
-// and waits for the requests in flight.
+// and waits for the requests in flight. A request whose deadline is after the end is
+// not sent to an endpoint but gets a 503 at any time.
 func (s *Server) Shutdown(ctx context.Context, timeout time.Duration) {
 	startedAt := time.Now()
-	s.proxy.Drain()
+	s.proxy.Drain(startedAt.Add(timeout))
 	waitUntil(ctx, startedAt.Add(timeout/2), func() bool { return false })
 	s.proxy.RejectRequests()
 	_ = s.listener.Close()
