Announce the end of a connection on responses that a shutdown finds in flight

The caller of a request that was in flight at SIGTERM kept its connection and sent the next request on it, which crossed the end of the shutdown or got a 503.

Cause: Connection: close was decided when a request arrived, not when its response was written.

Change: it is decided when the response is written. TestDrainClosesBusyConnections failed before for a response, a failure and a refusal, and passes now.

--- a/ingress/drain_test.go
+++ b/ingress/drain_test.go
@@ -76,3 +76,20 @@
 		})
 	}
 }
+
+// TestDrainClosesBusyConnections guards against callers that send their next request on
+// a connection that a shutdown is about to close, because the response to a request that
+// was in flight when the shutdown started did not announce it.
+func TestDrainClosesBusyConnections(t *testing.T) {
+	for _, outcome := range []string{"ok", "broken", "shed"} {
+		t.Run(outcome, func(t *testing.T) {
+			proxy, transport, _ := newTestProxy(t, outcome)
+			transport.onExchange = func() { proxy.Drain(time.Now().Add(time.Hour)) }
+			_, address := startServer(t, proxy)
+			c, reader := dial(t, address)
+			if response := roundTrip(t, c, reader, "/once/x"); !response.closes {
+				t.Errorf("response with status %d has no Connection: close", response.status)
+			}
+		})
+	}
+}
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -91,9 +91,6 @@
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	receivedAt := p.config.Clock.Now()
-	if p.drain.stage.Load() != stageServing {
-		w.Header().Set("Connection", "close")
-	}
 	reservation := p.bodyBudget.NewReservation()
 	defer reservation.Release()
 	pr, reply := p.accept(receivedAt, w, r, reservation)
@@ -109,6 +106,7 @@
 	if id := r.Header.Get(p.config.HeaderNames.AttemptID); id != "" {
 		w.Header()[p.config.HeaderNames.AttemptID] = []string{id}
 	}
+	p.closeIfDraining(w)
 	// A caller whose connection seems closed may have closed only its sending
 	// side. Without a reply, the server would send it an empty 200.
 	reply.write(w)
@@ -230,10 +228,19 @@
 	} else if response.Status != http.StatusNoContent && response.Status != http.StatusNotModified {
 		header["Content-Length"] = []string{strconv.Itoa(len(response.Body))}
 	}
+	p.closeIfDraining(w)
 	w.WriteHeader(response.Status)
 	_, _ = w.Write(response.Body)
 }
 
+// closeIfDraining makes the server close the connection after the response that is
+// about to be written, if a shutdown has started.
+func (p *Proxy) closeIfDraining(w http.ResponseWriter) {
+	if p.drain.stage.Load() != stageServing {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // recordRequest logs the outcome of a request and updates the metrics. pr is nil
 // if accept rejected the request.
 func (p *Proxy) recordRequest(r *http.Request, receivedAt time.Time, pr *proxiedRequest, status int, outcome string) {
