--- a/http1/conn.go
+++ b/http1/conn.go
@@ -160,8 +160,9 @@
 	return &ExchangeError{Stage: stage, NewConnection: isNew, Cause: err}
 }
 
-// readMatchingResponse reads responses until one belongs to request, and discards
-// those to other requests. It returns true if the connection can be used again.
+// readMatchingResponse reads responses until one has the attempt id of request, and
+// discards the others. A refusal without an attempt id may be a copy of an earlier
+// one. It returns true if the connection can be used again.
 func (c *conn) readMatchingResponse(request *Request, config *Config) (*Response, bool, error) {
 	inSync := true
 	for range maxMismatchedResponses {
@@ -169,13 +170,13 @@
 		if err != nil {
 			return nil, false, err
 		}
-		id := response.Header.Get(config.HeaderNames.AttemptID)
-		if id == string(request.AttemptID) || (id == "" && mayOmitAttemptID(response, config.HeaderNames.NotExecuted)) {
+		ids := response.Header.Values(config.HeaderNames.AttemptID)
+		if belongsTo(ids, request.AttemptID) {
 			return response, inSync && persistent && c.reader.Buffered() == 0, nil
 		}
 		response.Release()
 		if !persistent {
-			return nil, false, &ExchangeError{Stage: StageSent, InvalidResponse: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "answer to %q", id)}
+			return nil, false, &ExchangeError{Stage: StageSent, InvalidResponse: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "answer to %q", ids)}
 		}
 		// Further responses on this connection may be mismatched, too.
 		inSync = false
@@ -183,10 +184,18 @@
 	return nil, false, &ExchangeError{Stage: StageSent, InvalidResponse: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "%d answers to other requests", maxMismatchedResponses)}
 }
 
-// mayOmitAttemptID reports whether a response is valid without an attempt id:
-// endpoints refuse requests without echoing it.
-func mayOmitAttemptID(response *Response, notRun string) bool {
-	return response.Header.Get(notRun) != "" || response.Status == http.StatusMisdirectedRequest
+// belongsTo reports whether a response with the given attempt ids is the one to a
+// request. A response that has several is made up of two: the head of the first one
+// ended early, and that of the second one was read as its continuation.
+func belongsTo(ids []string, request savorystep.RequestID) bool {
+	switch len(ids) {
+	case 0:
+		return request == ""
+	case 1:
+		return ids[0] == string(request)
+	default:
+		return false
+	}
 }
 
 // readResponse reads one response with its body. It returns false if the
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -33,6 +33,7 @@
 	config   ProxyConfig
 	metrics  *metrics
 	attempts *inFlightAttempts
+	drain    *drainState
 }
 
 // An attemptResult is the result of one attempt.
@@ -55,6 +56,10 @@
 		if pr.deadline.Sub(now) < minTimeLeft {
 			break
 		}
+		if !f.drain.canFinish(pr.deadline) {
+			pr.addStep("the instance stops before the deadline")
+			break
+		}
 		if f.config.Quarantine.isQuarantined(now, pr.fingerprint) {
 			pr.addStep(fmt.Sprintf("quarantined, %d endpoints died with it", quarantineThreshold))
 			break
@@ -117,6 +122,8 @@
 	switch {
 	case pr.failedResponse != nil:
 		return pr.failedResponse, nil
+	case !pr.isOutcomeUnknown && pr.possibleRuns == 0 && !f.drain.canFinish(pr.deadline):
+		return nil, unavailable(reasonStopping)
 	case !pr.isOutcomeUnknown && pr.possibleRuns == 0:
 		return nil, unavailable("the request did not run, no endpoint has room")
 	case !f.config.Clock.Now().Before(pr.deadline):
@@ -226,17 +233,22 @@
 
 // classify returns the result of an exchange. A response without the endpoint's
 // signature or with a content encoding counts as broken, because an intermediary
-// made or changed it.
+// made or changed it. So does a refusal with a signature, which endpoints give only to
+// what they ran: its head ended early, and that of a later response completed it.
 func (f *Forwarder) classify(ctx context.Context, response *http1.Response, err error) attemptResult {
 	if err != nil {
 		return f.classifyError(ctx, err)
 	}
+	isSigned := response.Header.Get(f.config.HeaderNames.Signature) != ""
+	isRefusal := response.Status == http.StatusMisdirectedRequest || response.Header.Get(f.config.HeaderNames.NotExecuted) != ""
 	switch {
+	case isRefusal && isSigned:
+		return attemptResult{outcome: endpoint.OutcomeBrokenResponse, mayHaveRun: true}
 	case response.Status == http.StatusMisdirectedRequest:
 		return attemptResult{outcome: endpoint.OutcomeMisdirected}
-	case response.Header.Get(f.config.HeaderNames.NotExecuted) != "":
+	case isRefusal:
 		return attemptResult{outcome: endpoint.OutcomeShed}
-	case response.Header.Get("Content-Encoding") != "", response.Header.Get(f.config.HeaderNames.Signature) == "":
+	case response.Header.Get("Content-Encoding") != "", !isSigned:
 		return attemptResult{outcome: endpoint.OutcomeBrokenResponse, mayHaveRun: true}
 	case response.Status >= http.StatusInternalServerError:
 		return attemptResult{response: response, outcome: endpoint.OutcomeFailed, mayHaveRun: true}
