Order versions of the catalog by the era of the store

Callers' changes of the configuration never took effect at followers, and at readers only by chance, after the store had come back from a copy (CONFIG, and HOME for routes with homes).

Cause: the store gives out versions again after a restore, and every place that orders changes by them took a version of the new history for one of the old: the feed's resume point, the reader's mirror, what a follower asks its reader for, and entries of endpoints. Class: a version is compared outside of the history in which it was given out.

A response of another era than the resume point's, or of an era before the greatest known, is not used. After a change of era, or a dropped history, the client no longer reads whole tables by itself: a follower asks its readers first, so that only the readers read whole. Responses of readers say that their versions are ordered by era; without that (older builds) the follower asks the next reader, then the store.

--- a/peer/catalogrelay.go
+++ b/peer/catalogrelay.go
@@ -114,9 +114,14 @@
 	})
 }
 
+// catalogChanges are the changes of a section up to a version.
+type catalogChanges interface {
+	UpTo() savorystep.CatalogVersion
+}
+
 // A catalogSection describes how one section of the catalog is read. R is the
 // type of a peer's response, C the type of the changes.
-type catalogSection[R, C any] struct {
+type catalogSection[R any, C catalogChanges] struct {
 	path           string
 	readStore      func(context.Context, savorystep.CatalogVersion, time.Duration) (C, error)
 	decodeResponse func(R) (C, error)
@@ -132,7 +137,7 @@
 
 // readCatalog reads changes from the readers, then from the store, then from
 // any other peer.
-func readCatalog[R, C any](ctx context.Context, r *CatalogRelay, query catalogQuery, section catalogSection[R, C]) (C, error) {
+func readCatalog[R any, C catalogChanges](ctx context.Context, r *CatalogRelay, query catalogQuery, section catalogSection[R, C]) (C, error) {
 	var readerErr error
 	switch {
 	case query.after == 0 && r.config.FirstStart:
@@ -155,6 +160,9 @@
 		}
 	}
 	changes, err := section.readStore(ctx, query.after, query.maxWait)
+	if errors.Is(err, savorystep.ErrChangesDropped) {
+		return resync(ctx, r, query, section)
+	}
 	if err == nil {
 		r.sources.record(section.path, "the store", readerErr)
 		section.apply(r.config.Clock.Now(), changes, originStore)
@@ -178,7 +186,7 @@
 // readFromNextReader reads changes from the next reader after the store failed.
 // If that is not possible, it returns storeChanges and storeErr, the result of
 // the store.
-func readFromNextReader[R, C any](ctx context.Context, r *CatalogRelay, query catalogQuery, section catalogSection[R, C], storeChanges C, storeErr error) (C, error) {
+func readFromNextReader[R any, C catalogChanges](ctx context.Context, r *CatalogRelay, query catalogQuery, section catalogSection[R, C], storeChanges C, storeErr error) (C, error) {
 	if section.nextReader == nil {
 		return storeChanges, storeErr
 	}
@@ -196,7 +204,7 @@
 }
 
 // fetchChanges fetches changes from a peer and applies them to the mirror.
-func fetchChanges[R, C any](ctx context.Context, r *CatalogRelay, address savorystep.Address, query catalogQuery, section catalogSection[R, C]) (C, error) {
+func fetchChanges[R any, C catalogChanges](ctx context.Context, r *CatalogRelay, address savorystep.Address, query catalogQuery, section catalogSection[R, C]) (C, error) {
 	var changes C
 	response, err := fetchCatalog[R](ctx, r, address, section.path, query)
 	if err == nil {
--- a/peer/catalogrelaystart.go
+++ b/peer/catalogrelaystart.go
@@ -74,7 +74,7 @@
 // responds sooner than peers become known. Only peers that are up to date with
 // the store respond, so that removed endpoints don't reappear; the next read
 // delivers the changes since.
-func fetchAtFirstStart[R, C any](ctx context.Context, r *CatalogRelay, section catalogSection[R, C]) (C, bool) {
+func fetchAtFirstStart[R any, C catalogChanges](ctx context.Context, r *CatalogRelay, section catalogSection[R, C]) (C, bool) {
 	var zero C
 	for ctx.Err() == nil {
 		now := r.config.Clock.Now()
--- a/peer/catalogrelaywire.go
+++ b/peer/catalogrelaywire.go
@@ -79,6 +79,14 @@
 	return changes, nil
 }
 
+// The header of a response that says how its versions are ordered. Builds that do not
+// order versions by the store's era do not send it; after the store has come back from
+// a copy they may miss changes.
+const (
+	orderHeader = "Catalog-Order"
+	orderByEra  = "era"
+)
+
 // peerAuthorization returns the Authorization header of HTTP requests between
 // instances, derived from their shared secret.
 func peerAuthorization(secret string) string {
@@ -142,6 +150,9 @@
 	if response.StatusCode != http.StatusOK {
 		return decoded, savorystep.NewError(savorystep.KindNotReady, "peer %s responded to request for %s with status %d, want %d", address, path, response.StatusCode, http.StatusOK)
 	}
+	if order := response.Header.Get(orderHeader); query.after != 0 && order != orderByEra {
+		return decoded, savorystep.WrapError(savorystep.KindNotReady, errStale, "peer %s orders versions of %s by %q, want %q", address, path, order, orderByEra)
+	}
 	return Codec[T]{Limit: maxListBytes}.Decode(data)
 }
 
@@ -150,14 +161,14 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+endpointsPath, func(w http.ResponseWriter, request *http.Request) {
 		serveCatalog(w, request, r, maxEndpointsAge, func(m *mirror, after savorystep.CatalogVersion) (endpointsResponse, time.Time, bool) {
-			return newEndpointsResponse(&m.endpoints, after), m.endpoints.upToDateAt(after), m.endpoints.version > after
+			return newEndpointsResponse(&m.endpoints, after), m.endpoints.upToDateAt(m.endpoints.version, after), m.endpoints.version > after
 		})
 	})
 	mux.HandleFunc("GET "+operatorPath, func(w http.ResponseWriter, request *http.Request) {
 		serveCatalog(w, request, r, maxOperatorAge, func(m *mirror, after savorystep.CatalogVersion) (operatorResponse, time.Time, bool) {
 			changes := m.operator.changesSince(after)
-			hasChanges := changes.Routing != nil || len(changes.EvacuatedZones)+len(changes.RestoredZones) > 0
-			return newOperatorResponse(changes), m.operator.upToDateAt(after), hasChanges
+			hasChanges := after != 0 && changes.Full || changes.Routing != nil || len(changes.EvacuatedZones)+len(changes.RestoredZones) > 0
+			return newOperatorResponse(changes), m.operator.upToDateAt(m.operator.version, after), hasChanges
 		})
 	})
 	return mux
@@ -239,5 +250,6 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/cbor")
+	w.Header().Set(orderHeader, orderByEra)
 	_, _ = w.Write(data)
 }
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -70,14 +70,19 @@
 }
 
 // upToDateAt returns the time that determines whether a query after a version
-// may be answered. Followers get only what this instance has read from the
-// store itself. Starting instances, which query after version 0, may get the
-// catalog from any instance that is up to date.
-func (f *freshness) upToDateAt(after savorystep.CatalogVersion) time.Time {
-	if after == 0 {
+// may be answered from a section at a version. Followers get only what this instance
+// has read from the store itself. Starting instances, which query after version 0, may
+// get the catalog from any instance that is up to date. The zero time is returned if
+// the store has been restored since the section was read.
+func (f *freshness) upToDateAt(version, after savorystep.CatalogVersion) time.Time {
+	switch {
+	case after.IsRestored(version):
+		return time.Time{}
+	case after == 0:
 		return f.updatedAt
+	default:
+		return f.storeReadAt
 	}
-	return f.storeReadAt
 }
 
 // applyEndpoints applies changes of the endpoint list.
@@ -139,7 +144,9 @@
 // apply applies changes and records removals. A removed endpoint that is listed
 // again keeps its removal.
 func (m *endpointMirror) apply(now time.Time, changes savorystep.EndpointChanges) {
-	if m.removalsFrom == 0 {
+	if m.removalsFrom == 0 || changes.Version.IsRestored(m.version) {
+		// Followers may have read entries of the era before that this instance has
+		// not.
 		m.removalsFrom = changes.Version
 	}
 	if changes.Full {
@@ -214,9 +221,11 @@
 	zones          map[savorystep.Zone]zoneState
 }
 
-// apply applies changes and reports whether they had an effect.
+// apply applies changes and reports whether they had an effect. The configuration of
+// a restored store replaces that of the era before, whatever their revisions.
 func (o *operatorMirror) apply(changes savorystep.OperatorChanges) bool {
-	changed := false
+	isRestored := changes.Version.IsRestored(o.version)
+	changed := isRestored
 	setZone := func(zone savorystep.Zone, isEvacuated bool) {
 		if o.zones[zone].isEvacuated != isEvacuated {
 			o.zones[zone] = zoneState{version: changes.Version, isEvacuated: isEvacuated}
@@ -234,7 +243,7 @@
 	for _, zone := range changes.EvacuatedZones {
 		setZone(zone, true)
 	}
-	if r := changes.Routing; r != nil && (o.routing == nil || r.Revision > o.routing.Revision) {
+	if r := changes.Routing; r != nil && (o.routing == nil || isRestored || r.Revision > o.routing.Revision) {
 		o.routing, o.routingVersion = r, changes.Version
 		changed = true
 	}
@@ -243,15 +252,15 @@
 }
 
 // changesSince returns the changes after a version, or the whole configuration
-// after version 0.
+// after version 0 or a version of an earlier era.
 func (o *operatorMirror) changesSince(after savorystep.CatalogVersion) savorystep.OperatorChanges {
-	changes := savorystep.OperatorChanges{Version: max(o.version, after), Full: after == 0}
-	if o.routingVersion > after {
+	changes := savorystep.OperatorChanges{Version: max(o.version, after), Full: after == 0 || o.version.IsRestored(after)}
+	if changes.Full || o.routingVersion > after {
 		changes.Routing = o.routing
 	}
 	for zone, state := range o.zones {
 		switch {
-		case state.version <= after:
+		case !changes.Full && state.version <= after:
 		case state.isEvacuated:
 			changes.EvacuatedZones = append(changes.EvacuatedZones, zone)
 		case !changes.Full:
