Keep a live endpoint whose older entry the copy of the store has

Callers lost endpoints that live: after the store had come back from a copy, instances stopped sending requests to them, until a second report or for good.

Cause: an entry that is written later by an older report is taken for a late report of an endpoint that has left, and removes the endpoint. After a restore the copy's entries look like that, all at once. Class: what a restored store says is taken for something that happened.

Such an entry in a later era than the known one changes nothing now: the endpoint's next report counts, or the removal of the entry.

--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -55,6 +55,14 @@
 	coldRequestTimes []time.Time
 }
 
+// isNewerReport reports whether an entry has a newer report than the known one.
+func (s *endpointState) isNewerReport(entry savorystep.Endpoint) bool {
+	if entry.StartedAtMillis != s.StartedAtMillis {
+		return entry.StartedAtMillis > s.StartedAtMillis
+	}
+	return entry.ReportSequence > s.ReportSequence
+}
+
 // update replaces the listed endpoint by a newer entry. If it was restarted, the
 // measurements are dropped.
 func (s *endpointState) update(now time.Time, entry savorystep.Endpoint) {
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -61,18 +61,16 @@
 
 // Put adds or updates an endpoint. It returns false if it did neither, because the
 // entry is not newer than the known one or may be a delayed report. If an older
-// report has overwritten the known entry, the endpoint is removed.
+// report has overwritten the known entry, the endpoint is removed; an older report in
+// a restored store is that of the copy and changes nothing.
 func (t *Table) Put(now time.Time, entry savorystep.Endpoint) bool {
 	known := t.byID[entry.ID]
 	if known != nil {
 		if entry.WrittenVersion != 0 && entry.WrittenVersion <= known.WrittenVersion {
 			return false
 		}
-		if entry.StartedAtMillis < known.StartedAtMillis || (entry.StartedAtMillis == known.StartedAtMillis && entry.ReportSequence <= known.ReportSequence) {
-			// The entry was written later, but by an older report: it may have been
-			// removed in the meantime and added again by that report.
-			t.Remove(now, entry.ID)
-			t.tombstones[entry.ID].recordRewrite(entry)
+		if !known.isNewerReport(entry) {
+			t.putOldReport(now, known, entry)
 			return false
 		}
 		if known.Service == entry.Service {
@@ -94,6 +92,18 @@
 	return true
 }
 
+// putOldReport handles an entry with a report that is not newer than that of the known
+// entry. In a restored store it is the entry of the copy and changes nothing.
+// Otherwise the entry was written later, but by an older report: it may have been
+// removed in the meantime and added again by that report.
+func (t *Table) putOldReport(now time.Time, known *endpointState, entry savorystep.Endpoint) {
+	if entry.WrittenVersion.IsRestored(known.WrittenVersion) {
+		return
+	}
+	t.Remove(now, entry.ID)
+	t.tombstones[entry.ID].recordRewrite(entry)
+}
+
 // Remove removes an endpoint and keeps a tombstone of it. It returns false if the
 // endpoint is unknown.
 func (t *Table) Remove(now time.Time, id savorystep.EndpointID) bool {
