Keep in force what a restored store lacks until it is written again

Cause: what the copy lacks was taken for something that operators or endpoints had taken back, and revisions were compared across eras.

- Operators' state of an earlier era stays in force until the store has it again, for 10 s after the first read of the restored store at most; then the store's state counts, also a lower revision.
An equal revision of a later era is taken at once.
A zone counts as evacuated if either says so.
- Endpoints that the copy lacks get requests for 3 s more: they are written again within 2 s, and read up to 0.8 s later.
- The first read of the configuration after a failed one does not wait.
A store that has come back at a version that the instance knows held it for 1.5 s, in which followers waited for their reader and then read the whole table themselves.

--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -8,7 +8,7 @@
 
 // ApplyList exports Watcher.applyList.
 func (w *Watcher) ApplyList(now time.Time, changes savorystep.EndpointChanges) {
-	w.applyList(now, changes)
+	w.applyList(now, changes, false)
 }
 
 // RecordListFailure exports Watcher.recordListFailure.
@@ -16,9 +16,9 @@
 	w.recordListFailure(now)
 }
 
-// ApplyOperatorChanges exports Watcher.applyOperatorChanges.
+// ApplyOperatorChanges applies changes of the operators' configuration.
 func (w *Watcher) ApplyOperatorChanges(now time.Time, changes savorystep.OperatorChanges) {
-	w.applyOperatorChanges(now, changes, 0)
+	w.operatorState.apply(now, w.config.Router, changes, 0)
 }
 
 // SplitRequests returns how many of the given number of requests of a route the
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -45,10 +45,23 @@
 	if current := r.routing.Load(); current != nil && current.Revision >= routing.Revision {
 		return false
 	}
+	r.setRouting(routing)
+	return true
+}
+
+// RestoreRouting puts a routing in force whose revision need not be newer, because the
+// store has come back from a copy.
+func (r *Router) RestoreRouting(routing *savorystep.Routing) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.setRouting(routing)
+}
+
+// setRouting puts a routing in force. The caller holds mu.
+func (r *Router) setRouting(routing *savorystep.Routing) {
 	r.table.SetSpecs(routing.Services)
 	r.responseSizes.retain(routing)
 	r.routing.Store(routing)
-	return true
 }
 
 // SetInstances sets the instances that are known to be running.
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -31,6 +31,9 @@
 	// store outage still get requests. Endpoints that are alive are listed again
 	// within 2 s.
 	relistGrace = 1800 * time.Millisecond
+	// restoredGrace is the same for endpoints that a restored store lacks: they are
+	// written again within 2 s, and read up to listInterval later.
+	restoredGrace = 3 * time.Second
 	// minOutage is the shortest store outage after which entries may be missing
 	// because they expired during the outage. An entry expires when three reports
 	// are missed, of which two may have been missed before the first failed read.
@@ -51,6 +54,8 @@
 // catalog.
 type Watcher struct {
 	config WatcherConfig
+	// operatorState is used by the goroutine that watches the configuration.
+	operatorState operatorState
 	// graceUntil holds the endpoints that were missing from the list after a store
 	// outage, with the time until which they still get requests.
 	graceUntil map[savorystep.EndpointID]time.Time
@@ -101,12 +106,15 @@
 		}
 		dep.record(now, err)
 		if err != nil {
+			// A store that has come back from a copy may have no change after the
+			// version to wait for.
+			wait = 0
 			savorystep.Sleep(ctx, dep.backoff())
 			continue
 		}
 		hadVersion := version != 0
 		version = changes.Version
-		w.applyOperatorChanges(now, changes, now.Sub(lastReadAt))
+		w.operatorState.apply(now, w.config.Router, changes, now.Sub(lastReadAt))
 		lastReadAt = now
 		if version == 0 {
 			savorystep.Sleep(ctx, emptyStoreInterval)
@@ -118,34 +126,6 @@
 	}
 }
 
-// applyOperatorChanges applies changes of the routing and of zone evacuations.
-// sinceLastRead is the time since the configuration was last read, which bounds how
-// long a change was pending.
-func (w *Watcher) applyOperatorChanges(now time.Time, changes savorystep.OperatorChanges, sinceLastRead time.Duration) {
-	router := w.config.Router
-	if routing := changes.Routing; routing != nil {
-		if router.SetRouting(routing) {
-			log.Infof("routing revision %d with %d routes at catalog version %d is in force, the read before ended %v ago", routing.Revision, len(routing.Routes), changes.Version, sinceLastRead.Round(time.Millisecond))
-		} else if current := router.Routing(); routing.Revision < current.Revision {
-			log.Warningf("routing revision %d at catalog version %d is older than revision %d in force, which stays", routing.Revision, changes.Version, current.Revision)
-		}
-	}
-	router.WithTable(func(t *endpoint.Table) {
-		restored := changes.RestoredZones
-		if changes.Full {
-			restored = difference(t.EvacuatedZones(), changes.EvacuatedZones)
-		}
-		for _, zone := range changes.EvacuatedZones {
-			t.Evacuate(zone)
-			log.Infof("zone %s is evacuated", zone)
-		}
-		for _, zone := range restored {
-			t.EndEvacuation(now, zone)
-			log.Infof("zone %s gets requests again", zone)
-		}
-	})
-}
-
 // difference returns the items of list that are not in other.
 func difference[T comparable](list, other []T) []T {
 	excluded := make(map[T]bool, len(other))
@@ -176,8 +156,9 @@
 			continue
 		}
 		isFirst := version == 0 && changes.Version != 0
+		isRestored := changes.Version.IsRestored(version)
 		version = changes.Version
-		w.applyList(now, changes)
+		w.applyList(now, changes, isRestored)
 		if !isFirst {
 			// The first list may come from a peer and be a second old, so the
 			// second read follows at once.
@@ -193,16 +174,20 @@
 	}
 }
 
-// applyList applies changes of the endpoint list. After a store outage, removed
-// endpoints get a grace time.
-func (w *Watcher) applyList(now time.Time, changes savorystep.EndpointChanges) {
-	var recoveredAt time.Time
-	if !w.listFailedSince.IsZero() && now.Sub(w.listFailedSince) >= minOutage {
-		recoveredAt = w.recoveryTime(now)
+// applyList applies changes of the endpoint list. After a store outage, and if the
+// store has been restored from a copy that lacks them, removed endpoints get a grace
+// time.
+func (w *Watcher) applyList(now time.Time, changes savorystep.EndpointChanges, isRestored bool) {
+	var graceEnd time.Time
+	switch {
+	case isRestored:
+		graceEnd = now.Add(restoredGrace)
+	case !w.listFailedSince.IsZero() && now.Sub(w.listFailedSince) >= minOutage:
+		graceEnd = w.recoveryTime(now).Add(relistGrace)
 	}
 	w.listFailedSince = time.Time{}
 	w.config.Router.WithTable(func(t *endpoint.Table) {
-		w.removeEndpoints(now, t, removedEndpoints(t, changes), recoveredAt)
+		w.removeEndpoints(now, t, removedEndpoints(t, changes), graceEnd)
 		for _, entry := range changes.Endpoints {
 			delete(w.graceUntil, entry.ID)
 			t.SetExpiry(entry.ID, time.Time{})
@@ -239,16 +224,16 @@
 	return now
 }
 
-// removeEndpoints removes endpoints from the table. If recoveredAt is set, the
-// entries may have expired only because of the outage that ended then, and the
-// endpoints still get requests until relistGrace after it.
-func (w *Watcher) removeEndpoints(now time.Time, t *endpoint.Table, ids []savorystep.EndpointID, recoveredAt time.Time) {
+// removeEndpoints removes endpoints from the table. If graceEnd is set, the entries may
+// be missing only because of an outage or a restore of the store, and the endpoints
+// still get requests until then.
+func (w *Watcher) removeEndpoints(now time.Time, t *endpoint.Table, ids []savorystep.EndpointID, graceEnd time.Time) {
 	for _, id := range ids {
 		switch _, hasGrace := w.graceUntil[id]; {
 		case hasGrace:
-		case !recoveredAt.IsZero():
-			w.graceUntil[id] = recoveredAt.Add(relistGrace)
-			t.SetExpiry(id, w.graceUntil[id])
+		case !graceEnd.IsZero():
+			w.graceUntil[id] = graceEnd
+			t.SetExpiry(id, graceEnd)
 		case t.Remove(now, id):
 			log.Infof("endpoint %s is gone", id)
 		}
@@ -261,7 +246,7 @@
 		if !now.Before(until) {
 			delete(w.graceUntil, id)
 			t.Remove(now, id)
-			log.Infof("endpoint %s is gone: not listed again within %v after a store outage", id, relistGrace)
+			log.Infof("endpoint %s is gone: not listed again by the store in time after its outage or restore", id)
 		}
 	}
 }
