Let the second reader read a restored store first if the first one does not

Found by TestConfigAfterRestore: when the store is restored twice within 1.5 s and does not respond in between, all three instances of a region read the whole endpoint list, since they waited equally long for the first reader (8 of 16 runs).

The second instance of the reader order waits 1.1 s now, the others 1.8 s, so that they find the section at one of the two. After that no run has more than two whole reads of a table in a region.

--- a/peer/catalogresync.go
+++ b/peer/catalogresync.go
@@ -8,10 +8,13 @@
 )
 
 const (
-	// resyncTimeout is how long a follower waits for a reader that has read the whole
-	// section before it does so itself. A reader notices within its longest delay
-	// after a failed call, 1 s, that the store is back, and reads for some 0.1 s.
-	resyncTimeout = 1500 * time.Millisecond
+	// secondResyncTimeout is how long the second instance of the reader order waits for
+	// the first to have read the whole section before it does so itself. The first
+	// notices within its longest delay after a failed call, 1 s, that the store is back.
+	secondResyncTimeout = 1100 * time.Millisecond
+	// resyncTimeout is the same for all others, which wait for either of the two. A
+	// change must be in force in 2.5 s.
+	resyncTimeout = 1800 * time.Millisecond
 	// resyncPollInterval is the time between two requests to the readers. It adds
 	// little to the time until a change is in force, 2.5 s.
 	resyncPollInterval = 100 * time.Millisecond
@@ -22,9 +25,13 @@
 // of the whole section to their readers.
 func resync[R any, C catalogChanges](ctx context.Context, r *CatalogRelay, query catalogQuery, section catalogSection[R, C]) (C, error) {
 	started := r.config.Clock.Now()
-	for ctx.Err() == nil && r.config.Clock.Now().Sub(started) < resyncTimeout {
+	for ctx.Err() == nil {
 		readers := r.readers()
-		if len(readers) == 0 {
+		timeout := resyncTimeout
+		if len(readers) == 1 {
+			timeout = secondResyncTimeout
+		}
+		if len(readers) == 0 || r.config.Clock.Now().Sub(started) >= timeout {
 			break
 		}
 		for _, reader := range readers {
