Tell routings apart by identity when an attempt looks up its homes

A request that waits while the store comes back from a copy ran in the former home if the restored store had the same revision with another home: the router compared revisions to see whether the routing had changed since the request was matched.

The request keeps the routing itself. TestHomeChangeWhileRequestWaits, between attempts in a restored store: ran in north before, runs in south now; the case with a body that arrives late passed before, since the request is matched again after it.

--- a/ingress/homechange_test.go
+++ b/ingress/homechange_test.go
@@ -62,9 +62,14 @@
 		// changesBeforeAttempt is true if the home changes during the first attempt
 		// instead of during the arrival of the body.
 		changesBeforeAttempt bool
+		// isRestored is true if the new home is in a restored store, at the same
+		// revision.
+		isRestored bool
 	}{
 		{name: "between attempts", changesBeforeAttempt: true},
+		{name: "between attempts in a restored store", changesBeforeAttempt: true, isRestored: true},
 		{name: "while the body arrives"},
+		{name: "while the body arrives in a restored store", isRestored: true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -79,6 +84,9 @@
 			}
 			watcher.ApplyList(time.Now(), changes)
 			moveHome := func() { router.SetRouting(boundRouting(2, "south")) }
+			if c.isRestored {
+				moveHome = func() { router.RestoreRouting(boundRouting(1, "south")) }
+			}
 			transport, body := &hookedTransport{before: func() {}}, &hookedReader{Reader: strings.NewReader("body"), before: moveHome}
 			if c.changesBeforeAttempt {
 				transport.before, transport.breaksOff, body.before = moveHome, true, func() {}
--- a/ingress/proxiedrequest.go
+++ b/ingress/proxiedrequest.go
@@ -24,8 +24,8 @@
 	deadline time.Time
 	// timeBudget is the time from receivedAt to deadline.
 	timeBudget time.Duration
-	// revision is the revision of the routing by which the request is forwarded.
-	revision savorystep.Revision
+	// routing is the routing by which the request is forwarded.
+	routing *savorystep.Routing
 	// deliveries counts the attempts that had a connection to the endpoint. Once it
 	// is positive, further attempts are retries and charge the retry budget.
 	deliveries int
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -149,7 +149,7 @@
 	// The body may have taken seconds to arrive.
 	routing, route = p.config.Router.matchAgain(routing, route, r.Host, path)
 	pr := p.newProxiedRequest(receivedAt, deadline, r, route, body)
-	pr.revision = routing.Revision
+	pr.routing = routing
 	return pr, nil
 }
 
--- a/ingress/requestlog.go
+++ b/ingress/requestlog.go
@@ -85,7 +85,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "request id=%s host=%s target=%s status=%d outcome=%q took=%v", e.id, e.request.Host, e.request.RequestURI, e.status, e.outcome, e.duration.Round(time.Millisecond))
 	if pr := e.proxied; pr != nil {
-		fmt.Fprintf(&b, " route=%s repetition=%s service=%s revision=%d timeleft=%v steps=%q", pr.route.Name, pr.route.Class, pr.service, pr.revision, pr.timeBudget.Round(time.Millisecond), pr.steps)
+		fmt.Fprintf(&b, " route=%s repetition=%s service=%s revision=%d timeleft=%v steps=%q", pr.route.Name, pr.route.Class, pr.service, pr.routing.Revision, pr.timeBudget.Round(time.Millisecond), pr.steps)
 	}
 	return b.String()
 }
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -137,7 +137,7 @@
 // the routing has changed since the request was matched, those of the route that
 // matches it now count, unless that route does not send requests to its service.
 func (r *Router) homesFor(pr *proxiedRequest) []savorystep.Region {
-	if routing := r.routing.Load(); routing.Revision != pr.revision {
+	if routing := r.routing.Load(); routing != pr.routing {
 		path, _, _ := strings.Cut(pr.Target, "?")
 		if route := routing.Match(pr.Host, path); route != nil && route.SendsTo(pr.service) {
 			return route.Regions
