Decode what endpoints say about further requests

Callers see no difference yet. An endpoint that leaves says so in its answers, and one that turns a request away with 503 may say for how long it wants no more. No line of Go read either: the headers went on to the caller.

What is not used as stated is logged, five lines a second at most. Responses with 421 come from another endpoint and say nothing.

--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -22,6 +22,20 @@
 	Load: "Load", NotExecuted: "Not-Run", RateLimit: "Limit", Signature: "Signature",
 }
 
+// A noticeDecoder reads the headers Leaving and Wait, a duration, in the tests.
+type noticeDecoder struct{}
+
+var _ savorystep.NoticeDecoder = noticeDecoder{}
+
+func (noticeDecoder) DecodeNotice(_ int, header http.Header) (savorystep.EndpointNotice, error) {
+	notice := savorystep.EndpointNotice{IsLeaving: header.Get("Leaving") != ""}
+	var err error
+	if text := header.Get("Wait"); text != "" {
+		notice.RetryAfter, err = time.ParseDuration(text)
+	}
+	return notice, err
+}
+
 // errReset is the cause of failed exchanges.
 var errReset = errors.New("connection reset")
 
@@ -136,7 +150,7 @@
 	watcher := ingress.NewWatcher(ingress.WatcherConfig{Router: router, Clock: savorystep.SystemClock{}, RegionByZone: map[savorystep.Zone]savorystep.Region{"z": "r"}})
 	watcher.ApplyList(time.Now(), changes)
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
-		Clock: savorystep.SystemClock{}, MemoryLimitBytes: memoryLimit, HeaderNames: names, Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
+		Clock: savorystep.SystemClock{}, MemoryLimitBytes: memoryLimit, HeaderNames: names, Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
 	})
 	return proxy, transport, router
 }
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"savorystep"
 	"savorystep/endpoint"
 	"savorystep/http1"
@@ -33,6 +35,19 @@
 	config   ProxyConfig
 	metrics  *metrics
 	attempts *inFlightAttempts
+	// noticeLimiter limits the lines about notices that can't be used as stated.
+	noticeLimiter *rate.Limiter
+}
+
+// noticeLinesPerSecond limits the lines about notices that can't be used, which an
+// endpoint may state in each of its responses. A line costs about 20 µs.
+const noticeLinesPerSecond = 5
+
+func newForwarder(config ProxyConfig, m *metrics) Forwarder {
+	return Forwarder{
+		attempts: newInFlightAttempts(), config: config, metrics: m,
+		noticeLimiter: rate.NewLimiter(noticeLinesPerSecond, noticeLinesPerSecond),
+	}
 }
 
 // An attemptResult is the result of one attempt.
@@ -145,6 +160,7 @@
 		if statement, ok := f.rateLimitStatement(response); ok {
 			f.config.RateLimits.record(endedAt, choice, statement)
 		}
+		f.notice(endedAt, choice, response)
 	}
 	if response != nil && result.response == nil {
 		response.Release()
@@ -179,6 +195,19 @@
 	return endpoint.RateLimitStatement{IsLimited: true, Rate: rate}, ok
 }
 
+// notice returns what a response says about further requests to its endpoint. It is
+// empty if the response may come from another endpoint.
+func (f *Forwarder) notice(now time.Time, choice endpoint.Choice, response *http1.Response) savorystep.EndpointNotice {
+	if response.Status == http.StatusMisdirectedRequest {
+		return savorystep.EndpointNotice{}
+	}
+	notice, err := f.config.Notices.DecodeNotice(response.Status, response.Header)
+	if err != nil && f.noticeLimiter.AllowN(now, 1) {
+		log.Warningf("endpoint %s, response with status %d: %v", choice.Endpoint.ID, response.Status, err)
+	}
+	return notice
+}
+
 // exchange sends a request to an endpoint. If the request is safe to retry, the
 // exchange is cancelled as soon as another request finds the endpoint down.
 func (f *Forwarder) exchange(ctx context.Context, pr *proxiedRequest, target savorystep.Endpoint, request *http1.Request) (*http1.Response, error) {
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -65,7 +65,7 @@
 		config.ResponseWriteTimeout = defaultResponseWriteTimeout
 	}
 	m := newMetrics(config.Registerer)
-	return &Proxy{config: config, forwarder: Forwarder{attempts: newInFlightAttempts(), config: config, metrics: m}, bodyBudget: http1.NewMemoryBudget(bodyBudgetBytes(config.MemoryLimitBytes)), requestLog: newRequestLog(), metrics: m}
+	return &Proxy{config: config, forwarder: newForwarder(config, m), bodyBudget: http1.NewMemoryBudget(bodyBudgetBytes(config.MemoryLimitBytes)), requestLog: newRequestLog(), metrics: m}
 }
 
 // bodyBudgetBytes returns the budget for all request bodies under a memory limit.
