Send nothing to an endpoint that has said that it leaves

Cause: no instance acted on what a response says; only the endpoint list took endpoints out of use.

An endpoint that says in any response but a 421 that it leaves gets no attempt, retry, overflow or affinity request from then on. What it works on is finished. This belongs to one start of the endpoint: it is kept apart from the list, so that a removed entry that is listed again, a later report or an older fact doesn't bring it back, while a start after it is clean and late answers of the earlier one change nothing. Instances pass it on once as a new kind of fact, which builds that don't know it keep and forward (TestExchangeUnknownKind).

Not proved: a request whose connection is still being opened when the notice arrives is sent, within the time to connect. An endpoint that starts again and leaves before its new start is listed is known as leaving only by the old one, until its next answer.

--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -121,6 +121,6 @@
 
 func newGatewayProxy(settings platform.Settings, clock savorystep.Clock, exchange *peer.Exchange, pool *http1.Pool, registry *prometheus.Registry, router *ingress.Router) *ingress.Proxy {
 	return ingress.NewProxy(ingress.ProxyConfig{
-		Clock: clock, MemoryLimitBytes: settings.MemoryLimitBytes, HeaderNames: platform.HeaderNames(), Notices: platform.NoticeDecoder{}, Place: settings.Place, Quarantine: ingress.NewQuarantine(exchange), RateLimits: ingress.NewRateLimits(exchange, router), Registerer: registry, Transport: pool, Router: router,
+		Clock: clock, MemoryLimitBytes: settings.MemoryLimitBytes, HeaderNames: platform.HeaderNames(), Leavings: ingress.NewLeavings(exchange, router), Notices: platform.NoticeDecoder{}, Place: settings.Place, Quarantine: ingress.NewQuarantine(exchange), RateLimits: ingress.NewRateLimits(exchange, router), Registerer: registry, Transport: pool, Router: router,
 	})
 }
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -135,7 +135,7 @@
 // isAvailable reports whether an endpoint may get a request, whatever its load,
 // backoff, warm-up and rate limit.
 func (t *Table) isAvailable(now time.Time, s *endpointState, query *Query) bool {
-	if s.State != savorystep.StateLive || s.isExpired(now) || t.evacuatedZones[s.Place.Zone] || slices.Contains(query.AttemptedEndpoints, s.ID) {
+	if s.State != savorystep.StateLive || s.isLeaving || s.isExpired(now) || t.evacuatedZones[s.Place.Zone] || slices.Contains(query.AttemptedEndpoints, s.ID) {
 		return false
 	}
 	return len(query.AllowedRegions) == 0 || slices.Contains(query.AllowedRegions, s.Place.Region)
--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -46,6 +46,8 @@
 	// shedsInRow and failuresInRow count outcomes since the last success.
 	shedsInRow, failuresInRow int
 	backoffUntil              time.Time
+	// isLeaving is true if the endpoint has said in a response that it leaves.
+	isLeaving bool
 	// expiresAt is when it stops getting requests, zero if it is listed.
 	expiresAt   time.Time
 	cached      cachedObjects
--- /dev/null
+++ b/endpoint/leaving.go
@@ -0,0 +1,102 @@
+package endpoint
+
+import (
+	"time"
+
+	"savorystep"
+)
+
+const (
+	// leavingTTL is how long a leaving endpoint is remembered after this instance last
+	// heard of it. A leaving endpoint runs for the drain time and at times many
+	// seconds longer, and the store may be away for minutes before it removes the
+	// entry.
+	leavingTTL = 10 * time.Minute
+	// maxLeavings bounds the number of leaving endpoints that are remembered. The
+	// largest deployment in use has 777 endpoints, of which each may restart within
+	// leavingTTL under a new id.
+	maxLeavings = 4096
+)
+
+// A leaving records that an incarnation of an endpoint has said in a response that it
+// leaves. It is kept apart from the endpoint list, which may still or again have an
+// entry of that incarnation.
+type leaving struct {
+	startedAtMillis int64
+	heardAt         time.Time
+}
+
+// RecordLeaving records that the response to a choice said that its endpoint leaves.
+// It returns false if that was known.
+func (t *Table) RecordLeaving(now time.Time, choice Choice) bool {
+	return t.ApplyLeaving(now, choice.Endpoint.ID, choice.Endpoint.StartedAtMillis)
+}
+
+// ApplyLeaving records that another instance heard that the incarnation of an endpoint
+// that started at startedAtMillis leaves, whether the endpoint is listed or not. It
+// returns false if that was known, or if that incarnation is no longer the latest.
+func (t *Table) ApplyLeaving(now time.Time, id savorystep.EndpointID, startedAtMillis int64) bool {
+	s := t.byID[id]
+	if s != nil && s.StartedAtMillis > startedAtMillis {
+		return false
+	}
+	known, ok := t.leavings[id]
+	if ok && known.startedAtMillis > startedAtMillis {
+		return false
+	}
+	if !ok {
+		t.evictLeavings(now)
+	}
+	t.leavings[id] = leaving{startedAtMillis: startedAtMillis, heardAt: now}
+	if s != nil {
+		s.isLeaving = true
+	}
+	return !ok || known.startedAtMillis != startedAtMillis
+}
+
+// hasLeft reports whether the incarnation of an entry has said that it leaves. An
+// entry of an earlier incarnation names a process that no longer exists.
+func (t *Table) hasLeft(now time.Time, entry savorystep.Endpoint) bool {
+	known, ok := t.leavings[entry.ID]
+	if !ok {
+		return false
+	}
+	if entry.StartedAtMillis > known.startedAtMillis {
+		delete(t.leavings, entry.ID)
+		return false
+	}
+	known.heardAt = now
+	t.leavings[entry.ID] = known
+	return true
+}
+
+// evictLeavings deletes what is older than leavingTTL and, if there is no room for one
+// more, the oldest that is left. Those of listed endpoints are kept.
+func (t *Table) evictLeavings(now time.Time) {
+	var oldest savorystep.EndpointID
+	var oldestAt time.Time
+	for id, known := range t.leavings {
+		s := t.byID[id]
+		switch {
+		case s != nil && s.isLeaving:
+		case now.Sub(known.heardAt) >= leavingTTL:
+			delete(t.leavings, id)
+		case oldestAt.IsZero() || known.heardAt.Before(oldestAt):
+			oldest, oldestAt = id, known.heardAt
+		}
+	}
+	if len(t.leavings) >= maxLeavings {
+		delete(t.leavings, oldest)
+	}
+}
+
+// CountLeaving returns the number of listed endpoints that have said that they leave.
+func (t *Table) CountLeaving() int {
+	count := 0
+	for _, s := range t.byID {
+		if s.isLeaving {
+			count++
+		}
+	}
+	return count
+}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -28,6 +28,7 @@
 	// instancesVersion counts the changes of the set of instances. It starts at 1.
 	instancesVersion int
 	tombstones       map[savorystep.EndpointID]*tombstone
+	leavings         map[savorystep.EndpointID]leaving
 	// startedAt is when the first endpoint was put. It counts as the start of this
 	// instance.
 	startedAt time.Time
@@ -46,6 +47,7 @@
 		spilloverCredits: make(map[savorystep.Service]float64),
 		instanceSeenAt:   make(map[savorystep.InstanceID]time.Time),
 		tombstones:       make(map[savorystep.EndpointID]*tombstone),
+		leavings:         make(map[savorystep.EndpointID]leaving),
 	}
 }
 
@@ -77,6 +79,7 @@
 		}
 		if known.Service == entry.Service {
 			known.update(now, entry)
+			known.isLeaving = t.hasLeft(now, entry)
 			return true
 		}
 		t.Remove(now, entry.ID)
@@ -88,7 +91,7 @@
 	if t.isStale(now, entry) {
 		return false
 	}
-	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter}
+	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, isLeaving: t.hasLeft(now, entry)}
 	t.byID[entry.ID] = s
 	t.byService[entry.Service] = append(t.byService[entry.Service], s)
 	return true
@@ -186,7 +189,7 @@
 func (t *Table) CountEndpoints(now time.Time, service savorystep.Service) (all, usable int) {
 	for _, s := range t.byService[service] {
 		all++
-		if s.State == savorystep.StateLive && !t.evacuatedZones[s.Place.Zone] && !s.isExpired(now) && !s.isInBackoff(now) && !s.isCold(now) && t.hasRateLimitRoom(now, s) {
+		if s.State == savorystep.StateLive && !s.isLeaving && !t.evacuatedZones[s.Place.Zone] && !s.isExpired(now) && !s.isInBackoff(now) && !s.isCold(now) && t.hasRateLimitRoom(now, s) {
 			usable++
 		}
 	}
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -70,6 +70,10 @@
 		return s.respond(t, d)
 	case "peer-limit":
 		return formatReport(s.table.ApplyRateLimit(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started")), statementArg(t, d)))
+	case "respond-leaving":
+		return s.respondLeaving(t, d)
+	case "peer-leaving":
+		return formatNews(s.table.ApplyLeaving(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))))
 	case "retry":
 		return s.retry(t, d)
 	default:
@@ -259,3 +263,26 @@
 	s.table.Finish(s.now, choice, endpoint.OutcomeAnswered, nil)
 	return formatReport(report)
 }
+
+// respondLeaving answers the oldest attempt at an endpoint with a response that says
+// that the endpoint leaves.
+func (s *script) respondLeaving(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	id := savorystep.EndpointID(arg(t, d, "id"))
+	if len(s.inFlight[id]) == 0 {
+		d.Fatalf(t, "no attempt is in flight at endpoint %s", id)
+	}
+	choice := s.inFlight[id][0]
+	s.inFlight[id] = s.inFlight[id][1:]
+	isNew := s.table.RecordLeaving(s.now, choice)
+	s.table.Finish(s.now, choice, endpoint.OutcomeAnswered, nil)
+	return formatNews(isNew)
+}
+
+// formatNews returns whether something was not known before as one line.
+func formatNews(isNew bool) string {
+	if isNew {
+		return "new\n"
+	}
+	return "known or outdated\n"
+}
--- a/factbodies.go
+++ b/factbodies.go
@@ -57,3 +57,11 @@
 	// Rate is the limit for all instances together.
 	Rate RequestsPerSecond `cbor:"3,keyasint,omitempty"`
 }
+
+// A LeavingFact says that an endpoint has told an instance in a response that it
+// leaves.
+type LeavingFact struct {
+	// StartedAtMillis is the start of the endpoint in Unix milliseconds. A restarted
+	// endpoint is not leaving.
+	StartedAtMillis int64 `cbor:"1,keyasint"`
+}
--- a/factkind.go
+++ b/factkind.go
@@ -14,4 +14,5 @@
 	FactCrash                         // Subject: fingerprint in hex. Body: CrashFact.
 	FactUnknown                       // Subject: unknown name. Body: UnknownFact.
 	FactRateLimit                     // Subject: endpoint. Body: RateLimitFact.
+	FactLeaving                       // Subject: endpoint. Body: LeavingFact.
 )
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -85,6 +85,14 @@
 		return respond(http.StatusMisdirectedRequest, "Limit", "4.4")
 	case "limited badly":
 		return respond(http.StatusOK, "Signature", "s", "Limit", "many")
+	case "leaving":
+		return respond(http.StatusOK, "Signature", "s", "Leaving", "1")
+	case "leaving shed":
+		return respond(http.StatusServiceUnavailable, "Not-Run", "1", "Leaving", "1")
+	case "leaving failed":
+		return respond(http.StatusInternalServerError, "Signature", "s", "Leaving", "1")
+	case "leaving gone":
+		return respond(http.StatusMisdirectedRequest, "Leaving", "1")
 	case "failed":
 		return respond(http.StatusInternalServerError, "Signature", "s")
 	case "shed":
@@ -150,7 +158,7 @@
 	watcher := ingress.NewWatcher(ingress.WatcherConfig{Router: router, Clock: savorystep.SystemClock{}, RegionByZone: map[savorystep.Zone]savorystep.Region{"z": "r"}})
 	watcher.ApplyList(time.Now(), changes)
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
-		Clock: savorystep.SystemClock{}, MemoryLimitBytes: memoryLimit, HeaderNames: names, Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
+		Clock: savorystep.SystemClock{}, MemoryLimitBytes: memoryLimit, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
 	})
 	return proxy, transport, router
 }
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -160,7 +160,9 @@
 		if statement, ok := f.rateLimitStatement(response); ok {
 			f.config.RateLimits.record(endedAt, choice, statement)
 		}
-		f.notice(endedAt, choice, response)
+		if f.notice(endedAt, choice, response).IsLeaving {
+			f.config.Leavings.record(endedAt, choice)
+		}
 	}
 	if response != nil && result.response == nil {
 		response.Release()
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -89,6 +89,13 @@
 	return r.table.CountRateLimited(now)
 }
 
+// CountLeaving returns the number of endpoints that have said that they leave.
+func (r *Router) CountLeaving() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.CountLeaving()
+}
+
 // nextService returns the service for the next request of a route by the weights
 // of the route, and counts the request for the service.
 func (r *Router) nextService(now time.Time, route *savorystep.Route) savorystep.Service {
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -52,9 +52,10 @@
 	f.waitForFullMembership(t)
 	f.nodes[0].Publish(unknownKind, "subject", map[int]string{1: "body"})
 	f.nodes[0].Publish(savorystep.FactRateLimit, "endpoint-1", savorystep.RateLimitFact{StartedAtMillis: 5, IsLimited: true, Rate: 4.4})
+	f.nodes[0].Publish(savorystep.FactLeaving, "endpoint-1", savorystep.LeavingFact{StartedAtMillis: 5})
 	eventually(t, "facts known to all nodes", func() bool {
 		for _, n := range f.nodes {
-			if len(n.Facts(unknownKind)) != 1 || len(n.Facts(savorystep.FactRateLimit)) != 1 {
+			if len(n.Facts(unknownKind)) != 1 || len(n.Facts(savorystep.FactRateLimit)) != 1 || len(n.Facts(savorystep.FactLeaving)) != 1 {
 				return false
 			}
 		}
@@ -62,7 +63,7 @@
 	})
 	late := f.add(t)
 	eventually(t, "facts known to a node that started later", func() bool {
-		return len(late.Facts(unknownKind)) == 1 && len(late.Facts(savorystep.FactRateLimit)) == 1
+		return len(late.Facts(unknownKind)) == 1 && len(late.Facts(savorystep.FactRateLimit)) == 1 && len(late.Facts(savorystep.FactLeaving)) == 1
 	})
 }
 
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -34,8 +34,10 @@
 	// replaced within tombstoneRetention is far lower, even if a whole zone is
 	// lost.
 	maxTombstones = 4096
-	// crashRetention and drainingRetention are the maximum ages of these facts.
+	// crashRetention, drainingRetention and leavingRetention are the maximum ages of
+	// these facts.
 	crashRetention    = 10 * time.Minute
+	leavingRetention  = 10 * time.Minute
 	drainingRetention = 10 * time.Minute
 	// rateLimitRetention is the maximum age of statements about rate limits. It is
 	// twice the interval in which instances publish them again.
@@ -65,6 +67,8 @@
 	switch kind {
 	case savorystep.FactDraining:
 		return drainingRetention
+	case savorystep.FactLeaving:
+		return leavingRetention
 	case savorystep.FactCrash:
 		return crashRetention
 	case savorystep.FactRateLimit:
@@ -88,7 +92,7 @@
 // the next gossip round.
 func isUrgent(kind savorystep.FactKind) bool {
 	switch kind {
-	case savorystep.FactDraining, savorystep.FactStatus, savorystep.FactCrash, savorystep.FactRateLimit, factSuspicion:
+	case savorystep.FactDraining, savorystep.FactStatus, savorystep.FactCrash, savorystep.FactRateLimit, savorystep.FactLeaving, factSuspicion:
 		return true
 	default:
 		return false
--- a/simulation/endpoint.go
+++ b/simulation/endpoint.go
@@ -42,6 +42,9 @@
 	failShare float64
 	// rateLimit is the rate limit that it states, with the requests that it got.
 	rateLimit rateLimitLog
+	// isLeaving is true while its responses say that it leaves.
+	isLeaving bool
+	notices   noticeLog
 	// coldArrivals holds the times of requests that were received while cold, in the
 	// last second.
 	coldArrivals []time.Duration
@@ -54,6 +57,8 @@
 	key uint64
 	// from is the instance that sent it.
 	from *instance
+	// receivedAt is when the caller sent it to the instance.
+	receivedAt time.Duration
 	// sentAt is when the instance sent it. The caller waits until the deadline.
 	sentAt, deadline time.Duration
 	// finish is called once with the outcome and the reported load.
@@ -80,6 +85,16 @@
 	}
 }
 
+// says returns what the response with an outcome says about further requests.
+func (e *simulatedEndpoint) says(outcome endpoint.Outcome) savorystep.EndpointNotice {
+	switch outcome {
+	case endpoint.OutcomeAnswered, endpoint.OutcomeFailed, endpoint.OutcomeShed:
+		return savorystep.EndpointNotice{IsLeaving: e.isLeaving}
+	default:
+		return savorystep.EndpointNotice{}
+	}
+}
+
 // receive runs, queues or sheds a request.
 func (e *simulatedEndpoint) receive(a *attempt) {
 	now := e.scheduler.now
@@ -91,6 +106,7 @@
 		e.countCold(a.sentAt, now)
 	}
 	e.rateLimit.addArrival(now, a.from)
+	e.notices.addArrival(a.from, a.receivedAt)
 	switch {
 	case e.running < int(e.Slots):
 		e.run(a)
@@ -185,6 +201,7 @@
 func (e *simulatedEndpoint) goDown() {
 	e.isDown = true
 	e.rateLimit.end(e.scheduler.now)
+	e.isLeaving, e.notices.leavingTold = false, nil
 	queue := e.queue
 	e.queue = nil
 	for _, a := range queue {
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -42,6 +42,7 @@
 			f.result.RateLimitExcess = max(f.result.RateLimitExcess, e.rateLimit.maxExcess)
 			f.result.RateLimitWindows += e.rateLimit.windows
 		}
+		f.result.RequestsAfterLeaving += e.notices.afterLeaving
 		if !e.rateLimit.wasLimited() {
 			f.result.Sheds += e.sheds
 		}
@@ -169,6 +170,26 @@
 	}
 }
 
+// giveNotice hands what a response says about further requests to the instance that
+// gets it, and to the others what concerns them.
+func (f *fleet) giveNotice(to *instance, e *simulatedEndpoint, choice endpoint.Choice, notice savorystep.EndpointNotice) {
+	if !notice.IsLeaving || choice.Endpoint.StartedAtMillis != e.StartedAtMillis {
+		return
+	}
+	f.result.LeavingTold++
+	e.notices.markLeaving(f.scheduler.now, to)
+	if f.policy.IgnoresNotices || !to.table.RecordLeaving(f.now(), choice) {
+		return
+	}
+	for _, other := range f.instances {
+		if other != to && f.isConnected(to, other) && !f.policy.IgnoresPeers {
+			f.scheduler.after(factDelay, func() {
+				other.table.ApplyLeaving(f.now(), choice.Endpoint.ID, choice.Endpoint.StartedAtMillis)
+			})
+		}
+	}
+}
+
 // scheduleArrival schedules the next request of a region, and that one schedules
 // its successor. Arrivals are a Poisson process whose rate follows a sine wave with
 // another phase in each region.
@@ -239,6 +260,7 @@
 			i.isPartitioned = true
 			for _, e := range f.endpoints {
 				e.rateLimit.forget(i)
+				e.notices.forget(i)
 			}
 			f.readEndpointList(i)
 			f.scheduler.after(membershipDelay, func() { i.isPartitioned = false })
@@ -257,6 +279,8 @@
 		e.State = savorystep.StateLeaving
 	case EventFail:
 		e.failShare = event.Factor
+	case EventLeave:
+		e.isLeaving = true
 	case EventRateLimit:
 		e.rateLimit.set(f.scheduler.now, savorystep.RequestsPerSecond(event.Factor))
 	case EventSlow:
@@ -295,6 +319,8 @@
 		e.goDown()
 	case EventFail:
 		e.failShare = 0
+	case EventLeave:
+		e.goDown()
 	case EventRateLimit:
 		e.rateLimit.end(f.scheduler.now)
 	case EventSlow:
--- a/simulation/request.go
+++ b/simulation/request.go
@@ -19,7 +19,9 @@
 	// callerRetries is how often the caller still sends it again after a refusal.
 	callerRetries int
 	instance      *instance
-	attempted     []savorystep.EndpointID
+	// receivedAt is when it was sent to the instance.
+	receivedAt time.Duration
+	attempted  []savorystep.EndpointID
 	// received counts the attempts for which a connection was opened.
 	received int
 	// mayHaveRun is true if an endpoint may have run the request.
@@ -40,7 +42,7 @@
 		candidates = f.instances
 	}
 	r.instance = candidates[f.random.IntN(len(candidates))]
-	r.attempted, r.received = nil, 0
+	r.attempted, r.received, r.receivedAt = nil, 0, f.scheduler.now
 	r.instance.table.CountRequest(f.now(), service)
 	f.retries.requests = append(f.retries.requests, f.scheduler.now)
 	r.sendToEndpoint()
@@ -85,15 +87,17 @@
 		f.regionShifts.add(f.scheduler.now, f.scenario.Regions, r.region, e.region)
 	}
 	from := r.instance
-	a := &attempt{key: r.key, from: from, sentAt: f.scheduler.now, deadline: r.deadline}
+	a := &attempt{key: r.key, from: from, receivedAt: r.receivedAt, sentAt: f.scheduler.now, deadline: r.deadline}
 	a.finish = func(outcome endpoint.Outcome, load endpoint.Load) {
 		statement, isStated := e.stateRateLimit(outcome)
+		notice := e.says(outcome)
 		f.scheduler.after(from.delay(f.scheduler.now, networkDelay(from.place, e)), func() {
 			if isStated {
 				report := table.RecordRateLimit(f.now(), choice, statement)
 				f.shareRateLimit(from, choice.Endpoint, report)
 				e.rateLimit.markTold(f.scheduler.now, from, statement)
 			}
+			f.giveNotice(from, e, choice, notice)
 			reported := &load
 			if load.Slots == 0 {
 				reported = nil
--- a/simulation/result.go
+++ b/simulation/result.go
@@ -30,6 +30,9 @@
 	// it. RateLimitWindows is the number of windows that were checked.
 	RateLimitExcess  float64
 	RateLimitWindows int
+	// RequestsAfterLeaving counts the requests to endpoints that had told the instance
+	// that they leave, LeavingTold the responses that said so.
+	RequestsAfterLeaving, LeavingTold int
 	// Sheds counts the requests shed by endpoints that never stated a rate limit.
 	Sheds int
 	// MaxRegionShift is the largest fraction of a region's requests that moved to
@@ -88,6 +91,8 @@
 	r.RetriesOverBound = max(r.RetriesOverBound, other.RetriesOverBound)
 	r.RateLimitExcess = max(r.RateLimitExcess, other.RateLimitExcess)
 	r.RateLimitWindows += other.RateLimitWindows
+	r.RequestsAfterLeaving += other.RequestsAfterLeaving
+	r.LeavingTold += other.LeavingTold
 	r.Sheds += other.Sheds
 	for i, second := range other.Seconds {
 		r.Seconds[i].Requests += second.Requests
--- a/simulation/scenario.go
+++ b/simulation/scenario.go
@@ -78,6 +78,9 @@
 	EventFail EventKind = "fail"
 	// EventFreeze keeps instances from running.
 	EventFreeze EventKind = "freeze"
+	// EventLeave makes endpoints say in their responses that they leave, while the
+	// endpoint list has them as before.
+	EventLeave EventKind = "leave"
 	// EventRateLimit makes endpoints state a rate limit of Factor requests per second
 	// in their responses. It replaces an earlier one.
 	EventRateLimit EventKind = "limit"
@@ -92,7 +95,7 @@
 // EventKinds returns all kinds of events.
 func EventKinds() []EventKind {
 	return []EventKind{
-		EventBurst, EventCold, EventPartition, EventDown, EventDrain, EventFail, EventFreeze, EventRateLimit, EventRestart, EventSlow, EventUnlist,
+		EventBurst, EventCold, EventPartition, EventDown, EventDrain, EventFail, EventFreeze, EventLeave, EventRateLimit, EventRestart, EventSlow, EventUnlist,
 	}
 }
 
@@ -121,6 +124,9 @@
 	// IgnoresPeers makes each instance use the limits as if it were the only one. It
 	// shows that the checks of the limits can fail.
 	IgnoresPeers bool
+	// IgnoresNotices makes instances ignore what endpoints say about further requests.
+	// It shows that the checks of it can fail.
+	IgnoresNotices bool
 }
 
 // Policies returns the policies that an experiment compares, the default policy
