Give an endpoint the time for which it says it wants no requests

Callers waited for attempts that could only be refused, and came back 0.2 to 0.6 s after a 503 while every endpoint of the service wanted nothing for seconds.

Cause: a rejection started a backoff of a fixed length; no line read the time.

The time closes the endpoint for this instance until it ends; nothing is sent meanwhile, no probe either, and nothing is published, since it was said to this instance. Rejections of requests that were in flight move the end to the latest that one of them states; they add no backoff. Then requests return one by one, one more at a time with each answer. The time outlasts an entry that expires and is listed again, but not a restart. What a closed endpoint turns away goes to others under the bound of rate limits, at most as much again as their own requests, or is refused at once. If all endpoints of a service are closed, Retry-After is the earliest end plus a random half of the wait.

ingress.TestRetryAfterOfEndpoint: 25 requests in a time for which the endpoint wanted none before, none now.

No allocation is added.

Not proved: requests whose connections are still being opened when the time begins are sent. A time longer than the tombstone of an entry, one minute, ends with it if the endpoint is not listed for that long.

--- a/cmd/gatewaymetrics.go
+++ b/cmd/gatewaymetrics.go
@@ -11,6 +11,7 @@
 		name, help string
 		value      func() float64
 	}{
+		{name: "savorystep_gateway_closed_endpoints", help: "Endpoints that want no requests from this instance for a stated time.", value: func() float64 { return float64(g.router.CountClosed(g.clock.Now())) }},
 		{name: "savorystep_gateway_leaving_endpoints", help: "Listed endpoints that have said in a response that they leave.", value: func() float64 { return float64(g.router.CountLeaving()) }},
 		{name: "savorystep_gateway_limited_endpoints", help: "Endpoints that state a rate limit.", value: func() float64 { return float64(g.router.CountRateLimited(g.clock.Now())) }},
 		{name: "savorystep_gateway_members", help: "Instances known, this one included.", value: func() float64 {
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -20,6 +20,7 @@
 	choice.Endpoint, choice.Load = s.Endpoint, s.load(now)
 	choice.affinityKey, choice.startedAt = query.AffinityKey, now
 	s.inFlight++
+	s.holdOff.countRequest()
 	s.rateLimiter.countRequest(now)
 	if s.rateLimiter.isLimited(now) {
 		choice.IsRateLimited, choice.RateLimit = true, s.rateLimiter.statement.Rate
@@ -141,14 +142,20 @@
 	return len(query.AllowedRegions) == 0 || slices.Contains(query.AllowedRegions, s.Place.Region)
 }
 
+// hasRoom reports whether what the endpoint has stated to instances leaves room for a
+// request of this one.
+func (t *Table) hasRoom(now time.Time, s *endpointState) bool {
+	return s.holdOff.hasRoom(now) && t.hasRateLimitRoom(now, s)
+}
+
 // isEligible reports whether an endpoint may get a request, whatever its load,
-// backoff and warm-up. An endpoint whose rate limit has no room is not, so that the
-// next one in the ranking replaces it.
+// backoff and warm-up. An endpoint without room is not, so that the next one in the
+// ranking replaces it.
 func (t *Table) isEligible(now time.Time, s *endpointState, query *Query) bool {
 	if query.excludesUnlimited && !s.rateLimiter.isLimited(now) {
 		return false
 	}
-	return t.isAvailable(now, s, query) && t.hasRateLimitRoom(now, s)
+	return t.isAvailable(now, s, query) && t.hasRoom(now, s)
 }
 
 // mixBits spreads the bits of a hash (the finalizer of splitmix64).
--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -50,6 +50,7 @@
 	isLeaving bool
 	// expiresAt is when it stops getting requests, zero if it is listed.
 	expiresAt   time.Time
+	holdOff     holdOff
 	cached      cachedObjects
 	slowness    slowness
 	rateLimiter rateLimiter
@@ -65,7 +66,7 @@
 		s.foreignLoad, s.shedsInRow, s.failuresInRow, s.backoffUntil = foreignLoad{}, 0, 0, time.Time{}
 		s.suspectUntil = time.Time{}
 		s.cached, s.slowness = make(cachedObjects), slowness{}
-		s.rateLimiter = newRateLimiter()
+		s.rateLimiter, s.holdOff = newRateLimiter(), holdOff{}
 	}
 	if isRestarted || entry.ReportSequence != s.ReportSequence {
 		s.warmAt = now.Add(entry.ColdRemaining)
@@ -117,6 +118,10 @@
 		s.backOff(now, failureBackoff, s.failuresInRow-1)
 		s.suspectCold(now)
 	case OutcomeShed:
+		if s.holdOff.isClosed(now) {
+			// The endpoint has stated when it wants requests again.
+			return
+		}
 		s.backOff(now, shedBackoff, s.shedsInRow)
 		s.shedsInRow++
 	case OutcomeCancelled, OutcomeResponseDropped:
--- a/endpoint/spillover.go
+++ b/endpoint/spillover.go
@@ -16,10 +16,11 @@
 )
 
 // limitSpillover decides whether a request may go to an endpoint without a rate limit
-// if the rate limit of the endpoint that ranks first for it has no room. It may as
-// long as these requests do not exceed maxSpillover. The decision depends only on
-// which endpoints are limited, which all instances know, so that it holds for their
-// requests together.
+// if the endpoint that ranks first for it has no room, because of its rate limit or
+// because it wants no requests from this instance. It may as long as these requests do
+// not exceed maxSpillover. The decision depends only on which endpoints are limited,
+// which all instances know, and on which have stated to this instance that they want
+// no requests, so that it holds for the requests of all instances together.
 func (t *Table) limitSpillover(now time.Time, query *Query) {
 	var first rankedEndpoint
 	firstProximity, full, unlimited := -1, 0, 0
@@ -27,18 +28,19 @@
 		if !t.isAvailable(now, s, query) {
 			continue
 		}
+		isLimited := s.rateLimiter.isLimited(now)
 		switch {
-		case !s.rateLimiter.isLimited(now):
-			unlimited++
-		case !t.hasRateLimitRoom(now, s):
+		case !s.holdOff.hasRoom(now), isLimited && !t.hasRateLimitRoom(now, s):
 			full++
+		case !isLimited:
+			unlimited++
 		}
 		r, proximity := newRankedEndpoint(s, query), query.proximity(s.Place)
 		if proximity > firstProximity || (proximity == firstProximity && r.score > first.score) {
 			first, firstProximity = r, proximity
 		}
 	}
-	if first.state == nil || t.hasRateLimitRoom(now, first.state) {
+	if first.state == nil || t.hasRoom(now, first.state) {
 		return
 	}
 	credit := min(t.spilloverCredits[query.Service]+maxSpillover*float64(unlimited)/float64(full), maxSpilloverCredit)
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -87,11 +87,11 @@
 	if t.startedAt.IsZero() {
 		t.startedAt = now
 	}
-	limiter := t.rateLimiterOf(entry)
+	limiter, hold := t.rateLimiterOf(entry), t.holdOffOf(entry)
 	if t.isStale(now, entry) {
 		return false
 	}
-	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, isLeaving: t.hasLeft(now, entry)}
+	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, holdOff: hold, isLeaving: t.hasLeft(now, entry)}
 	t.byID[entry.ID] = s
 	t.byService[entry.Service] = append(t.byService[entry.Service], s)
 	return true
@@ -106,7 +106,7 @@
 	}
 	delete(t.byID, id)
 	t.evictTombstones(now)
-	t.tombstones[id] = &tombstone{startedAtMillis: s.StartedAtMillis, reportSequence: s.ReportSequence, removedAt: now, rateLimiter: s.rateLimiter}
+	t.tombstones[id] = &tombstone{startedAtMillis: s.StartedAtMillis, reportSequence: s.ReportSequence, removedAt: now, rateLimiter: s.rateLimiter, holdOff: s.holdOff}
 	t.byService[s.Service] = slices.DeleteFunc(t.byService[s.Service], func(other *endpointState) bool { return other == s })
 	return true
 }
@@ -169,6 +169,7 @@
 		s.foreignLoad.record(now, *load, s.inFlight)
 	}
 	s.inFlight = max(0, s.inFlight-1)
+	s.holdOff.finish(choice.startedAt, outcome, int(maxLoadPerSlot*float64(s.Slots)))
 	s.recordOutcome(now, outcome)
 	took := now.Sub(choice.startedAt)
 	switch outcome {
@@ -189,7 +190,7 @@
 func (t *Table) CountEndpoints(now time.Time, service savorystep.Service) (all, usable int) {
 	for _, s := range t.byService[service] {
 		all++
-		if s.State == savorystep.StateLive && !s.isLeaving && !t.evacuatedZones[s.Place.Zone] && !s.isExpired(now) && !s.isInBackoff(now) && !s.isCold(now) && t.hasRateLimitRoom(now, s) {
+		if s.State == savorystep.StateLive && !s.isLeaving && !t.evacuatedZones[s.Place.Zone] && !s.isExpired(now) && !s.isInBackoff(now) && !s.isCold(now) && t.hasRoom(now, s) {
 			usable++
 		}
 	}
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -72,6 +72,8 @@
 		return formatReport(s.table.ApplyRateLimit(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started")), statementArg(t, d)))
 	case "respond-leaving":
 		return s.respondLeaving(t, d)
+	case "reject":
+		return s.reject(t, d)
 	case "peer-leaving":
 		return formatNews(s.table.ApplyLeaving(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))))
 	case "retry":
@@ -286,3 +288,26 @@
 	}
 	return "known or outdated\n"
 }
+
+// reject rejects the oldest attempts at an endpoint with a response that states for how
+// many milliseconds the endpoint wants none, and returns how long it gets none.
+func (s *script) reject(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	id, wait := savorystep.EndpointID(arg(t, d, "id")), time.Duration(intArg(t, d, "wait"))*time.Millisecond
+	var out strings.Builder
+	for range max(1, intArg(t, d, "times")) {
+		if len(s.inFlight[id]) == 0 {
+			d.Fatalf(t, "no attempt is in flight at endpoint %s", id)
+		}
+		choice := s.inFlight[id][0]
+		s.inFlight[id] = s.inFlight[id][1:]
+		until, isChanged := s.table.RecordRetryAfter(s.now, choice, wait)
+		s.table.Finish(s.now, choice, endpoint.OutcomeShed, nil)
+		if isChanged {
+			fmt.Fprintf(&out, "closed for %v\n", until.Sub(s.now))
+		} else {
+			fmt.Fprintln(&out, "unchanged")
+		}
+	}
+	return out.String()
+}
--- a/endpoint/tombstone.go
+++ b/endpoint/tombstone.go
@@ -19,9 +19,10 @@
 	// laterSequence is the report sequence of the first report after the one that
 	// was known at the removal, zero before such a report.
 	laterSequence uint64
-	// rateLimiter is kept because the entry of a live endpoint may expire and be
-	// added again while its rate limit stands.
+	// rateLimiter and holdOff are kept because the entry of a live endpoint may expire
+	// and be added again while what the endpoint stated stands.
 	rateLimiter rateLimiter
+	holdOff     holdOff
 }
 
 // recordRewrite records that the entry was written again by a report that is not
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -85,6 +85,8 @@
 		return respond(http.StatusMisdirectedRequest, "Limit", "4.4")
 	case "limited badly":
 		return respond(http.StatusOK, "Signature", "s", "Limit", "many")
+	case "shed 20s", "shed 30s", "shed 40s":
+		return respond(http.StatusServiceUnavailable, "Not-Run", "1", "Wait", outcome[len("shed "):])
 	case "leaving":
 		return respond(http.StatusOK, "Signature", "s", "Leaving", "1")
 	case "leaving shed":
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -37,16 +37,23 @@
 	attempts *inFlightAttempts
 	// noticeLimiter limits the lines about notices that can't be used as stated.
 	noticeLimiter *rate.Limiter
+	// retryAfterLimiter limits the lines about endpoints that want no requests.
+	retryAfterLimiter *rate.Limiter
 }
 
 // noticeLinesPerSecond limits the lines about notices that can't be used, which an
 // endpoint may state in each of its responses. A line costs about 20 µs.
 const noticeLinesPerSecond = 5
 
+// retryAfterLinesPerSecond limits the lines about endpoints that want no requests, which
+// each of the requests in flight there may lead to.
+const retryAfterLinesPerSecond = 20
+
 func newForwarder(config ProxyConfig, m *metrics) Forwarder {
 	return Forwarder{
 		attempts: newInFlightAttempts(), config: config, metrics: m,
-		noticeLimiter: rate.NewLimiter(noticeLinesPerSecond, noticeLinesPerSecond),
+		noticeLimiter:     rate.NewLimiter(noticeLinesPerSecond, noticeLinesPerSecond),
+		retryAfterLimiter: rate.NewLimiter(retryAfterLinesPerSecond, retryAfterLinesPerSecond),
 	}
 }
 
@@ -133,7 +140,7 @@
 	case pr.failedResponse != nil:
 		return pr.failedResponse, nil
 	case !pr.isOutcomeUnknown && pr.possibleRuns == 0:
-		return nil, unavailable("the request did not run, no endpoint has room")
+		return nil, f.noRoom(pr)
 	case !f.config.Clock.Now().Before(pr.deadline):
 		return nil, &localReply{status: http.StatusGatewayTimeout, reason: "no answer in time"}
 	default:
@@ -141,6 +148,16 @@
 	}
 }
 
+// noRoom returns the reply to a request that did not run because no endpoint has room.
+// If all of them want no requests, the caller may come back when the first one does.
+func (f *Forwarder) noRoom(pr *proxiedRequest) *localReply {
+	now := f.config.Clock.Now()
+	if at, ok := f.config.Router.earliestReturn(now, f.query(now, pr)); ok {
+		return unavailableFor(at.Sub(now), "the request did not run, all endpoints want no requests for now")
+	}
+	return unavailable("the request did not run, no endpoint has room")
+}
+
 // attempt sends a request to one endpoint and reports the outcome to the router,
 // the quarantine and the metrics.
 func (f *Forwarder) attempt(ctx context.Context, now time.Time, pr *proxiedRequest, choice endpoint.Choice) attemptResult {
@@ -160,9 +177,7 @@
 		if statement, ok := f.rateLimitStatement(response); ok {
 			f.config.RateLimits.record(endedAt, choice, statement)
 		}
-		if f.notice(endedAt, choice, response).IsLeaving {
-			f.config.Leavings.record(endedAt, choice)
-		}
+		f.recordNotice(endedAt, choice, f.notice(endedAt, choice, response))
 	}
 	if response != nil && result.response == nil {
 		response.Release()
@@ -210,6 +225,21 @@
 	return notice
 }
 
+// recordNotice applies what the response to a choice says about further requests. How
+// long the endpoint wants none concerns only this instance and is not published.
+func (f *Forwarder) recordNotice(now time.Time, choice endpoint.Choice, notice savorystep.EndpointNotice) {
+	if notice.IsLeaving {
+		f.config.Leavings.record(now, choice)
+	}
+	if notice.RetryAfter <= 0 {
+		return
+	}
+	until, isChanged := f.config.Router.recordRetryAfter(now, choice, notice.RetryAfter)
+	if isChanged && f.retryAfterLimiter.AllowN(now, 1) {
+		log.Infof("endpoint %s wants no requests from here for %v according to its response, the last time ends in %v", choice.Endpoint.ID, notice.RetryAfter, until.Sub(now).Round(time.Millisecond))
+	}
+}
+
 // exchange sends a request to an endpoint. If the request is safe to retry, the
 // exchange is cancelled as soon as another request finds the endpoint down.
 func (f *Forwarder) exchange(ctx context.Context, pr *proxiedRequest, target savorystep.Endpoint, request *http1.Request) (*http1.Response, error) {
--- a/ingress/localreply.go
+++ b/ingress/localreply.go
@@ -22,12 +22,23 @@
 	// together.
 	minRetryAfter    = 200 * time.Millisecond
 	retryAfterJitter = 400 * time.Millisecond
+	// retryAfterSpread is the random time that is added to a known wait, relative to
+	// it. Callers that were rejected all along the wait return within half of it, no
+	// faster than they would have arrived twice over.
+	retryAfterSpread = 0.5
 )
 
 // unavailable returns a 503 reply with a Retry-After header, which states that the
 // request did not run.
 func unavailable(reason string) *localReply {
-	after := minRetryAfter + rand.N(retryAfterJitter) //nolint:gosec // The jitter need not be unpredictable.
+	return unavailableFor(0, reason)
+}
+
+// unavailableFor is unavailable for a request that can't be served until a wait has
+// passed.
+func unavailableFor(wait time.Duration, reason string) *localReply {
+	jitter := max(retryAfterJitter, time.Duration(retryAfterSpread*float64(wait)))
+	after := max(minRetryAfter, wait) + rand.N(jitter) //nolint:gosec // The jitter need not be unpredictable.
 	return &localReply{status: http.StatusServiceUnavailable, retryAfter: after, reason: reason}
 }
 
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -89,6 +89,30 @@
 	return r.table.CountRateLimited(now)
 }
 
+// recordRetryAfter records that an endpoint wants no requests from this instance for a
+// time. It returns the end of that time, and true if it has begun or was moved.
+func (r *Router) recordRetryAfter(now time.Time, choice endpoint.Choice, wait time.Duration) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.RecordRetryAfter(now, choice, wait)
+}
+
+// earliestReturn returns when the first endpoint for a request wants requests again. It
+// returns false unless all of them want none now.
+func (r *Router) earliestReturn(now time.Time, query endpoint.Query) (time.Time, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.EarliestReturn(now, query)
+}
+
+// CountClosed returns the number of endpoints that want no requests from this instance
+// now.
+func (r *Router) CountClosed(now time.Time) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.CountClosed(now)
+}
+
 // CountLeaving returns the number of endpoints that have said that they leave.
 func (r *Router) CountLeaving() int {
 	r.mu.Lock()
--- a/simulation/endpoint.go
+++ b/simulation/endpoint.go
@@ -45,6 +45,8 @@
 	// isLeaving is true while its responses say that it leaves.
 	isLeaving bool
 	notices   noticeLog
+	// retryAfter is positive while it rejects all requests and wants none for so long.
+	retryAfter time.Duration
 	// coldArrivals holds the times of requests that were received while cold, in the
 	// last second.
 	coldArrivals []time.Duration
@@ -88,7 +90,9 @@
 // says returns what the response with an outcome says about further requests.
 func (e *simulatedEndpoint) says(outcome endpoint.Outcome) savorystep.EndpointNotice {
 	switch outcome {
-	case endpoint.OutcomeAnswered, endpoint.OutcomeFailed, endpoint.OutcomeShed:
+	case endpoint.OutcomeShed:
+		return savorystep.EndpointNotice{IsLeaving: e.isLeaving, RetryAfter: e.retryAfter}
+	case endpoint.OutcomeAnswered, endpoint.OutcomeFailed:
 		return savorystep.EndpointNotice{IsLeaving: e.isLeaving}
 	default:
 		return savorystep.EndpointNotice{}
@@ -106,8 +110,11 @@
 		e.countCold(a.sentAt, now)
 	}
 	e.rateLimit.addArrival(now, a.from)
-	e.notices.addArrival(a.from, a.receivedAt)
+	e.notices.addArrival(now, a.from, a.receivedAt)
 	switch {
+	case e.retryAfter > 0:
+		e.notices.addClosing(now, a.from, e.retryAfter)
+		a.finish(endpoint.OutcomeShed, e.load())
 	case e.running < int(e.Slots):
 		e.run(a)
 	case float64(len(e.queue)) < e.scenario.QueuePerSlot*float64(e.Slots):
@@ -201,7 +208,7 @@
 func (e *simulatedEndpoint) goDown() {
 	e.isDown = true
 	e.rateLimit.end(e.scheduler.now)
-	e.isLeaving, e.notices.leavingTold = false, nil
+	e.isLeaving, e.notices.leavingTold, e.notices.closings = false, nil, nil
 	queue := e.queue
 	e.queue = nil
 	for _, a := range queue {
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -43,6 +43,7 @@
 			f.result.RateLimitWindows += e.rateLimit.windows
 		}
 		f.result.RequestsAfterLeaving += e.notices.afterLeaving
+		f.result.RequestsWhileClosed += e.notices.whileClosed
 		if !e.rateLimit.wasLimited() {
 			f.result.Sheds += e.sheds
 		}
@@ -173,6 +174,12 @@
 // giveNotice hands what a response says about further requests to the instance that
 // gets it, and to the others what concerns them.
 func (f *fleet) giveNotice(to *instance, e *simulatedEndpoint, choice endpoint.Choice, notice savorystep.EndpointNotice) {
+	if notice.RetryAfter > 0 {
+		f.result.Closings++
+		if !f.policy.IgnoresNotices {
+			to.table.RecordRetryAfter(f.now(), choice, notice.RetryAfter)
+		}
+	}
 	if !notice.IsLeaving || choice.Endpoint.StartedAtMillis != e.StartedAtMillis {
 		return
 	}
@@ -279,6 +286,8 @@
 		e.State = savorystep.StateLeaving
 	case EventFail:
 		e.failShare = event.Factor
+	case EventClose:
+		e.retryAfter = time.Duration(event.Factor * float64(time.Second))
 	case EventLeave:
 		e.isLeaving = true
 	case EventRateLimit:
@@ -319,6 +328,8 @@
 		e.goDown()
 	case EventFail:
 		e.failShare = 0
+	case EventClose:
+		e.retryAfter = 0
 	case EventLeave:
 		e.goDown()
 	case EventRateLimit:
--- a/simulation/result.go
+++ b/simulation/result.go
@@ -33,6 +33,9 @@
 	// RequestsAfterLeaving counts the requests to endpoints that had told the instance
 	// that they leave, LeavingTold the responses that said so.
 	RequestsAfterLeaving, LeavingTold int
+	// RequestsWhileClosed counts the requests beyond maxWhileClosed to endpoints that
+	// wanted none from the instance, Closings the responses that said so.
+	RequestsWhileClosed, Closings int
 	// Sheds counts the requests shed by endpoints that never stated a rate limit.
 	Sheds int
 	// MaxRegionShift is the largest fraction of a region's requests that moved to
@@ -93,6 +96,8 @@
 	r.RateLimitWindows += other.RateLimitWindows
 	r.RequestsAfterLeaving += other.RequestsAfterLeaving
 	r.LeavingTold += other.LeavingTold
+	r.RequestsWhileClosed += other.RequestsWhileClosed
+	r.Closings += other.Closings
 	r.Sheds += other.Sheds
 	for i, second := range other.Seconds {
 		r.Seconds[i].Requests += second.Requests
--- a/simulation/scenario.go
+++ b/simulation/scenario.go
@@ -69,6 +69,9 @@
 	EventCold EventKind = "cold"
 	// EventPartition partitions instances from all others.
 	EventPartition EventKind = "cut"
+	// EventClose makes endpoints reject requests for its duration and state for how long
+	// they want none: Factor seconds, to each instance.
+	EventClose EventKind = "close"
 	// EventDown stops endpoints, which are cold when they start again.
 	EventDown EventKind = "down"
 	// EventDrain makes endpoints leave. They stop for good when it ends.
@@ -95,7 +98,7 @@
 // EventKinds returns all kinds of events.
 func EventKinds() []EventKind {
 	return []EventKind{
-		EventBurst, EventCold, EventPartition, EventDown, EventDrain, EventFail, EventFreeze, EventLeave, EventRateLimit, EventRestart, EventSlow, EventUnlist,
+		EventBurst, EventClose, EventCold, EventPartition, EventDown, EventDrain, EventFail, EventFreeze, EventLeave, EventRateLimit, EventRestart, EventSlow, EventUnlist,
 	}
 }
 
@@ -107,8 +110,8 @@
 	Kind            EventKind
 	// Share is the fraction of the instances or endpoints that the event affects.
 	Share float64
-	// Factor is the factor of EventBurst and EventSlow, the fraction of EventFail and
-	// the rate of EventRateLimit.
+	// Factor is the factor of EventBurst and EventSlow, the fraction of EventFail, the
+	// rate of EventRateLimit and the seconds of EventClose.
 	Factor float64
 }
 
