--- a/ingress/retryafter_test.go
+++ b/ingress/retryafter_test.go
@@ -79,6 +79,7 @@
 	if got := len(transport.requests()) - sent; got != 0 {
 		t.Errorf("%d requests were sent to endpoints that want none, want 0", got)
 	}
+	t.Logf("Retry-After from %.2f to %.2f s", shortest, longest)
 	// The first endpoint wants requests again 20 s after its response, 17 to 20 s from
 	// now on.
 	if shortest < 15 || longest > 35 || longest-shortest < 1 {
