--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -28,6 +28,7 @@
 	// instancesVersion counts the changes of the set of instances. It starts at 1.
 	instancesVersion int
 	tombstones       map[savorystep.EndpointID]*tombstone
+	leavings         map[savorystep.EndpointID]leaving
 	// startedAt is when the first endpoint was put. It counts as the start of this
 	// instance.
 	startedAt time.Time
@@ -46,6 +47,7 @@
 		spilloverCredits: make(map[savorystep.Service]float64),
 		instanceSeenAt:   make(map[savorystep.InstanceID]time.Time),
 		tombstones:       make(map[savorystep.EndpointID]*tombstone),
+		leavings:         make(map[savorystep.EndpointID]leaving),
 	}
 }
 
@@ -75,6 +77,7 @@
 		}
 		if known.Service == entry.Service {
 			known.update(now, entry)
+			known.isLeaving = t.hasLeft(now, entry)
 			return true
 		}
 		t.Remove(now, entry.ID)
@@ -82,11 +85,11 @@
 	if t.startedAt.IsZero() {
 		t.startedAt = now
 	}
-	limiter := t.rateLimiterOf(entry)
+	limiter, hold := t.rateLimiterOf(entry), t.holdOffOf(entry)
 	if t.isStale(now, entry) {
 		return false
 	}
-	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter}
+	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, holdOff: hold, isLeaving: t.hasLeft(now, entry)}
 	t.byID[entry.ID] = s
 	t.byService[entry.Service] = append(t.byService[entry.Service], s)
 	return true
@@ -113,7 +116,7 @@
 	}
 	delete(t.byID, id)
 	t.evictTombstones(now)
-	t.tombstones[id] = &tombstone{startedAtMillis: s.StartedAtMillis, reportSequence: s.ReportSequence, removedAt: now, rateLimiter: s.rateLimiter}
+	t.tombstones[id] = &tombstone{startedAtMillis: s.StartedAtMillis, reportSequence: s.ReportSequence, removedAt: now, rateLimiter: s.rateLimiter, holdOff: s.holdOff}
 	t.byService[s.Service] = slices.DeleteFunc(t.byService[s.Service], func(other *endpointState) bool { return other == s })
 	return true
 }
@@ -176,6 +179,7 @@
 		s.foreignLoad.record(now, *load, s.inFlight)
 	}
 	s.inFlight = max(0, s.inFlight-1)
+	s.holdOff.finish(choice.startedAt, outcome, int(maxLoadPerSlot*float64(s.Slots)))
 	s.recordOutcome(now, outcome)
 	took := now.Sub(choice.startedAt)
 	switch outcome {
@@ -196,7 +200,7 @@
 func (t *Table) CountEndpoints(now time.Time, service savorystep.Service) (all, usable int) {
 	for _, s := range t.byService[service] {
 		all++
-		if s.State == savorystep.StateLive && !t.evacuatedZones[s.Place.Zone] && !s.isExpired(now) && !s.isInBackoff(now) && !s.isCold(now) && t.hasRateLimitRoom(now, s) {
+		if s.State == savorystep.StateLive && !s.isLeaving && !t.evacuatedZones[s.Place.Zone] && !s.isExpired(now) && !s.isInBackoff(now) && !s.isCold(now) && t.hasRoom(now, s) {
 			usable++
 		}
 	}
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -70,6 +70,12 @@
 		return s.respond(t, d)
 	case "peer-limit":
 		return formatReport(s.table.ApplyRateLimit(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started")), statementArg(t, d)))
+	case "respond-leaving":
+		return s.respondLeaving(t, d)
+	case "reject":
+		return s.reject(t, d)
+	case "peer-leaving":
+		return formatNews(s.table.ApplyLeaving(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))))
 	case "retry":
 		return s.retry(t, d)
 	default:
@@ -259,3 +265,49 @@
 	s.table.Finish(s.now, choice, endpoint.OutcomeAnswered, nil)
 	return formatReport(report)
 }
+
+// respondLeaving answers the oldest attempt at an endpoint with a response that says
+// that the endpoint leaves.
+func (s *script) respondLeaving(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	id := savorystep.EndpointID(arg(t, d, "id"))
+	if len(s.inFlight[id]) == 0 {
+		d.Fatalf(t, "no attempt is in flight at endpoint %s", id)
+	}
+	choice := s.inFlight[id][0]
+	s.inFlight[id] = s.inFlight[id][1:]
+	isNew := s.table.RecordLeaving(s.now, choice)
+	s.table.Finish(s.now, choice, endpoint.OutcomeAnswered, nil)
+	return formatNews(isNew)
+}
+
+// formatNews returns whether something was not known before as one line.
+func formatNews(isNew bool) string {
+	if isNew {
+		return "new\n"
+	}
+	return "known or outdated\n"
+}
+
+// reject rejects the oldest attempts at an endpoint with a response that states for how
+// many milliseconds the endpoint wants none, and returns how long it gets none.
+func (s *script) reject(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	id, wait := savorystep.EndpointID(arg(t, d, "id")), time.Duration(intArg(t, d, "wait"))*time.Millisecond
+	var out strings.Builder
+	for range max(1, intArg(t, d, "times")) {
+		if len(s.inFlight[id]) == 0 {
+			d.Fatalf(t, "no attempt is in flight at endpoint %s", id)
+		}
+		choice := s.inFlight[id][0]
+		s.inFlight[id] = s.inFlight[id][1:]
+		until, isChanged := s.table.RecordRetryAfter(s.now, choice, wait)
+		s.table.Finish(s.now, choice, endpoint.OutcomeShed, nil)
+		if isChanged {
+			fmt.Fprintf(&out, "closed for %v\n", until.Sub(s.now))
+		} else {
+			fmt.Fprintln(&out, "unchanged")
+		}
+	}
+	return out.String()
+}
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -22,6 +22,20 @@
 	Load: "Load", NotExecuted: "Not-Run", RateLimit: "Limit", Signature: "Signature",
 }
 
+// A noticeDecoder reads the headers Leaving and Wait, a duration, in the tests.
+type noticeDecoder struct{}
+
+var _ savorystep.NoticeDecoder = noticeDecoder{}
+
+func (noticeDecoder) DecodeNotice(_ int, header http.Header) (savorystep.EndpointNotice, error) {
+	notice := savorystep.EndpointNotice{IsLeaving: header.Get("Leaving") != ""}
+	var err error
+	if text := header.Get("Wait"); text != "" {
+		notice.RetryAfter, err = time.ParseDuration(text)
+	}
+	return notice, err
+}
+
 // errReset is the cause of failed exchanges.
 var errReset = errors.New("connection reset")
 
@@ -76,6 +90,16 @@
 		return respond(http.StatusMisdirectedRequest, "Limit", "4.4")
 	case "limited badly":
 		return respond(http.StatusOK, "Signature", "s", "Limit", "many")
+	case "shed 20s", "shed 30s", "shed 40s":
+		return respond(http.StatusServiceUnavailable, "Not-Run", "1", "Wait", outcome[len("shed "):])
+	case "leaving":
+		return respond(http.StatusOK, "Signature", "s", "Leaving", "1")
+	case "leaving shed":
+		return respond(http.StatusServiceUnavailable, "Not-Run", "1", "Leaving", "1")
+	case "leaving failed":
+		return respond(http.StatusInternalServerError, "Signature", "s", "Leaving", "1")
+	case "leaving gone":
+		return respond(http.StatusMisdirectedRequest, "Leaving", "1")
 	case "failed":
 		return respond(http.StatusInternalServerError, "Signature", "s")
 	case "shed":
@@ -145,7 +169,7 @@
 	watcher := ingress.NewWatcher(ingress.WatcherConfig{Router: router, Clock: savorystep.SystemClock{}, RegionByZone: map[savorystep.Zone]savorystep.Region{"z": "r"}})
 	watcher.ApplyList(time.Now(), changes)
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
-		Clock: savorystep.SystemClock{}, MemoryLimitBytes: memoryLimit, HeaderNames: names, Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
+		Clock: savorystep.SystemClock{}, MemoryLimitBytes: memoryLimit, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
 	})
 	return proxy, transport, router
 }
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -56,7 +56,7 @@
 	}
 	m := newMetrics(config.Registerer)
 	drain := &drainState{}
-	return &Proxy{config: config, drain: drain, forwarder: Forwarder{attempts: newInFlightAttempts(), config: config, drain: drain, metrics: m}, bodyBudget: http1.NewMemoryBudget(bodyBudgetBytes(config.MemoryLimitBytes)), requestLog: newRequestLog(), metrics: m}
+	return &Proxy{config: config, drain: drain, forwarder: newForwarder(config, drain, m), bodyBudget: http1.NewMemoryBudget(bodyBudgetBytes(config.MemoryLimitBytes)), requestLog: newRequestLog(), metrics: m}
 }
 
 // bodyBudgetBytes returns the budget for all request bodies under a memory limit.
--- a/simulation/scenario.go
+++ b/simulation/scenario.go
@@ -69,6 +69,9 @@
 	EventCold EventKind = "cold"
 	// EventPartition partitions instances from all others.
 	EventPartition EventKind = "cut"
+	// EventClose makes endpoints reject requests for its duration and state for how long
+	// they want none: Factor seconds, to each instance.
+	EventClose EventKind = "close"
 	// EventDown stops endpoints, which are cold when they start again.
 	EventDown EventKind = "down"
 	// EventDrain makes endpoints leave. They stop for good when it ends.
@@ -78,6 +81,9 @@
 	EventFail EventKind = "fail"
 	// EventFreeze keeps instances from running.
 	EventFreeze EventKind = "freeze"
+	// EventLeave makes endpoints say in their responses that they leave, while the
+	// endpoint list has them as before.
+	EventLeave EventKind = "leave"
 	// EventRateLimit makes endpoints state a rate limit of Factor requests per second
 	// in their responses. It replaces an earlier one.
 	EventRateLimit EventKind = "limit"
@@ -92,7 +98,7 @@
 // EventKinds returns all kinds of events.
 func EventKinds() []EventKind {
 	return []EventKind{
-		EventBurst, EventCold, EventPartition, EventDown, EventDrain, EventFail, EventFreeze, EventRateLimit, EventRestart, EventSlow, EventUnlist,
+		EventBurst, EventClose, EventCold, EventPartition, EventDown, EventDrain, EventFail, EventFreeze, EventLeave, EventRateLimit, EventRestart, EventSlow, EventUnlist,
 	}
 }
 
@@ -104,8 +110,8 @@
 	Kind            EventKind
 	// Share is the fraction of the instances or endpoints that the event affects.
 	Share float64
-	// Factor is the factor of EventBurst and EventSlow, the fraction of EventFail and
-	// the rate of EventRateLimit.
+	// Factor is the factor of EventBurst and EventSlow, the fraction of EventFail, the
+	// rate of EventRateLimit and the seconds of EventClose.
 	Factor float64
 }
 
@@ -121,6 +127,9 @@
 	// IgnoresPeers makes each instance use the limits as if it were the only one. It
 	// shows that the checks of the limits can fail.
 	IgnoresPeers bool
+	// IgnoresNotices makes instances ignore what endpoints say about further requests.
+	// It shows that the checks of it can fail.
+	IgnoresNotices bool
 }
 
 // Policies returns the policies that an experiment compares, the default policy
