Close an endpoint whose rejection arrives after its entry was removed

Callers would wait for attempts that can only be refused.

Cause: a rejection with a time that arrives while the entry of its endpoint is not listed was dropped, since only the table was looked at. The entry was listed again, and the hold-off that its tombstone had kept was of the time before the rejection.

The tombstone takes the time now.

--- a/endpoint/holdoff.go
+++ b/endpoint/holdoff.go
@@ -67,12 +67,28 @@
 // stated that the endpoint wants no requests from this instance for a time. It returns
 // the end of that time, and true if it has begun or was moved.
 func (t *Table) RecordRetryAfter(now time.Time, choice Choice, wait time.Duration) (time.Time, bool) {
-	s := t.byID[choice.Endpoint.ID]
-	if s == nil || s.StartedAtMillis != choice.Endpoint.StartedAtMillis {
+	h := t.holdOffFor(choice.Endpoint.ID, choice.Endpoint.StartedAtMillis)
+	if h == nil {
 		return time.Time{}, false
 	}
-	isChanged := s.holdOff.start(now, wait)
-	return s.holdOff.until, isChanged
+	isChanged := h.start(now, wait)
+	return h.until, isChanged
+}
+
+// holdOffFor returns the hold-off of an incarnation of an endpoint, which may have been
+// removed while a request was in flight there. It returns nil if the incarnation is not
+// known, or not the latest.
+func (t *Table) holdOffFor(id savorystep.EndpointID, startedAtMillis int64) *holdOff {
+	if s := t.byID[id]; s != nil {
+		if s.StartedAtMillis != startedAtMillis {
+			return nil
+		}
+		return &s.holdOff
+	}
+	if tomb := t.tombstones[id]; tomb != nil && tomb.startedAtMillis == startedAtMillis {
+		return &tomb.holdOff
+	}
+	return nil
 }
 
 // EarliestReturn returns when the first of the endpoints that a request may use,
