Ignore the outcome of an attempt at an earlier start of its endpoint

Callers got fewer answers from an endpoint that had just started again, after a late rejection or failure of the earlier start: it put the new one into a backoff, and a late answer counted as if the new one had cached the object.

Cause: the end of an attempt was counted by the id of its endpoint alone, while what endpoints state is bound to one start. Found while tracing TestClosedEndpoints.

Only the number of requests in flight changes now. The end of the script retryafterremoved failed before with "none x1" for the request after the restart. In leavingsaid the late answer of the earlier start had made the new one cache the object; without it the same nine requests go to both endpoints as 6 and 3 instead of 4 and 5. The check that the new start gets requests is as before.

--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -175,6 +175,11 @@
 	if s == nil {
 		return
 	}
+	if s.StartedAtMillis != choice.Endpoint.StartedAtMillis {
+		// The response of an earlier incarnation says nothing about this one.
+		s.inFlight = max(0, s.inFlight-1)
+		return
+	}
 	if load != nil {
 		s.foreignLoad.record(now, *load, s.inFlight)
 	}
