--- a/ingress/home_test.go
+++ b/ingress/home_test.go
@@ -35,12 +35,18 @@
 	runHomeScenarios(t, "testdata/homepower")
 }
 
-// runHomeScenarios runs the scenarios of a file.
-func runHomeScenarios(t *testing.T, path string) {
+// muteLog discards the log lines until the test ends.
+func muteLog(t *testing.T) {
 	t.Helper()
 	klog.LogToStderr(false)
 	klog.SetOutput(io.Discard)
 	t.Cleanup(func() { klog.LogToStderr(true) })
+}
+
+// runHomeScenarios runs the scenarios of a file.
+func runHomeScenarios(t *testing.T, path string) {
+	t.Helper()
+	muteLog(t)
 	datadriven.RunTest(t, path, func(t *testing.T, d *datadriven.TestData) string {
 		var scenario homeScenario
 		var access, limit string
@@ -104,7 +110,7 @@
 func (s homeScenario) run(t *testing.T, first int, phase, delay time.Duration) (late time.Duration) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		fleet := newHomeFleet(ctx, s.instances)
+		fleet := newHomeFleet(ctx, homeFleetConfig{regions: []savorystep.Region{"north"}, perRegion: s.instances, startInterval: 370 * time.Millisecond})
 		time.Sleep(5*time.Second + phase)
 		isFaulty := make(map[savorystep.InstanceID]bool)
 		var ids []savorystep.InstanceID
--- a/ingress/homefleet_test.go
+++ b/ingress/homefleet_test.go
@@ -17,154 +17,8 @@
 	"savorystep/peer"
 )
 
-const (
-	// storeLatency is the time of a call to the model's store.
-	storeLatency = 4 * time.Millisecond
-	// storeTimeout is after how long a call that gets no response fails, in addition
-	// to the time that the store may hold it back.
-	storeTimeout = 900 * time.Millisecond
-	// startInterval is the time between the starts of two instances.
-	startInterval = 370 * time.Millisecond
-)
-
-// errTurnedAway is the error of a call that the model's store rejects.
-var errTurnedAway = savorystep.NewError(savorystep.KindPlatformDown, "turned away")
-
-// A storeAccess is how the model's store treats the calls of an instance.
-type storeAccess string
-
-const (
-	accessServed   storeAccess = "served"
-	accessRejected storeAccess = "rejected"
-	// accessSilent means that calls get no response.
-	accessSilent storeAccess = "silent"
-	// accessGone means that the instance has lost power: neither the store nor other
-	// instances hear of it.
-	accessGone storeAccess = "gone"
-)
-
-// A homeStore is the store of a homeFleet. Its configuration has one route, whose
-// home moves to the next region with each revision.
-type homeStore struct {
-	regions   []savorystep.Region
-	endpoints []savorystep.Endpoint
-
-	mu          sync.Mutex
-	revision    savorystep.Revision
-	confirmedAt map[savorystep.Revision]time.Time
-	access      map[savorystep.InstanceID]storeAccess
-	// changed is closed and replaced at each change of revision or access.
-	changed chan struct{}
-}
-
-// homeOf returns the region to which a revision binds the route.
-func (s *homeStore) homeOf(revision savorystep.Revision) savorystep.Region {
-	return s.regions[int(revision)%len(s.regions)] //nolint:gosec // The model has few revisions.
-}
-
-func (s *homeStore) routing(revision savorystep.Revision) *savorystep.Routing {
-	route := &savorystep.Route{
-		Name: "bound", Host: "h", Prefix: "/", Class: savorystep.RequestClassIdempotent, MaxAttempts: 2, Timeout: time.Second,
-		Split: []savorystep.WeightedService{{Service: "s", Weight: 1}}, Regions: []savorystep.Region{s.homeOf(revision)},
-	}
-	return savorystep.NewRouting(revision, []*savorystep.Route{route}, map[savorystep.Service]savorystep.ServiceSpec{"s": {Name: "s"}}, savorystep.ClientLimits{})
-}
-
-// update changes the store's state and wakes the calls that wait for a change.
-func (s *homeStore) update(change func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	change()
-	close(s.changed)
-	s.changed = make(chan struct{})
-}
-
-// changeConfiguration confirms the next revision.
-func (s *homeStore) changeConfiguration(now time.Time) {
-	s.update(func() {
-		s.revision++
-		s.confirmedAt[s.revision] = now
-	})
-}
-
-// isAllowed reports whether a request that is sent at a time may run in a region:
-// the home of the newest revision, or of one that was replaced less than the given
-// time ago.
-func (s *homeStore) isAllowed(now time.Time, region savorystep.Region, limit time.Duration) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for revision := s.revision; revision > 0; revision-- {
-		if s.homeOf(revision) == region {
-			return true
-		}
-		if now.Sub(s.confirmedAt[revision]) > limit {
-			return false
-		}
-	}
-	return false
-}
-
-// A homeStoreClient is the store as one instance reaches it.
-type homeStoreClient struct {
-	*homeStore
-	id savorystep.InstanceID
-}
-
-var _ savorystep.Catalog = &homeStoreClient{}
-
-func (c *homeStoreClient) EndpointChanges(ctx context.Context, after savorystep.CatalogVersion, _ time.Duration) (savorystep.EndpointChanges, error) {
-	var changes savorystep.EndpointChanges
-	err := c.await(ctx, 0, func() bool {
-		changes = savorystep.EndpointChanges{Version: savorystep.CatalogVersion(c.revision), Full: after == 0}
-		if changes.Full {
-			changes.Endpoints = c.endpoints
-		}
-		return true
-	})
-	return changes, err
-}
-
-func (c *homeStoreClient) OperatorChanges(ctx context.Context, after savorystep.CatalogVersion, wait time.Duration) (savorystep.OperatorChanges, error) {
-	var changes savorystep.OperatorChanges
-	err := c.await(ctx, wait, func() bool {
-		changes = savorystep.OperatorChanges{Version: savorystep.CatalogVersion(c.revision), Full: after == 0}
-		if changes.Version > after {
-			changes.Routing = c.routing(c.revision)
-		}
-		return changes.Routing != nil
-	})
-	return changes, err
-}
-
-// await calls read with the store locked until it returns true or wait has passed.
-func (c *homeStoreClient) await(ctx context.Context, wait time.Duration, read func() bool) error {
-	timeout := time.After(wait + storeTimeout)
-	timer := time.After(wait)
-	savorystep.Sleep(ctx, storeLatency)
-	for {
-		c.mu.Lock()
-		access, changed := c.access[c.id], c.changed
-		isRead := access == accessServed && read()
-		c.mu.Unlock()
-		switch {
-		case access == accessRejected:
-			return errTurnedAway
-		case isRead:
-			return nil
-		case access == accessSilent, access == accessGone:
-			timer = nil
-		}
-		select {
-		case <-changed:
-		case <-timer:
-			return nil
-		case <-timeout:
-			return errTurnedAway
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-}
+// regionLatency is the time of a request or response between instances of two regions.
+const regionLatency = 35 * time.Millisecond
 
 // A homeInstance is a gateway without listeners.
 type homeInstance struct {
@@ -175,16 +29,30 @@
 	done    <-chan error
 }
 
-// A homeFleet is a fleet of instances in one region, without a network, for tests in
-// virtual time. Its endpoints are in several regions.
+// A homeFleetConfig configures a homeFleet.
+type homeFleetConfig struct {
+	// regions are the regions with instances.
+	regions []savorystep.Region
+	// perRegion is the number of instances in each of them.
+	perRegion int
+	// startInterval is the time between the starts of two instances.
+	startInterval time.Duration
+}
+
+// A homeFleet is a fleet of instances, without a network, for tests in virtual time.
+// Its endpoints are in several regions.
 type homeFleet struct {
 	store     *homeStore
 	instances []*homeInstance
+
+	mu sync.Mutex
+	// calls counts the requests from other instances to each instance.
+	calls map[savorystep.InstanceID]int
 }
 
 // newHomeFleet starts a fleet, which runs until ctx ends. The instances start one
 // after the other, so that their reads of the catalog end at different times.
-func newHomeFleet(ctx context.Context, count int) *homeFleet {
+func newHomeFleet(ctx context.Context, config homeFleetConfig) *homeFleet {
 	store := &homeStore{
 		regions: []savorystep.Region{"north", "south"}, confirmedAt: make(map[savorystep.Revision]time.Time),
 		access: make(map[savorystep.InstanceID]storeAccess), changed: make(chan struct{}),
@@ -197,10 +65,11 @@
 			ID: savorystep.EndpointID(region), Service: "s", State: savorystep.StateLive, Address: "a", Slots: 1000, WrittenVersion: 1, Place: savorystep.Place{Zone: zone},
 		})
 	}
-	f := &homeFleet{store: store}
+	f := &homeFleet{store: store, calls: make(map[savorystep.InstanceID]int)}
 	var members []savorystep.Member
-	for i := range count {
-		instance := savorystep.Instance{ID: savorystep.InstanceID("instance-" + strconv.Itoa(i)), Place: savorystep.Place{Region: "north", Zone: "north-a"}, PeerAddress: savorystep.Address("peer-" + strconv.Itoa(i))}
+	for i := range config.perRegion * len(config.regions) {
+		region := config.regions[i%len(config.regions)]
+		instance := savorystep.Instance{ID: savorystep.InstanceID("instance-" + strconv.Itoa(i)), Place: savorystep.Place{Region: region, Zone: savorystep.Zone(region + "-a")}, PeerAddress: savorystep.Address("peer-" + strconv.Itoa(i))}
 		store.access[instance.ID] = accessServed
 		members = append(members, savorystep.Member{StatusFact: savorystep.StatusFact{Instance: instance, Ready: true}})
 		f.instances = append(f.instances, &homeInstance{Instance: instance})
@@ -213,14 +82,14 @@
 			Clock: clock, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Place: instance.Place, Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: homeTransport{}, Router: router,
 		})
 		instance.relay = peer.NewCatalogRelay(peer.CatalogRelayConfig{
-			Catalog: &homeStoreClient{homeStore: store, id: instance.ID}, Client: &http.Client{Transport: f}, Clock: clock,
+			Catalog: &homeStoreClient{homeStore: store, id: instance.ID}, Client: &http.Client{Transport: &homePeerTransport{homeFleet: f, region: instance.Place.Region}}, Clock: clock,
 			Members: &fleetMembers{self: members[i].Instance, members: members},
 		})
 		instance.watcher = ingress.NewWatcher(ingress.WatcherConfig{Catalog: instance.relay, Clock: clock, Router: router, RegionByZone: regionByZone})
 	}
 	for _, instance := range f.instances {
 		instance.done = instance.watcher.Start(ctx)
-		time.Sleep(startInterval)
+		time.Sleep(config.startInterval)
 	}
 	return f
 }
@@ -234,8 +103,14 @@
 func (m *fleetMembers) Self() savorystep.Instance             { return m.self }
 func (m *fleetMembers) Members(time.Time) []savorystep.Member { return m.members }
 
-// RoundTrip delivers a request between instances.
-func (f *homeFleet) RoundTrip(request *http.Request) (*http.Response, error) {
+// A homePeerTransport delivers requests from the instances of a region to others.
+type homePeerTransport struct {
+	*homeFleet
+
+	region savorystep.Region
+}
+
+func (f *homePeerTransport) RoundTrip(request *http.Request) (*http.Response, error) {
 	i := slices.IndexFunc(f.instances, func(instance *homeInstance) bool { return string(instance.PeerAddress) == request.URL.Host })
 	if i < 0 {
 		return nil, errors.New("no instance has address " + request.URL.Host)
@@ -244,11 +119,20 @@
 		<-request.Context().Done()
 		return nil, request.Context().Err()
 	}
+	var latency time.Duration
+	if f.instances[i].Place.Region != f.region {
+		latency = regionLatency
+	}
+	f.mu.Lock()
+	f.calls[f.instances[i].ID]++
+	f.mu.Unlock()
+	savorystep.Sleep(request.Context(), latency)
 	recorder := httptest.NewRecorder()
 	f.instances[i].relay.Handler().ServeHTTP(recorder, request)
 	if f.isGone(f.instances[i].ID) {
 		<-request.Context().Done()
 	}
+	savorystep.Sleep(request.Context(), latency)
 	if err := request.Context().Err(); err != nil {
 		return nil, err
 	}
