Search other peers when neither readers nor store serve an instance

Callers saw: requests ran outside the homes of their route at an instance that the store turns away, for as long as that lasted, although others of the fleet read the store.

Cause: such an instance asked the two readers of its region and the store, and only the first of the reader order asked one more. A peer answered only with what it had read from the store itself, so in a healthy region nobody but the reader could answer.

Change: the instance searches for the configuration at other peers, of its region first, then of other regions, at once if the store fails, or when its own picture is 2.1 s old and nothing has responded. The query allows a relayed picture; its age is stated and one of 2 s or more is not used. Each instance has its own order of peers, a search queries six at most, and a peer serves eight such queries at a time. Older builds ignore the parameter and answer as before; a response that states no age is not used. The endpoint list is not searched for, and a configuration that was read this way does not count as the store's return, so endpoints that expire in an outage keep their grace time (TestFallbackHidesNoOutage; without the distinction it fails with 0 of 1 endpoints; that fault existed at the first of the reader order). A wait at the store ends before the picture is 1.7 s old, so that an instance that leaves its readers can answer others at once.

Evidence: TestHomeWhileTurnedAway failed in 372 of 372 runs of its ten scripts, until the end of each run, and passes with 16 scripts (readers without power and older builds added).

A wait of zero at a reader does not use a timer: in a bubble of virtual time under the race detector, a select on a timer that is due crashed the runtime.

--- a/catalog.go
+++ b/catalog.go
@@ -88,6 +88,9 @@
 	EvacuatedZones []Zone `cbor:"Evacuated"`
 	// RestoredZones were evacuated and may receive requests again.
 	RestoredZones []Zone `cbor:"Returned"`
+	// IsFallback is true if another instance had to be queried because the store
+	// failed.
+	IsFallback bool `cbor:"-"`
 }
 
 // UpTo returns the version up to which these are the changes.
--- a/ingress/homefleet_test.go
+++ b/ingress/homefleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -37,17 +38,23 @@
 	perRegion int
 	// startInterval is the time between the starts of two instances.
 	startInterval time.Duration
+	// hasOlder is true if every second instance is of a build that does not know
+	// queries for relayed pictures.
+	hasOlder bool
 }
 
 // A homeFleet is a fleet of instances, without a network, for tests in virtual time.
 // Its endpoints are in several regions.
 type homeFleet struct {
+	homeFleetConfig
+
 	store     *homeStore
 	instances []*homeInstance
 
 	mu sync.Mutex
-	// calls counts the requests from other instances to each instance.
-	calls map[savorystep.InstanceID]int
+	// calls counts the requests from other instances to each instance, relayedCalls
+	// those of them for a relayed picture.
+	calls, relayedCalls map[savorystep.InstanceID]int
 }
 
 // newHomeFleet starts a fleet, which runs until ctx ends. The instances start one
@@ -65,7 +72,7 @@
 			ID: savorystep.EndpointID(region), Service: "s", State: savorystep.StateLive, Address: "a", Slots: 1000, WrittenVersion: 1, Place: savorystep.Place{Zone: zone},
 		})
 	}
-	f := &homeFleet{store: store, calls: make(map[savorystep.InstanceID]int)}
+	f := &homeFleet{homeFleetConfig: config, store: store, calls: make(map[savorystep.InstanceID]int), relayedCalls: make(map[savorystep.InstanceID]int)}
 	var members []savorystep.Member
 	for i := range config.perRegion * len(config.regions) {
 		region := config.regions[i%len(config.regions)]
@@ -125,20 +132,46 @@
 	}
 	f.mu.Lock()
 	f.calls[f.instances[i].ID]++
+	if request.URL.Query().Has("relayed") {
+		f.relayedCalls[f.instances[i].ID]++
+	}
 	f.mu.Unlock()
 	savorystep.Sleep(request.Context(), latency)
+	if f.hasOlder && i%2 == 0 {
+		request = request.Clone(request.Context())
+		query := request.URL.Query()
+		query.Del("relayed")
+		request.URL.RawQuery = query.Encode()
+	}
 	recorder := httptest.NewRecorder()
 	f.instances[i].relay.Handler().ServeHTTP(recorder, request)
 	if f.isGone(f.instances[i].ID) {
 		<-request.Context().Done()
 	}
-	savorystep.Sleep(request.Context(), latency)
+	if latency > 0 {
+		savorystep.Sleep(request.Context(), latency)
+	}
 	if err := request.Context().Err(); err != nil {
 		return nil, err
 	}
 	return recorder.Result(), nil
 }
 
+// callCounts are numbers of calls since the start of a fleet.
+type callCounts struct {
+	calls, relayedCalls map[savorystep.InstanceID]int
+	storeCalls          int
+}
+
+// countCalls returns the numbers of calls so far.
+func (f *homeFleet) countCalls() callCounts {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	return callCounts{calls: maps.Clone(f.calls), relayedCalls: maps.Clone(f.relayedCalls), storeCalls: f.store.calls}
+}
+
 // isGone reports whether an instance has lost power.
 func (f *homeFleet) isGone(id savorystep.InstanceID) bool {
 	f.store.mu.Lock()
--- a/ingress/homestore_test.go
+++ b/ingress/homestore_test.go
@@ -42,6 +42,8 @@
 	revision    savorystep.Revision
 	confirmedAt map[savorystep.Revision]time.Time
 	access      map[savorystep.InstanceID]storeAccess
+	// calls is the number of calls.
+	calls int
 	// changed is closed and replaced at each change of revision or access.
 	changed chan struct{}
 }
@@ -127,6 +129,9 @@
 
 // await calls read with the store locked until it returns true or wait has passed.
 func (c *homeStoreClient) await(ctx context.Context, wait time.Duration, read func() bool) error {
+	c.mu.Lock()
+	c.calls++
+	c.mu.Unlock()
 	timeout := time.After(wait + storeTimeout)
 	timer := time.After(wait)
 	savorystep.Sleep(ctx, storeLatency)
--- a/ingress/hometurnedaway_test.go
+++ b/ingress/hometurnedaway_test.go
@@ -73,6 +73,7 @@
 	for word := range strings.SplitSeq(access, "+") {
 		s.access = append(s.access, storeAccess(word))
 	}
+	s.fleet.hasOlder = d.HasArg("older")
 	var err error
 	if s.limit, err = time.ParseDuration(limit); err != nil {
 		t.Fatal(err)
@@ -127,6 +128,9 @@
 		fleet.store.changeConfiguration(changedAt)
 		for time.Since(changedAt) < homeFaultLength {
 			for _, instance := range fleet.instances {
+				if fleet.isGone(instance.ID) {
+					continue
+				}
 				region, ran := instance.regionOf(ctx)
 				if !ran {
 					t.Errorf("instance %s did not serve a request %v after the change", instance.ID, time.Since(changedAt))
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -62,8 +62,8 @@
 	// listFailedSince is when reads of the endpoint list began to fail, zero while
 	// they succeed.
 	listFailedSince time.Time
-	// operatorReadsRecoveredAt is when a read of the operators' configuration last
-	// succeeded after a failed one. It is written by the goroutine that watches the
+	// operatorReadsRecoveredAt is when the store last served a read of the operators'
+	// configuration after one that it did not. It is written by the goroutine that watches the
 	// configuration.
 	operatorReadsRecoveredAt atomic.Pointer[time.Time]
 }
@@ -98,10 +98,13 @@
 	// second read does not wait for changes.
 	var wait time.Duration
 	lastReadAt := w.config.Clock.Now()
+	isStoreFailing := false
 	for ctx.Err() == nil {
 		changes, err := w.config.Catalog.OperatorChanges(ctx, version, wait)
 		now := w.config.Clock.Now()
-		if err == nil && dep.consecutiveFailures > 0 {
+		wasStoreFailing := isStoreFailing
+		isStoreFailing = err != nil || changes.IsFallback
+		if wasStoreFailing && !isStoreFailing {
 			w.operatorReadsRecoveredAt.Store(&now)
 		}
 		dep.record(now, err)
--- a/peer/catalogage.go
+++ b/peer/catalogage.go
@@ -18,28 +18,32 @@
 // force in 2.5 s, the shortest limit of deployments.
 const followerMargin = 200 * time.Millisecond
 
+// storeMargin is how much earlier than its followers a reader ends a wait at the store,
+// so that its picture does not become too old for them while the store responds.
+const storeMargin = 500 * time.Millisecond
+
 // setAge states an age in the header of a response.
 func setAge(header http.Header, age time.Duration) {
 	header.Set(ageHeader, strconv.FormatInt(age.Milliseconds(), 10))
 }
 
-// ageOf returns the age that the header of a response states, zero if it states none.
-func ageOf(header http.Header) time.Duration {
+// ageOf returns the age that the header of a response states, false if it states none.
+func ageOf(header http.Header) (time.Duration, bool) {
 	milliseconds, err := strconv.ParseUint(header.Get(ageHeader), 10, 31)
 	if err != nil {
-		return 0
+		return 0, false
 	}
-	return time.Duration(milliseconds) * time.Millisecond //nolint:gosec // It has 31 bits.
+	return time.Duration(milliseconds) * time.Millisecond, true //nolint:gosec // It has 31 bits.
 }
 
-// maxWaitAt returns how long a follower may wait at a reader, so that the wait does
-// not add to the age of the follower's own picture. It returns maxWait if that age is
+// maxWaitUntil returns how long an instance may wait for changes, so that the age of
+// its own picture does not exceed maxAge meanwhile. It returns maxWait if that age is
 // not known.
-func maxWaitAt(now, updatedAt time.Time, maxWait, maxAge time.Duration) time.Duration {
+func maxWaitUntil(now, updatedAt time.Time, maxWait, maxAge time.Duration) time.Duration {
 	if updatedAt.IsZero() {
 		return maxWait
 	}
-	return max(0, min(maxWait, updatedAt.Add(maxAge-followerMargin).Sub(now)))
+	return max(0, min(maxWait, updatedAt.Add(maxAge).Sub(now)))
 }
 
 // latest returns the later of two times.
--- a/peer/catalogrelaystart.go
+++ b/peer/catalogrelaystart.go
@@ -74,8 +74,8 @@
 // responds sooner than peers become known. Only peers that are up to date with
 // the store respond, so that removed endpoints don't reappear; the next read
 // delivers the changes since.
-func fetchAtFirstStart[R any, C catalogChanges](ctx context.Context, r *CatalogRelay, section catalogSection[R, C]) (C, bool) {
-	var zero C
+func fetchAtFirstStart[R any, C catalogChanges](ctx context.Context, r *CatalogRelay, section catalogSection[R, C]) (catalogReading[C], bool) {
+	var zero catalogReading[C]
 	for ctx.Err() == nil {
 		now := r.config.Clock.Now()
 		order, position := r.readerOrder(now)
@@ -84,9 +84,9 @@
 			return zero, false
 		case startFetchFromPeer:
 			address := chooseStartPeer(order)
-			changes, err := fetchChanges(ctx, r, address, catalogQuery{}, section)
+			reading, err := fetchChanges(ctx, r, address, catalogQuery{}, section)
 			if err == nil {
-				return changes, true
+				return reading, true
 			}
 			logger.Debugf("read %s from peer %s at the first start: %v", section.path, address, err)
 		case startWaitForPeer:
--- a/peer/catalogrelaywire.go
+++ b/peer/catalogrelaywire.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"savorystep"
 )
 
@@ -101,15 +103,22 @@
 	maxWait time.Duration
 	// allowStale is true if the response may be of any age.
 	allowStale bool
+	// allowRelayed is true if the response may be a recent picture that the peer has
+	// got from another instance. Older builds ignore it.
+	allowRelayed bool
 }
 
 // urlValues returns the query as URL parameters.
 func (q catalogQuery) urlValues() url.Values {
-	return url.Values{
+	values := url.Values{
 		"after": {strconv.FormatUint(uint64(q.after), 10)},
 		"old":   {strconv.FormatBool(q.allowStale)},
 		"wait":  {strconv.FormatInt(q.maxWait.Milliseconds(), 10)},
 	}
+	if q.allowRelayed {
+		values.Set("relayed", "true")
+	}
+	return values
 }
 
 // parseCatalogQuery parses URL parameters. The error has kind KindBadRequest.
@@ -120,7 +129,10 @@
 	if err := errors.Join(err, waitErr, staleErr); err != nil {
 		return catalogQuery{}, savorystep.WrapError(savorystep.KindBadRequest, err, "parse catalog query")
 	}
-	return catalogQuery{after: savorystep.CatalogVersion(after), maxWait: time.Duration(maxWait) * time.Millisecond, allowStale: allowStale}, nil //nolint:gosec // maxWait has 16 bits.
+	return catalogQuery{
+		after: savorystep.CatalogVersion(after), maxWait: time.Duration(maxWait) * time.Millisecond, //nolint:gosec // maxWait has 16 bits.
+		allowStale: allowStale, allowRelayed: values.Get("relayed") == "true",
+	}, nil
 }
 
 // fetchCatalog fetches the changes after a version from a peer, and the age of the
@@ -153,32 +165,36 @@
 	if order := response.Header.Get(orderHeader); query.after != 0 && order != orderByEra {
 		return decoded, 0, savorystep.WrapError(savorystep.KindNotReady, errStale, "peer %s orders versions of %s by %q, want %q", address, path, order, orderByEra)
 	}
+	age, ok := ageOf(response.Header)
+	if query.allowRelayed && !ok {
+		return decoded, 0, savorystep.WrapError(savorystep.KindNotReady, errStale, "peer %s does not state the age of %s", address, path)
+	}
 	decoded, err = Codec[T]{Limit: maxListBytes}.Decode(data)
-	return decoded, ageOf(response.Header), err
+	return decoded, age, err
 }
 
 // Handler serves the catalog, as this instance has read it, to other instances.
 func (r *CatalogRelay) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET "+endpointsPath, func(w http.ResponseWriter, request *http.Request) {
-		serveCatalog(w, request, r, maxEndpointsAge, func(m *mirror, after savorystep.CatalogVersion) (endpointsResponse, time.Time, bool) {
-			return newEndpointsResponse(&m.endpoints, after), m.endpoints.upToDateAt(m.endpoints.version, after), m.endpoints.version > after
+		serveCatalog(w, request, r, maxEndpointsAge, func(m *mirror, query catalogQuery) (endpointsResponse, time.Time, bool) {
+			return newEndpointsResponse(&m.endpoints, query.after), m.endpoints.upToDateAt(m.endpoints.version, query), m.endpoints.version > query.after
 		})
 	})
 	mux.HandleFunc("GET "+operatorPath, func(w http.ResponseWriter, request *http.Request) {
-		serveCatalog(w, request, r, maxOperatorAge, func(m *mirror, after savorystep.CatalogVersion) (operatorResponse, time.Time, bool) {
-			changes := m.operator.changesSince(after)
-			hasChanges := after != 0 && changes.Full || changes.Routing != nil || len(changes.EvacuatedZones)+len(changes.RestoredZones) > 0
-			return newOperatorResponse(changes), m.operator.upToDateAt(m.operator.version, after), hasChanges
+		serveCatalog(w, request, r, maxOperatorAge, func(m *mirror, query catalogQuery) (operatorResponse, time.Time, bool) {
+			changes := m.operator.changesSince(query.after)
+			hasChanges := query.after != 0 && changes.Full || changes.Routing != nil || len(changes.EvacuatedZones)+len(changes.RestoredZones) > 0
+			return newOperatorResponse(changes), m.operator.upToDateAt(m.operator.version, query), hasChanges
 		})
 	})
 	return mux
 }
 
-// A mirrorReadFunc returns the changes after a version, the time at which the
+// A mirrorReadFunc returns the changes that a query requests, the time at which the
 // mirror was last up to date, and whether there is a change. It is called with
 // the mirror's mutex held.
-type mirrorReadFunc[T any] func(*mirror, savorystep.CatalogVersion) (T, time.Time, bool)
+type mirrorReadFunc[T any] func(*mirror, catalogQuery) (T, time.Time, bool)
 
 // waitForChanges returns the changes that a query requests, and the time at which
 // the mirror was last up to date, as soon as there is a change or maxWait has passed. It returns false as soon as the mirror was last up to
@@ -187,10 +203,10 @@
 func waitForChanges[T any](ctx context.Context, r *CatalogRelay, query catalogQuery, maxAge time.Duration, readMirror mirrorReadFunc[T]) (T, time.Time, bool) {
 	timer := time.NewTimer(query.maxWait)
 	defer timer.Stop()
-	isWaiting := true
+	isWaiting := query.maxWait > 0
 	for {
 		r.mirror.mu.Lock()
-		response, upToDateAt, hasChanges := readMirror(r.mirror, query.after)
+		response, upToDateAt, hasChanges := readMirror(r.mirror, query)
 		changed := r.mirror.changeSignal
 		r.mirror.mu.Unlock()
 		if query.allowStale {
@@ -220,6 +236,21 @@
 	}
 }
 
+// acquire admits a query and returns a function that ends it. It returns false if this
+// instance serves too many queries of the kind.
+func (r *CatalogRelay) acquire(query catalogQuery) (release func(), ok bool) {
+	var reads *semaphore.Weighted
+	switch {
+	case query.after == 0:
+		reads = r.fullReads
+	case query.allowRelayed:
+		reads = r.relayedReads
+	default:
+		return func() {}, true
+	}
+	return func() { reads.Release(1) }, reads.TryAcquire(1)
+}
+
 // serveCatalog answers a query. It responds with status 503 if the mirror is
 // too old.
 func serveCatalog[T any](w http.ResponseWriter, request *http.Request, r *CatalogRelay, maxAge time.Duration, readMirror mirrorReadFunc[T]) {
@@ -232,13 +263,12 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	if query.after == 0 {
-		if !r.fullReads.TryAcquire(1) {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		defer r.fullReads.Release(1)
+	release, ok := r.acquire(query)
+	if !ok {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
+	defer release()
 	response, upToDateAt, ok := waitForChanges(request.Context(), r, query, maxAge, readMirror)
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/peer/catalogresync.go
+++ b/peer/catalogresync.go
@@ -23,7 +23,7 @@
 // resync reads a section after the store has dropped the changes since the query's
 // version. All instances notice that at the same moment, so followers leave the read
 // of the whole section to their readers.
-func resync[R any, C catalogChanges](ctx context.Context, r *CatalogRelay, query catalogQuery, section catalogSection[R, C]) (C, error) {
+func resync[R any, C catalogChanges](ctx context.Context, r *CatalogRelay, query catalogQuery, section catalogSection[R, C]) (catalogReading[C], error) {
 	started := r.config.Clock.Now()
 	for ctx.Err() == nil {
 		readers := r.readers()
@@ -35,23 +35,22 @@
 			break
 		}
 		for _, reader := range readers {
-			changes, err := fetchChanges(ctx, r, reader, catalogQuery{after: query.after}, section)
-			if err == nil && changes.UpTo() > query.after {
+			reading, err := fetchChanges(ctx, r, reader, catalogQuery{after: query.after}, section)
+			if err == nil && reading.changes.UpTo() > query.after {
 				logger.Infof("%s after version %v is read from reader %s, the store has dropped the changes", section.path, query.after, reader)
-				return changes, nil
+				return reading, nil
 			}
 		}
 		savorystep.Sleep(ctx, resyncPollInterval)
 	}
-	reading := r.startReading()
-	changes, err := section.readStore(ctx, 0, 0)
+	reading, err := readStore(ctx, r, catalogQuery{}, section)
 	if err != nil {
-		return changes, err
+		return reading, err
 	}
-	if changes.UpTo() < query.after {
-		return changes, savorystep.NewError(savorystep.KindPlatformDown, "whole read of %s is of version %v, version %v is known", section.path, changes.UpTo(), query.after)
+	upTo := reading.changes.UpTo()
+	if upTo < query.after {
+		return reading, savorystep.NewError(savorystep.KindPlatformDown, "whole read of %s is of version %v, version %v is known", section.path, upTo, query.after)
 	}
-	logger.Infof("%s is read whole at version %v, the store has dropped the changes after version %v", section.path, changes.UpTo(), query.after)
-	section.apply(reading.upToDateAt(), changes, originStore)
-	return changes, nil
+	logger.Infof("%s is read whole at version %v, the store has dropped the changes after version %v", section.path, upTo, query.after)
+	return reading, nil
 }
--- a/peer/export_test.go
+++ b/peer/export_test.go
@@ -35,7 +35,7 @@
 	now := r.config.AgeClock.Now()
 	r.mirror.mu.Lock()
 	defer r.mirror.mu.Unlock()
-	return now.Sub(r.mirror.endpoints.upToDateAt(0, 0)) < maxEndpointsAge, now.Sub(r.mirror.operator.upToDateAt(0, 0)) < maxOperatorAge
+	return now.Sub(r.mirror.endpoints.upToDateAt(0, catalogQuery{})) < maxEndpointsAge, now.Sub(r.mirror.operator.upToDateAt(0, catalogQuery{})) < maxOperatorAge
 }
 
 // RestartConfig returns the configuration of a relay for a later start.
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -47,14 +47,17 @@
 	originStore changeOrigin = iota
 	// originReader is a reader that has read the store recently.
 	originReader
+	// originFallback is a peer with a recent picture that was queried because neither
+	// the readers nor the store responded.
+	originFallback
 	// originPeer is a peer that returned its whole catalog, which may be old.
 	originPeer
 )
 
 // A freshness records when a section of the catalog was last up to date.
 type freshness struct {
-	// storeReadAt is when this instance last read the store, updatedAt when it
-	// last read the store or a reader that had read it recently.
+	// storeReadAt is when this instance last read the store, updatedAt when its picture,
+	// from the store or from a peer, was last up to date.
 	storeReadAt, updatedAt time.Time
 }
 
@@ -64,22 +67,22 @@
 	switch origin {
 	case originStore:
 		f.storeReadAt, f.updatedAt = upToDateAt, upToDateAt
-	case originReader:
+	case originReader, originFallback:
 		f.updatedAt = upToDateAt
 	case originPeer:
 	}
 }
 
-// upToDateAt returns the time that determines whether a query after a version
-// may be answered from a section at a version. Followers get only what this instance
-// has read from the store itself. Starting instances, which query after version 0, may
-// get the catalog from any instance that is up to date. The zero time is returned if
-// the store has been restored since the section was read.
-func (f *freshness) upToDateAt(version, after savorystep.CatalogVersion) time.Time {
+// upToDateAt returns the time that determines whether a query may be answered from a
+// section at a version. Followers get only what this instance has read from the store
+// itself. Starting instances, which query after version 0, and those that the readers
+// and the store turn away may get the catalog from any instance that is up to date. The
+// zero time is returned if the store has been restored since the section was read.
+func (f *freshness) upToDateAt(version savorystep.CatalogVersion, query catalogQuery) time.Time {
 	switch {
-	case after.IsRestored(version):
+	case query.after.IsRestored(version):
 		return time.Time{}
-	case after == 0:
+	case query.after == 0, query.allowRelayed:
 		return f.updatedAt
 	default:
 		return f.storeReadAt
