Give the grace of an outage to entries that expire after the store's return

Cause: only entries missing from the first read of the list had a grace, so one that the store removed some hundred milliseconds after its return was taken for one that left; and the last read before the end of the grace could be up to 0.8 s old, so that an entry that was listed again in time was not seen.

The grace holds for all removals that are read before its end, which has not moved, and the list is read once more 0.1 s before it.

--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -34,6 +34,9 @@
 	// restoredGrace is the same for endpoints that a restored store lacks: they are
 	// written again within 2 s, and read up to listInterval later.
 	restoredGrace = 3 * time.Second
+	// lastListMargin is the time before the end of the grace at which the list is read
+	// once more.
+	lastListMargin = 100 * time.Millisecond
 	// minOutage is the shortest store outage after which entries may be missing
 	// because they expired during the outage. An entry expires when three reports
 	// are missed, of which two may have been missed before the first failed read.
@@ -59,6 +62,9 @@
 	// graceUntil holds the endpoints that were missing from the list after a store
 	// outage, with the time until which they still get requests.
 	graceUntil map[savorystep.EndpointID]time.Time
+	// graceEnd is until when endpoints that the store removes after it came back still
+	// get requests.
+	graceEnd time.Time
 	// listFailedSince is when reads of the endpoint list began to fail, zero while
 	// they succeed.
 	listFailedSince time.Time
@@ -162,11 +168,22 @@
 		if !isFirst {
 			// The first list may come from a peer and be a second old, so the
 			// second read follows at once.
-			savorystep.Sleep(ctx, listInterval-now.Sub(startedAt))
+			savorystep.Sleep(ctx, w.nextListRead(now, startedAt).Sub(now))
 		}
 	}
 }
 
+// nextListRead returns when the list is read after a read that began at startedAt. If a
+// grace ends before the usual time, it is read once more before that.
+func (w *Watcher) nextListRead(now, startedAt time.Time) time.Time {
+	next := startedAt.Add(listInterval)
+	last := w.graceEnd.Add(-lastListMargin)
+	if len(w.graceUntil) > 0 && now.Before(last) && last.Before(next) {
+		return last
+	}
+	return next
+}
+
 // recordListFailure records a failed read of the endpoint list.
 func (w *Watcher) recordListFailure(now time.Time) {
 	if w.listFailedSince.IsZero() {
@@ -178,16 +195,15 @@
 // store has been restored from a copy that lacks them, removed endpoints get a grace
 // time.
 func (w *Watcher) applyList(now time.Time, changes savorystep.EndpointChanges, isRestored bool) {
-	var graceEnd time.Time
 	switch {
 	case isRestored:
-		graceEnd = now.Add(restoredGrace)
+		w.graceEnd = now.Add(restoredGrace)
 	case !w.listFailedSince.IsZero() && now.Sub(w.listFailedSince) >= minOutage:
-		graceEnd = w.recoveryTime(now).Add(relistGrace)
+		w.graceEnd = w.recoveryTime(now).Add(relistGrace)
 	}
 	w.listFailedSince = time.Time{}
 	w.config.Router.WithTable(func(t *endpoint.Table) {
-		w.removeEndpoints(now, t, removedEndpoints(t, changes), graceEnd)
+		w.removeEndpoints(now, t, removedEndpoints(t, changes))
 		for _, entry := range changes.Endpoints {
 			delete(w.graceUntil, entry.ID)
 			t.SetExpiry(entry.ID, time.Time{})
@@ -224,16 +240,16 @@
 	return now
 }
 
-// removeEndpoints removes endpoints from the table. If graceEnd is set, the entries may
-// be missing only because of an outage or a restore of the store, and the endpoints
-// still get requests until then.
-func (w *Watcher) removeEndpoints(now time.Time, t *endpoint.Table, ids []savorystep.EndpointID, graceEnd time.Time) {
+// removeEndpoints removes endpoints from the table. Until graceEnd the entries may be
+// missing only because of an outage or a restore of the store, and the endpoints still
+// get requests.
+func (w *Watcher) removeEndpoints(now time.Time, t *endpoint.Table, ids []savorystep.EndpointID) {
 	for _, id := range ids {
 		switch _, hasGrace := w.graceUntil[id]; {
 		case hasGrace:
-		case !graceEnd.IsZero():
-			w.graceUntil[id] = graceEnd
-			t.SetExpiry(id, graceEnd)
+		case now.Before(w.graceEnd):
+			w.graceUntil[id] = w.graceEnd
+			t.SetExpiry(id, w.graceEnd)
 		case t.Remove(now, id):
 			log.Infof("endpoint %s is gone", id)
 		}
