Use an endpoint at its first report after the grace of an outage

An endpoint that reported again later than 1.8 s after the store's return, because its own connection was away longer, got no requests until a second entry, which does not come: an entry does not change with the report alone.

Cause: it was removed like one that has left, of which one report may be late.

--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -107,6 +107,14 @@
 	t.tombstones[entry.ID].recordRewrite(entry)
 }
 
+// RemoveExpired removes an endpoint whose entry the store did not list again in time
+// after an outage. A single newer report shows that it is live.
+func (t *Table) RemoveExpired(now time.Time, id savorystep.EndpointID) {
+	if t.Remove(now, id) {
+		t.tombstones[id].needsOneReport = true
+	}
+}
+
 // Remove removes an endpoint and keeps a tombstone of it. It returns false if the
 // endpoint is unknown.
 func (t *Table) Remove(now time.Time, id savorystep.EndpointID) bool {
--- a/endpoint/tombstone.go
+++ b/endpoint/tombstone.go
@@ -19,6 +19,8 @@
 	// laterSequence is the report sequence of the first report after the one that
 	// was known at the removal, zero before such a report.
 	laterSequence uint64
+	// needsOneReport is true if a single newer report shows that the endpoint is live.
+	needsOneReport bool
 	// rateLimiter and holdOff are kept because the entry of a live endpoint may expire
 	// and be added again while what the endpoint stated stands.
 	rateLimiter rateLimiter
@@ -67,7 +69,7 @@
 	if entry.StartedAtMillis < tomb.startedAtMillis || entry.ReportSequence <= tomb.reportSequence {
 		return true
 	}
-	if tomb.laterSequence == 0 || entry.ReportSequence <= tomb.laterSequence {
+	if !tomb.needsOneReport && (tomb.laterSequence == 0 || entry.ReportSequence <= tomb.laterSequence) {
 		tomb.laterSequence = entry.ReportSequence
 		return true
 	}
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -261,7 +261,7 @@
 	for id, until := range w.graceUntil {
 		if !now.Before(until) {
 			delete(w.graceUntil, id)
-			t.Remove(now, id)
+			t.RemoveExpired(now, id)
 			log.Infof("endpoint %s is gone: not listed again by the store in time after its outage or restore", id)
 		}
 	}
