Use an endpoint whose only new report is listed for longer than a late one

Found while TestEndpointsAfterOutage was traced.

The entry is kept and used after 6 s, when the store would have removed that of an endpoint which has left.

--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -120,6 +120,9 @@
 func (t *Table) Remove(now time.Time, id savorystep.EndpointID) bool {
 	s := t.byID[id]
 	if s == nil {
+		if tomb := t.tombstones[id]; tomb != nil {
+			tomb.pendingSince = time.Time{}
+		}
 		return false
 	}
 	delete(t.byID, id)
@@ -137,12 +140,17 @@
 	}
 }
 
-// IDs returns the ids of all endpoints, in no order.
+// IDs returns the ids of all endpoints and of those that are pending, in no order.
 func (t *Table) IDs() []savorystep.EndpointID {
 	ids := make([]savorystep.EndpointID, 0, len(t.byID))
 	for id := range t.byID {
 		ids = append(ids, id)
 	}
+	for id, tomb := range t.tombstones {
+		if !tomb.pendingSince.IsZero() {
+			ids = append(ids, id)
+		}
+	}
 	return ids
 }
 
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -52,6 +52,8 @@
 		return s.put(t, d)
 	case "remove":
 		return fmt.Sprintln(s.table.Remove(s.now, savorystep.EndpointID(arg(t, d, "id"))))
+	case "put-pending":
+		s.table.PutPending(s.now)
 	case "evacuate":
 		s.table.Evacuate(savorystep.Zone(arg(t, d, "zone")))
 	case "end-evacuation":
--- a/endpoint/tombstone.go
+++ b/endpoint/tombstone.go
@@ -10,6 +10,11 @@
 // that were in flight at the removal are written within seconds.
 const tombstoneTTL = time.Minute
 
+// lateReportTTL is how long the store lists an entry that was written by a delayed
+// report, at most: three report intervals of 1.5 s, and the time until its removal is
+// read.
+const lateReportTTL = 6 * time.Second
+
 // A tombstone records the last entry of a removed endpoint, so that a delayed
 // report does not add the endpoint again.
 type tombstone struct {
@@ -21,6 +26,11 @@
 	laterSequence uint64
 	// needsOneReport is true if a single newer report shows that the endpoint is live.
 	needsOneReport bool
+	// pending is the entry of that report, and pendingSince when it was put, zero
+	// without one. The entry does not change with each report, so it may be the only
+	// one of a live endpoint.
+	pending      savorystep.Endpoint
+	pendingSince time.Time
 	// rateLimiter and holdOff are kept because the entry of a live endpoint may expire
 	// and be added again while what the endpoint stated stands.
 	rateLimiter rateLimiter
@@ -67,12 +77,28 @@
 		return false
 	}
 	if entry.StartedAtMillis < tomb.startedAtMillis || entry.ReportSequence <= tomb.reportSequence {
+		tomb.pendingSince = time.Time{}
 		return true
 	}
 	if !tomb.needsOneReport && (tomb.laterSequence == 0 || entry.ReportSequence <= tomb.laterSequence) {
 		tomb.laterSequence = entry.ReportSequence
+		if tomb.pendingSince.IsZero() {
+			tomb.pendingSince = now
+		}
+		tomb.pending = entry
 		return true
 	}
 	delete(t.tombstones, entry.ID)
 	return false
 }
+
+// PutPending adds the endpoints whose entry may have been a delayed report, but is
+// listed for longer than the store lists that of an endpoint which has left.
+func (t *Table) PutPending(now time.Time) {
+	for _, tomb := range t.tombstones {
+		if !tomb.pendingSince.IsZero() && now.Sub(tomb.pendingSince) >= lateReportTTL {
+			tomb.needsOneReport = true
+			t.Put(now, tomb.pending)
+		}
+	}
+}
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -213,6 +213,7 @@
 			}
 		}
 		w.removeExpired(now, t)
+		t.PutPending(now)
 	})
 	w.config.Router.hasEndpoints.Store(true)
 }
