Do not count an outage of the store in the hold of what it lost

The time from the last read before an outage to the first after it is added to the hold, so that a store that fails now and then ends it after 10 s of reads.

--- a/ingress/operatorstate.go
+++ b/ingress/operatorstate.go
@@ -8,7 +8,8 @@
 )
 
 // restoredHold is how long a configuration and evacuations stay in force that a
-// restored store lacks. Operators write again what it lacks within seconds; the store
+// restored store lacks, not counting the time in which the store can't be read.
+// Operators write again what it lacks within seconds; the store
 // counts as stable 4 s after its return, and a change takes effect within 3 s of that.
 const restoredHold = 10 * time.Second
 
@@ -108,6 +109,14 @@
 	log.Warningf("zone %s stays evacuated although the restored store does not list it", zone)
 }
 
+// extendHold extends the hold by a time in which the store could not be read, since
+// nobody could write again what it lacks.
+func (s *operatorState) extendHold(outage time.Duration) {
+	if !s.holdUntil.IsZero() {
+		s.holdUntil = s.holdUntil.Add(outage)
+	}
+}
+
 // endHold puts the state of the restored store in force.
 func (s *operatorState) endHold(now time.Time, router *Router) {
 	s.holdUntil = time.Time{}
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -109,6 +109,7 @@
 		now := w.config.Clock.Now()
 		if err == nil && dep.consecutiveFailures > 0 {
 			w.operatorReadsRecoveredAt.Store(&now)
+			w.operatorState.extendHold(now.Sub(lastReadAt))
 		}
 		dep.record(now, err)
 		if err != nil {
