Recover from an era of the store that was stated wrongly

One response with an era that is too great made every later response of the store an error at that instance, for good, and its followers and it never took up a change again (CONFIG).

Cause: the greatest era ever stated counted, and a catalog version never went back.

- After that the catalog goes back: mirrors, the resume points and the entries' versions are replaced by those of the store's era, as after a restore.

--- a/catalog.go
+++ b/catalog.go
@@ -38,6 +38,13 @@
 	return since != 0 && v.Era() > since.Era()
 }
 
+// IsOfOtherEra reports whether a catalog at this version is of another era than an
+// earlier version. The era is an earlier one only if a greater one was stated wrongly.
+// It is false after version 0.
+func (v CatalogVersion) IsOfOtherEra(since CatalogVersion) bool {
+	return since != 0 && v.Era() != since.Era()
+}
+
 // String returns the version with its era.
 func (v CatalogVersion) String() string {
 	return fmt.Sprintf("%d (era %d)", v.InEra(), v.Era())
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -100,13 +100,21 @@
 // Otherwise the entry was written later, but by an older report: it may have been
 // removed in the meantime and added again by that report.
 func (t *Table) putOldReport(now time.Time, known *endpointState, entry savorystep.Endpoint) {
-	if entry.WrittenVersion.IsRestored(known.WrittenVersion) {
+	if known.WrittenVersion == 0 || entry.WrittenVersion.IsRestored(known.WrittenVersion) {
 		return
 	}
 	t.Remove(now, entry.ID)
 	t.tombstones[entry.ID].recordRewrite(entry)
 }
 
+// ForgetVersions forgets at which versions entries were written, because the catalog
+// has gone back to an earlier version.
+func (t *Table) ForgetVersions() {
+	for _, s := range t.byID {
+		s.WrittenVersion = 0
+	}
+}
+
 // RemoveExpired removes an endpoint whose entry the store did not list again in time
 // after an outage. A single newer report shows that it is live.
 func (t *Table) RemoveExpired(now time.Time, id savorystep.EndpointID) {
--- a/ingress/operatorstate.go
+++ b/ingress/operatorstate.go
@@ -35,7 +35,7 @@
 // time since the configuration was last read, which bounds how long a change was
 // pending.
 func (s *operatorState) apply(now time.Time, router *Router, changes savorystep.OperatorChanges, sinceLastRead time.Duration) {
-	isRestored := changes.Version.IsRestored(s.version)
+	isRestored := changes.Version.IsOfOtherEra(s.version)
 	s.version = changes.Version
 	if isRestored {
 		s.holdUntil = now.Add(restoredHold)
@@ -51,13 +51,13 @@
 }
 
 // applyRouting puts a routing in force unless it is older than the one in force.
-// Revisions are compared within an era: an equal one of a later era is put in force,
-// an older one of a later era when the hold ends.
+// Revisions are compared within an era: an equal one of another era is put in force, an
+// older one of another era when the hold ends.
 func (s *operatorState) applyRouting(router *Router, changes savorystep.OperatorChanges, sinceLastRead time.Duration) {
 	routing, current, era := changes.Routing, router.Routing(), changes.Version.Era()
-	isOfLaterEra := current != nil && era > s.routingEra
+	isOfOtherEra := current != nil && era != s.routingEra
 	isAccepted := router.SetRouting(routing)
-	if !isAccepted && isOfLaterEra && (routing.Revision == current.Revision || s.holdUntil.IsZero()) {
+	if !isAccepted && isOfOtherEra && (routing.Revision == current.Revision || s.holdUntil.IsZero()) {
 		router.RestoreRouting(routing)
 		isAccepted = true
 	}
@@ -65,7 +65,7 @@
 	case isAccepted:
 		s.routingEra, s.restoredRouting = era, nil
 		log.Infof("routing revision %d with %d routes at catalog version %v is in force, the read before ended %v ago", routing.Revision, len(routing.Routes), changes.Version, sinceLastRead.Round(time.Millisecond))
-	case isOfLaterEra:
+	case isOfOtherEra:
 		s.restoredRouting = routing
 		log.Warningf("routing revision %d at catalog version %v is older than revision %d in force, which stays until the operators write it again or the hold ends", routing.Revision, changes.Version, current.Revision)
 	case routing.Revision < current.Revision:
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -163,7 +163,10 @@
 			continue
 		}
 		isFirst := version == 0 && changes.Version != 0
-		isRestored := changes.Version.IsRestored(version)
+		isRestored := changes.Version.IsOfOtherEra(version)
+		if changes.Version < version {
+			w.config.Router.WithTable(func(t *endpoint.Table) { t.ForgetVersions() })
+		}
 		version = changes.Version
 		w.applyList(now, changes, isRestored)
 		if !isFirst {
--- a/peer/catalogresync.go
+++ b/peer/catalogresync.go
@@ -48,7 +48,7 @@
 	if err != nil {
 		return changes, err
 	}
-	if changes.UpTo() < query.after {
+	if upTo := changes.UpTo(); upTo < query.after && !upTo.IsOfOtherEra(query.after) {
 		return changes, savorystep.NewError(savorystep.KindPlatformDown, "whole read of %s is of version %v, version %v is known", section.path, changes.UpTo(), query.after)
 	}
 	logger.Infof("%s is read whole at version %v, the store has dropped the changes after version %v", section.path, changes.UpTo(), query.after)
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -152,10 +152,8 @@
 // apply applies changes and records removals. A removed endpoint that is listed
 // again keeps its removal.
 func (m *endpointMirror) apply(now time.Time, changes savorystep.EndpointChanges) {
-	if m.removalsFrom == 0 || changes.Version.IsRestored(m.version) {
-		// Followers may have read entries of the era before that this instance has
-		// not.
-		m.removalsFrom = changes.Version
+	if m.removalsFrom == 0 || changes.Version.IsOfOtherEra(m.version) {
+		m.forget(changes.Version)
 	}
 	if changes.Full {
 		listed := make(map[savorystep.EndpointID]bool, len(changes.Endpoints))
@@ -178,7 +176,7 @@
 		// may stem from a late report of an endpoint that has left. A follower
 		// that does not get the removal would take the entry for a new
 		// endpoint.
-		if known, ok := m.entries[entry.ID]; !ok || reportOf(known).applyTo(entry) != known {
+		if known, ok := m.entries[entry.ID]; !ok || m.entryVersions[entry.ID] == 0 || reportOf(known).applyTo(entry) != known {
 			m.entryVersions[entry.ID] = entry.WrittenVersion
 		}
 		m.entries[entry.ID] = entry
@@ -192,6 +190,14 @@
 	m.version = max(m.version, changes.Version)
 }
 
+// forget forgets at which versions the list has changed. Followers may have read entries
+// at the given version, or in another era, that this instance has not.
+func (m *endpointMirror) forget(version savorystep.CatalogVersion) {
+	m.version, m.removalsFrom = version, version
+	clear(m.entryVersions)
+	clear(m.removals)
+}
+
 // changesSince returns the changes after a version, or the whole list if
 // removals after the version may be missing.
 func (m *endpointMirror) changesSince(after savorystep.CatalogVersion) savorystep.EndpointChanges {
@@ -230,10 +236,13 @@
 }
 
 // apply applies changes and reports whether they had an effect. The configuration of
-// a restored store replaces that of the era before, whatever their revisions.
+// another era replaces that of the era before, whatever their revisions.
 func (o *operatorMirror) apply(changes savorystep.OperatorChanges) bool {
-	isRestored := changes.Version.IsRestored(o.version)
-	changed := isRestored
+	isOfOtherEra := changes.Version.IsOfOtherEra(o.version)
+	changed := isOfOtherEra
+	if isOfOtherEra {
+		clear(o.zones)
+	}
 	setZone := func(zone savorystep.Zone, isEvacuated bool) {
 		if o.zones[zone].isEvacuated != isEvacuated {
 			o.zones[zone] = zoneState{version: changes.Version, isEvacuated: isEvacuated}
@@ -251,11 +260,13 @@
 	for _, zone := range changes.EvacuatedZones {
 		setZone(zone, true)
 	}
-	if r := changes.Routing; r != nil && (o.routing == nil || isRestored || r.Revision > o.routing.Revision) {
+	if r := changes.Routing; r != nil && (o.routing == nil || isOfOtherEra || r.Revision > o.routing.Revision) {
 		o.routing, o.routingVersion = r, changes.Version
 		changed = true
 	}
-	o.version = max(o.version, changes.Version)
+	if isOfOtherEra || changes.Version > o.version {
+		o.version = changes.Version
+	}
 	return changed
 }
 
