Hand out no configuration of another era as one of the restored store

Cause: the reader's mirror replaced its configuration at a change of era only by another one. It has none now until the store has one; followers keep what is in force by their own hold.

TestRelayForwardsLowerRevisionOfRestoredStore: the follower gets revision 7 instead of none and instead of 3 before, none and 3 now.

--- a/peer/catalogrelay_test.go
+++ b/peer/catalogrelay_test.go
@@ -439,3 +439,38 @@
 		t.Errorf("endpoint changes after %d reads of the store, want 1: %+v, %v", r.catalog.reads, list, err)
 	}
 }
+
+// TestRelayForwardsLowerRevisionOfRestoredStore guards against a reader that hands out
+// the configuration of the era before as one of the restored store, which has none at
+// first, and never a lower revision that operators write then.
+func TestRelayForwardsLowerRevisionOfRestoredStore(t *testing.T) {
+	r := newRelayPair(t)
+	r.readAll(t)
+	routes := r.catalog.operator.Routing.Routes
+	for _, step := range []struct {
+		version uint64
+		routing *savorystep.Routing
+		want    savorystep.Revision
+	}{
+		{version: 3},
+		{version: 4, routing: savorystep.NewRouting(3, routes, nil, savorystep.ClientLimits{}), want: 3},
+	} {
+		r.catalog.update(func(f *fakeCatalog) {
+			f.operator = savorystep.OperatorChanges{Version: savorystep.NewCatalogVersion(2, step.version), Routing: step.routing}
+		})
+		if _, err := r.reader.OperatorChanges(t.Context(), 4, 0); err != nil {
+			t.Fatal(err)
+		}
+		changes, err := r.follower.OperatorChanges(t.Context(), 4, 0)
+		if err != nil || changes.Version.InEra() != step.version {
+			t.Fatalf("changes %+v, %v, want version %d", changes, err, step.version)
+		}
+		var revision savorystep.Revision
+		if changes.Routing != nil {
+			revision = changes.Routing.Revision
+		}
+		if revision != step.want {
+			t.Errorf("version %v has revision %d, want %d", changes.Version, revision, step.want)
+		}
+	}
+}
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -242,6 +242,7 @@
 	changed := isOfOtherEra
 	if isOfOtherEra {
 		clear(o.zones)
+		o.routing, o.routingVersion = nil, changes.Version
 	}
 	setZone := func(zone savorystep.Zone, isEvacuated bool) {
 		if o.zones[zone].isEvacuated != isEvacuated {
@@ -260,7 +261,7 @@
 	for _, zone := range changes.EvacuatedZones {
 		setZone(zone, true)
 	}
-	if r := changes.Routing; r != nil && (o.routing == nil || isOfOtherEra || r.Revision > o.routing.Revision) {
+	if r := changes.Routing; r != nil && (o.routing == nil || r.Revision > o.routing.Revision) {
 		o.routing, o.routingVersion = r, changes.Version
 		changed = true
 	}
