Let an instance ask others what they keep of a restored store's lost part

Cause: the others keep what they saw confirmed; this instance knows the copy only. Class: what a restored store does not say any more is taken for something that did not happen.

An instance whose first read is of a restored store, or that sees the era change, asks up to three ready peers at /catalog/retained: for a routing with a greater revision, evacuations, and endpoints that left before the restore, also in entries of it that say that they drain. It keeps them for as long as the peer does, 10 s at most, only if the store is in the era that it asked for; an older era wins over nothing. In era 1 nobody asks.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -174,6 +174,7 @@
 	peerMux.Handle(peer.WebSocketPath, g.exchange.Handler())
 	peerMux.Handle(peer.StatusesPath, g.exchange.Handler())
 	peerMux.Handle("/catalog/", g.catalogRelay.Handler())
+	peerMux.Handle(peer.RetainedPath, g.catalogRelay.RetainedHandler(g.watcher))
 	handlers := []struct {
 		address savorystep.Address
 		handler http.Handler
--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -90,7 +90,7 @@
 }
 
 func newGatewayWatcher(settings platform.Settings, relay *peer.CatalogRelay, clock savorystep.Clock, router *ingress.Router) *ingress.Watcher {
-	return ingress.NewWatcher(ingress.WatcherConfig{Catalog: relay, Clock: clock, Router: router, RegionByZone: settings.RegionByZone})
+	return ingress.NewWatcher(ingress.WatcherConfig{Catalog: relay, Clock: clock, Retained: relay, Router: router, RegionByZone: settings.RegionByZone})
 }
 
 func newGatewayExchange(settings platform.Settings, clock savorystep.Clock, self savorystep.Instance) *peer.Exchange {
--- a/ingress/operatorstate.go
+++ b/ingress/operatorstate.go
@@ -24,6 +24,9 @@
 	// holdUntil is when the state of the restored store counts, zero if nothing of an
 	// earlier era is in force.
 	holdUntil time.Time
+	// eraReadAt is when the store was first read in its present era, later by the time
+	// in which it could not be read since.
+	eraReadAt time.Time
 	// restoredRouting is the store's routing, which is older than the one in force,
 	// nil if there is none.
 	restoredRouting *savorystep.Routing
@@ -36,6 +39,9 @@
 // pending.
 func (s *operatorState) apply(now time.Time, router *Router, changes savorystep.OperatorChanges, sinceLastRead time.Duration) {
 	isRestored := changes.Version.IsOfOtherEra(s.version)
+	if isRestored || s.version == 0 {
+		s.eraReadAt = now
+	}
 	s.version = changes.Version
 	if isRestored {
 		s.holdUntil = now.Add(restoredHold)
@@ -112,6 +118,7 @@
 // extendHold extends the hold by a time in which the store could not be read, since
 // nobody could write again what it lacks.
 func (s *operatorState) extendHold(outage time.Duration) {
+	s.eraReadAt = s.eraReadAt.Add(outage)
 	if !s.holdUntil.IsZero() {
 		s.holdUntil = s.holdUntil.Add(outage)
 	}
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -51,14 +52,20 @@
 	// RegionByZone maps availability zones to their regions. The endpoint list has
 	// zones only.
 	RegionByZone map[savorystep.Zone]savorystep.Region
+	// Retained fetches what other instances retain after the store has come back from
+	// a copy. If it is nil, this instance does not ask them.
+	Retained savorystep.RetainedStates
 }
 
 // A Watcher keeps the routing and endpoints of a Router up to date with the
 // catalog.
 type Watcher struct {
 	config WatcherConfig
-	// operatorState is used by the goroutine that watches the configuration.
+	// operatorMu guards operatorState.
+	operatorMu    sync.Mutex
 	operatorState operatorState
+	// retainedQueries holds the query that is to be sent to other instances.
+	retainedQueries chan savorystep.RetainedQuery
 	// graceUntil holds the endpoints that were missing from the list after a store
 	// outage, with the time until which they still get requests.
 	graceUntil map[savorystep.EndpointID]time.Time
@@ -76,21 +83,19 @@
 
 // NewWatcher returns a watcher that is not started.
 func NewWatcher(config WatcherConfig) *Watcher {
-	return &Watcher{config: config, graceUntil: make(map[savorystep.EndpointID]time.Time)}
+	return &Watcher{config: config, graceUntil: make(map[savorystep.EndpointID]time.Time), retainedQueries: make(chan savorystep.RetainedQuery, 1)}
 }
 
 // Start starts watching in goroutines. The channel receives nil after ctx ends and
 // all goroutines have returned.
 func (w *Watcher) Start(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
-	listDone := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() { w.watchList(ctx) })
+	group.Go(func() { w.learnRetained(ctx) })
+	group.Go(func() { w.watchOperatorChanges(ctx) })
 	go func() {
-		defer close(listDone)
-		w.watchList(ctx)
-	}()
-	go func() {
-		w.watchOperatorChanges(ctx)
-		<-listDone
+		group.Wait()
 		done <- nil
 	}()
 	return done
@@ -109,7 +114,7 @@
 		now := w.config.Clock.Now()
 		if err == nil && dep.consecutiveFailures > 0 {
 			w.operatorReadsRecoveredAt.Store(&now)
-			w.operatorState.extendHold(now.Sub(lastReadAt))
+			w.extendHold(now.Sub(lastReadAt))
 		}
 		dep.record(now, err)
 		if err != nil {
@@ -119,10 +124,13 @@
 			savorystep.Sleep(ctx, dep.backoff())
 			continue
 		}
-		hadVersion := version != 0
+		hadVersion, isRestored := version != 0, changes.Version.IsOfOtherEra(version)
 		version = changes.Version
-		w.operatorState.apply(now, w.config.Router, changes, now.Sub(lastReadAt))
+		w.applyOperatorChanges(now, changes, now.Sub(lastReadAt))
 		lastReadAt = now
+		if !hadVersion || isRestored {
+			w.requestRetained(version)
+		}
 		if version == 0 {
 			savorystep.Sleep(ctx, emptyStoreInterval)
 			continue
@@ -133,6 +141,20 @@
 	}
 }
 
+// applyOperatorChanges applies changes of the operators' configuration.
+func (w *Watcher) applyOperatorChanges(now time.Time, changes savorystep.OperatorChanges, sinceLastRead time.Duration) {
+	w.operatorMu.Lock()
+	defer w.operatorMu.Unlock()
+	w.operatorState.apply(now, w.config.Router, changes, sinceLastRead)
+}
+
+// extendHold extends the time for which the state of an earlier era stays in force.
+func (w *Watcher) extendHold(outage time.Duration) {
+	w.operatorMu.Lock()
+	defer w.operatorMu.Unlock()
+	w.operatorState.extendHold(outage)
+}
+
 // difference returns the items of list that are not in other.
 func difference[T comparable](list, other []T) []T {
 	excluded := make(map[T]bool, len(other))
