End the hold at an instance that comes back after the others ended theirs

An instance that was frozen or cut off from before the store's return until after the others' hold kept a zone evacuated, or an older configuration, for 10 s more, though operators had taken it back long before.

Cause: its hold counts from its own first read of the restored store.

A peer that has read the store for 10 s in the era, and keeps nothing, says so in its response at /catalog/retained, which ends the hold.

TestConfigAfterRestore, instances that come back 13 s after the store: a zone is not used 11 s after the end of its evacuation in 6 of 6 runs before, in none now.

--- a/ingress/retained.go
+++ b/ingress/retained.go
@@ -64,6 +64,7 @@
 		state.Remaining, goneBefore = restoredHold, now
 		router.WithTable(func(t *endpoint.Table) { state.EvacuatedZones = t.EvacuatedZones() })
 	case !now.Before(s.holdUntil):
+		state.IsSettled = now.Sub(s.eraReadAt) >= restoredHold
 		return state
 	default:
 		state.Remaining = s.holdUntil.Sub(now)
@@ -79,9 +80,16 @@
 }
 
 // applyRetained puts in force what another instance retains for an era, for as long as
-// that does at most. It does nothing if the store is in another era.
+// that does at most. What this instance retains ends if the other one says that the
+// store's state counts. It does nothing if the store is in another era.
 func (s *operatorState) applyRetained(now time.Time, router *Router, era savorystep.StoreEra, state savorystep.RetainedState) {
-	if s.version.Era() != era || state.Remaining <= 0 {
+	if s.version.Era() != era {
+		return
+	}
+	if state.IsSettled && !s.holdUntil.IsZero() {
+		s.endHold(now, router)
+	}
+	if state.Remaining <= 0 {
 		return
 	}
 	if until := now.Add(min(state.Remaining, restoredHold)); until.After(s.holdUntil) {
--- a/peer/retained.go
+++ b/peer/retained.go
@@ -37,18 +37,19 @@
 type retainedResponse struct {
 	Operator  operatorResponse
 	Remaining time.Duration
+	IsSettled bool
 	Gone      []savorystep.GoneEndpoint
 }
 
 func newRetainedResponse(state savorystep.RetainedState) retainedResponse {
 	changes := savorystep.OperatorChanges{Routing: state.Routing, EvacuatedZones: state.EvacuatedZones}
-	return retainedResponse{Operator: newOperatorResponse(changes), Remaining: state.Remaining, Gone: state.Gone}
+	return retainedResponse{Operator: newOperatorResponse(changes), Remaining: state.Remaining, IsSettled: state.IsSettled, Gone: state.Gone}
 }
 
 // state returns the state with the routing rebuilt from its parts.
 func (r retainedResponse) state() (savorystep.RetainedState, error) {
 	changes, err := r.Operator.changes()
-	return savorystep.RetainedState{Remaining: r.Remaining, Routing: changes.Routing, EvacuatedZones: changes.EvacuatedZones, Gone: r.Gone}, err
+	return savorystep.RetainedState{Remaining: r.Remaining, IsSettled: r.IsSettled, Routing: changes.Routing, EvacuatedZones: changes.EvacuatedZones, Gone: r.Gone}, err
 }
 
 // RetainedStates asks some ready peers, those of the region first, what they retain.
--- a/retained.go
+++ b/retained.go
@@ -10,6 +10,9 @@
 type RetainedState struct {
 	// Remaining is how long it stays in force at most.
 	Remaining time.Duration
+	// IsSettled is true if the instance retains nothing because the store's state has
+	// counted for long enough: what it lacks was not written again.
+	IsSettled bool
 	// Routing has a greater revision than that of the query, nil if there is none.
 	Routing *Routing
 	// EvacuatedZones must not receive requests.
