--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -100,18 +100,37 @@
 // Otherwise the entry was written later, but by an older report: it may have been
 // removed in the meantime and added again by that report.
 func (t *Table) putOldReport(now time.Time, known *endpointState, entry savorystep.Endpoint) {
-	if entry.WrittenVersion.IsRestored(known.WrittenVersion) {
+	if known.WrittenVersion == 0 || entry.WrittenVersion.IsRestored(known.WrittenVersion) {
 		return
 	}
 	t.Remove(now, entry.ID)
 	t.tombstones[entry.ID].recordRewrite(entry)
 }
 
+// ForgetVersions forgets at which versions entries were written, because the catalog
+// has gone back to an earlier version.
+func (t *Table) ForgetVersions() {
+	for _, s := range t.byID {
+		s.WrittenVersion = 0
+	}
+}
+
+// RemoveExpired removes an endpoint whose entry the store did not list again in time
+// after an outage. A single newer report shows that it is live.
+func (t *Table) RemoveExpired(now time.Time, id savorystep.EndpointID) {
+	if t.Remove(now, id) {
+		t.tombstones[id].needsOneReport = true
+	}
+}
+
 // Remove removes an endpoint and keeps a tombstone of it. It returns false if the
 // endpoint is unknown.
 func (t *Table) Remove(now time.Time, id savorystep.EndpointID) bool {
 	s := t.byID[id]
 	if s == nil {
+		if tomb := t.tombstones[id]; tomb != nil {
+			tomb.pendingSince = time.Time{}
+		}
 		return false
 	}
 	delete(t.byID, id)
@@ -129,12 +148,17 @@
 	}
 }
 
-// IDs returns the ids of all endpoints, in no order.
+// IDs returns the ids of all endpoints and of those that are pending, in no order.
 func (t *Table) IDs() []savorystep.EndpointID {
 	ids := make([]savorystep.EndpointID, 0, len(t.byID))
 	for id := range t.byID {
 		ids = append(ids, id)
 	}
+	for id, tomb := range t.tombstones {
+		if !tomb.pendingSince.IsZero() {
+			ids = append(ids, id)
+		}
+	}
 	return ids
 }
 
--- a/ingress/operatorstate.go
+++ b/ingress/operatorstate.go
@@ -8,7 +8,8 @@
 )
 
 // restoredHold is how long a configuration and evacuations stay in force that a
-// restored store lacks. Operators write again what it lacks within seconds; the store
+// restored store lacks, not counting the time in which the store can't be read.
+// Operators write again what it lacks within seconds; the store
 // counts as stable 4 s after its return, and a change takes effect within 3 s of that.
 const restoredHold = 10 * time.Second
 
@@ -23,6 +24,9 @@
 	// holdUntil is when the state of the restored store counts, zero if nothing of an
 	// earlier era is in force.
 	holdUntil time.Time
+	// eraReadAt is when the store was first read in its present era, later by the time
+	// in which it could not be read since.
+	eraReadAt time.Time
 	// restoredRouting is the store's routing, which is older than the one in force,
 	// nil if there is none.
 	restoredRouting *savorystep.Routing
@@ -34,7 +38,10 @@
 // time since the configuration was last read, which bounds how long a change was
 // pending.
 func (s *operatorState) apply(now time.Time, router *Router, changes savorystep.OperatorChanges, sinceLastRead time.Duration) {
-	isRestored := changes.Version.IsRestored(s.version)
+	isRestored := changes.Version.IsOfOtherEra(s.version)
+	if isRestored || s.version == 0 {
+		s.eraReadAt = now
+	}
 	s.version = changes.Version
 	if isRestored {
 		s.holdUntil = now.Add(restoredHold)
@@ -50,13 +57,13 @@
 }
 
 // applyRouting puts a routing in force unless it is older than the one in force.
-// Revisions are compared within an era: an equal one of a later era is put in force,
-// an older one of a later era when the hold ends.
+// Revisions are compared within an era: an equal one of another era is put in force, an
+// older one of another era when the hold ends.
 func (s *operatorState) applyRouting(router *Router, changes savorystep.OperatorChanges, sinceLastRead time.Duration) {
 	routing, current, era := changes.Routing, router.Routing(), changes.Version.Era()
-	isOfLaterEra := current != nil && era > s.routingEra
+	isOfOtherEra := current != nil && era != s.routingEra
 	isAccepted := router.SetRouting(routing)
-	if !isAccepted && isOfLaterEra && (routing.Revision == current.Revision || s.holdUntil.IsZero()) {
+	if !isAccepted && isOfOtherEra && (routing.Revision == current.Revision || s.holdUntil.IsZero()) {
 		router.RestoreRouting(routing)
 		isAccepted = true
 	}
@@ -64,7 +71,7 @@
 	case isAccepted:
 		s.routingEra, s.restoredRouting = era, nil
 		log.Infof("routing revision %d with %d routes at catalog version %v is in force, the read before ended %v ago", routing.Revision, len(routing.Routes), changes.Version, sinceLastRead.Round(time.Millisecond))
-	case isOfLaterEra:
+	case isOfOtherEra:
 		s.restoredRouting = routing
 		log.Warningf("routing revision %d at catalog version %v is older than revision %d in force, which stays until the operators write it again or the hold ends", routing.Revision, changes.Version, current.Revision)
 	case routing.Revision < current.Revision:
@@ -108,6 +115,15 @@
 	log.Warningf("zone %s stays evacuated although the restored store does not list it", zone)
 }
 
+// extendHold extends the hold by a time in which the store could not be read, since
+// nobody could write again what it lacks.
+func (s *operatorState) extendHold(outage time.Duration) {
+	s.eraReadAt = s.eraReadAt.Add(outage)
+	if !s.holdUntil.IsZero() {
+		s.holdUntil = s.holdUntil.Add(outage)
+	}
+}
+
 // endHold puts the state of the restored store in force.
 func (s *operatorState) endHold(now time.Time, router *Router) {
 	s.holdUntil = time.Time{}
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -34,6 +35,9 @@
 	// restoredGrace is the same for endpoints that a restored store lacks: they are
 	// written again within 2 s, and read up to listInterval later.
 	restoredGrace = 3 * time.Second
+	// lastListMargin is the time before the end of the grace at which the list is read
+	// once more.
+	lastListMargin = 100 * time.Millisecond
 	// minOutage is the shortest store outage after which entries may be missing
 	// because they expired during the outage. An entry expires when three reports
 	// are missed, of which two may have been missed before the first failed read.
@@ -48,17 +52,26 @@
 	// RegionByZone maps availability zones to their regions. The endpoint list has
 	// zones only.
 	RegionByZone map[savorystep.Zone]savorystep.Region
+	// Retained fetches what other instances retain after the store has come back from
+	// a copy. If it is nil, this instance does not ask them.
+	Retained savorystep.RetainedStates
 }
 
 // A Watcher keeps the routing and endpoints of a Router up to date with the
 // catalog.
 type Watcher struct {
 	config WatcherConfig
-	// operatorState is used by the goroutine that watches the configuration.
+	// operatorMu guards operatorState.
+	operatorMu    sync.Mutex
 	operatorState operatorState
+	// retainedQueries holds the query that is to be sent to other instances.
+	retainedQueries chan savorystep.RetainedQuery
 	// graceUntil holds the endpoints that were missing from the list after a store
 	// outage, with the time until which they still get requests.
 	graceUntil map[savorystep.EndpointID]time.Time
+	// graceEnd is until when endpoints that the store removes after it came back still
+	// get requests.
+	graceEnd time.Time
 	// listFailedSince is when reads of the endpoint list began to fail, zero while
 	// they succeed.
 	listFailedSince time.Time
@@ -70,21 +83,19 @@
 
 // NewWatcher returns a watcher that is not started.
 func NewWatcher(config WatcherConfig) *Watcher {
-	return &Watcher{config: config, graceUntil: make(map[savorystep.EndpointID]time.Time)}
+	return &Watcher{config: config, graceUntil: make(map[savorystep.EndpointID]time.Time), retainedQueries: make(chan savorystep.RetainedQuery, 1)}
 }
 
 // Start starts watching in goroutines. The channel receives nil after ctx ends and
 // all goroutines have returned.
 func (w *Watcher) Start(ctx context.Context) <-chan error {
 	done := make(chan error, 1)
-	listDone := make(chan struct{})
+	var group sync.WaitGroup
+	group.Go(func() { w.watchList(ctx) })
+	group.Go(func() { w.learnRetained(ctx) })
+	group.Go(func() { w.watchOperatorChanges(ctx) })
 	go func() {
-		defer close(listDone)
-		w.watchList(ctx)
-	}()
-	go func() {
-		w.watchOperatorChanges(ctx)
-		<-listDone
+		group.Wait()
 		done <- nil
 	}()
 	return done
@@ -106,6 +117,7 @@
 		isStoreFailing = err != nil || changes.IsFallback
 		if wasStoreFailing && !isStoreFailing {
 			w.operatorReadsRecoveredAt.Store(&now)
+			w.extendHold(now.Sub(lastReadAt))
 		}
 		dep.record(now, err)
 		if err != nil {
@@ -115,10 +127,13 @@
 			savorystep.Sleep(ctx, dep.backoff())
 			continue
 		}
-		hadVersion := version != 0
+		hadVersion, isRestored := version != 0, changes.Version.IsOfOtherEra(version)
 		version = changes.Version
-		w.operatorState.apply(now, w.config.Router, changes, now.Sub(lastReadAt))
+		w.applyOperatorChanges(now, changes, now.Sub(lastReadAt))
 		lastReadAt = now
+		if !hadVersion || isRestored {
+			w.requestRetained(version)
+		}
 		if version == 0 {
 			savorystep.Sleep(ctx, emptyStoreInterval)
 			continue
@@ -129,6 +144,20 @@
 	}
 }
 
+// applyOperatorChanges applies changes of the operators' configuration.
+func (w *Watcher) applyOperatorChanges(now time.Time, changes savorystep.OperatorChanges, sinceLastRead time.Duration) {
+	w.operatorMu.Lock()
+	defer w.operatorMu.Unlock()
+	w.operatorState.apply(now, w.config.Router, changes, sinceLastRead)
+}
+
+// extendHold extends the time for which the state of an earlier era stays in force.
+func (w *Watcher) extendHold(outage time.Duration) {
+	w.operatorMu.Lock()
+	defer w.operatorMu.Unlock()
+	w.operatorState.extendHold(outage)
+}
+
 // difference returns the items of list that are not in other.
 func difference[T comparable](list, other []T) []T {
 	excluded := make(map[T]bool, len(other))
@@ -159,17 +188,31 @@
 			continue
 		}
 		isFirst := version == 0 && changes.Version != 0
-		isRestored := changes.Version.IsRestored(version)
+		isRestored := changes.Version.IsOfOtherEra(version)
+		if changes.Version < version {
+			w.config.Router.WithTable(func(t *endpoint.Table) { t.ForgetVersions() })
+		}
 		version = changes.Version
 		w.applyList(now, changes, isRestored)
 		if !isFirst {
 			// The first list may come from a peer and be a second old, so the
 			// second read follows at once.
-			savorystep.Sleep(ctx, listInterval-now.Sub(startedAt))
+			savorystep.Sleep(ctx, w.nextListRead(now, startedAt).Sub(now))
 		}
 	}
 }
 
+// nextListRead returns when the list is read after a read that began at startedAt. If a
+// grace ends before the usual time, it is read once more before that.
+func (w *Watcher) nextListRead(now, startedAt time.Time) time.Time {
+	next := startedAt.Add(listInterval)
+	last := w.graceEnd.Add(-lastListMargin)
+	if len(w.graceUntil) > 0 && now.Before(last) && last.Before(next) {
+		return last
+	}
+	return next
+}
+
 // recordListFailure records a failed read of the endpoint list.
 func (w *Watcher) recordListFailure(now time.Time) {
 	if w.listFailedSince.IsZero() {
@@ -181,16 +224,15 @@
 // store has been restored from a copy that lacks them, removed endpoints get a grace
 // time.
 func (w *Watcher) applyList(now time.Time, changes savorystep.EndpointChanges, isRestored bool) {
-	var graceEnd time.Time
 	switch {
 	case isRestored:
-		graceEnd = now.Add(restoredGrace)
+		w.graceEnd = now.Add(restoredGrace)
 	case !w.listFailedSince.IsZero() && now.Sub(w.listFailedSince) >= minOutage:
-		graceEnd = w.recoveryTime(now).Add(relistGrace)
+		w.graceEnd = w.recoveryTime(now).Add(relistGrace)
 	}
 	w.listFailedSince = time.Time{}
 	w.config.Router.WithTable(func(t *endpoint.Table) {
-		w.removeEndpoints(now, t, removedEndpoints(t, changes), graceEnd)
+		w.removeEndpoints(now, t, removedEndpoints(t, changes))
 		for _, entry := range changes.Endpoints {
 			delete(w.graceUntil, entry.ID)
 			t.SetExpiry(entry.ID, time.Time{})
@@ -200,6 +242,7 @@
 			}
 		}
 		w.removeExpired(now, t)
+		t.PutPending(now)
 	})
 	w.config.Router.hasEndpoints.Store(true)
 }
@@ -227,16 +270,16 @@
 	return now
 }
 
-// removeEndpoints removes endpoints from the table. If graceEnd is set, the entries may
-// be missing only because of an outage or a restore of the store, and the endpoints
-// still get requests until then.
-func (w *Watcher) removeEndpoints(now time.Time, t *endpoint.Table, ids []savorystep.EndpointID, graceEnd time.Time) {
+// removeEndpoints removes endpoints from the table. Until graceEnd the entries may be
+// missing only because of an outage or a restore of the store, and the endpoints still
+// get requests.
+func (w *Watcher) removeEndpoints(now time.Time, t *endpoint.Table, ids []savorystep.EndpointID) {
 	for _, id := range ids {
 		switch _, hasGrace := w.graceUntil[id]; {
 		case hasGrace:
-		case !graceEnd.IsZero():
-			w.graceUntil[id] = graceEnd
-			t.SetExpiry(id, graceEnd)
+		case now.Before(w.graceEnd):
+			w.graceUntil[id] = w.graceEnd
+			t.SetExpiry(id, w.graceEnd)
 		case t.Remove(now, id):
 			log.Infof("endpoint %s is gone", id)
 		}
@@ -248,7 +291,7 @@
 	for id, until := range w.graceUntil {
 		if !now.Before(until) {
 			delete(w.graceUntil, id)
-			t.Remove(now, id)
+			t.RemoveExpired(now, id)
 			log.Infof("endpoint %s is gone: not listed again by the store in time after its outage or restore", id)
 		}
 	}
--- a/peer/catalogresync.go
+++ b/peer/catalogresync.go
@@ -47,10 +47,9 @@
 	if err != nil {
 		return reading, err
 	}
-	upTo := reading.changes.UpTo()
-	if upTo < query.after {
+	if upTo := reading.changes.UpTo(); upTo < query.after && !upTo.IsOfOtherEra(query.after) {
 		return reading, savorystep.NewError(savorystep.KindPlatformDown, "whole read of %s is of version %v, version %v is known", section.path, upTo, query.after)
 	}
-	logger.Infof("%s is read whole at version %v, the store has dropped the changes after version %v", section.path, upTo, query.after)
+	logger.Infof("%s is read whole at version %v, the store has dropped the changes after version %v", section.path, reading.changes.UpTo(), query.after)
 	return reading, nil
 }
