Let the stand-in table be restored from a copy

The platform's store may come back from a copy of itself: it lacks what was written since, gives out versions again, and raises its era by one. The stand-in of the table of serve lost nothing, so nothing could show what instances do then.

The table has Restore, VersionAt and HideEra, in the shape of the stand-in of the users' platform in platform/platformtest. POST /faults with {"restore": milliseconds} restores it at once, from a copy of at most two minutes. Responses of the table state the era in Savorystep-Era. A transaction may name the era of the versions in its conditions; in another era it is refused with status 410. A platform that does not know the field ignores it, and a transaction without one is not checked, so old builds and old platforms work as before.

No product code uses the era yet.

--- a/cmd/standinplatformcmd.go
+++ b/cmd/standinplatformcmd.go
@@ -18,7 +18,9 @@
 		Short: "Run a stand-in of the platform's table, objects and lists",
 		Long: "Run a stand-in of the platform's table, objects and lists, in memory.\n" +
 			"Faults are switched on while it runs, for example\n" +
-			"  curl -d '{\"down\":true}' http://127.0.0.1:7000/faults",
+			"  curl -d '{\"down\":true}' http://127.0.0.1:7000/faults\n" +
+			"To restore the table from a copy of itself that is 5 s old, in the next era:\n" +
+			"  curl -d '{\"restore\":5000}' http://127.0.0.1:7000/faults",
 		Example: "  savorystep standin platform --listen 127.0.0.1:7000",
 		Args:    cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
--- a/header.go
+++ b/header.go
@@ -13,6 +13,8 @@
 	HeaderDeadline = "Savorystep-Deadline"
 	// HeaderEndpoint is the ID of the endpoint that responded.
 	HeaderEndpoint = "Savorystep-Endpoint"
+	// HeaderEra is the era of the platform's table, see StoreEra.
+	HeaderEra = "Savorystep-Era"
 	// HeaderFrom is the region or IP address that the caller sends from.
 	HeaderFrom = "Savorystep-From"
 	// HeaderKey is the idempotency key.
--- a/row.go
+++ b/row.go
@@ -6,4 +6,7 @@
 	Key     RowKey     `json:"key"`
 	Version RowVersion `json:"version"`
 	Value   []byte     `json:"value,omitempty"`
+	// Era is the era of the store in which the row had the version. Responses state
+	// it once, in a header.
+	Era StoreEra `json:"-"`
 }
--- a/standin/platform.go
+++ b/standin/platform.go
@@ -41,6 +41,17 @@
 	writeLimiter         *rate.Limiter
 	// delayedCommits waits for the commits that are still to take effect.
 	delayedCommits sync.WaitGroup
+
+	// restoring is held for reading by the calls to the table, so that their
+	// responses state the era in which they took effect.
+	restoring sync.RWMutex
+}
+
+// A restorableTable is a table that can be restored from a copy, see Table.
+type restorableTable interface {
+	Era() savorystep.StoreEra
+	VersionAt(at time.Time) savorystep.RowVersion
+	Restore(version savorystep.RowVersion)
 }
 
 // NewPlatform returns a stand-in of the platform.
@@ -72,6 +83,15 @@
 
 // SetFaults replaces all faults.
 func (p *Platform) SetFaults(faults PlatformFaults) {
+	p.replaceFaults(faults)
+	if table, ok := p.config.Table.(restorableTable); ok && faults.RestoreMillis > 0 {
+		p.restoring.Lock()
+		defer p.restoring.Unlock()
+		table.Restore(table.VersionAt(p.config.Clock.Now().Add(-milliseconds(faults.RestoreMillis))))
+	}
+}
+
+func (p *Platform) replaceFaults(faults PlatformFaults) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, lag := p.config.Clock.Now(), milliseconds(p.faults.ListLagMillis)
--- a/standin/platform_test.go
+++ b/standin/platform_test.go
@@ -17,12 +17,8 @@
 // status is 200. It returns the status.
 func call(t *testing.T, handler http.Handler, method, path string, body, value any) int {
 	t.Helper()
-	encoded, err := json.Marshal(body)
-	if err != nil {
-		t.Fatal(err)
-	}
 	recorder := httptest.NewRecorder()
-	handler.ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), method, path, bytes.NewReader(encoded)))
+	handler.ServeHTTP(recorder, httptest.NewRequestWithContext(t.Context(), method, path, encodeBody(t, body)))
 	if value != nil && recorder.Code == http.StatusOK {
 		if err := json.Unmarshal(recorder.Body.Bytes(), value); err != nil {
 			t.Fatal(err)
@@ -31,6 +27,16 @@
 	return recorder.Code
 }
 
+// encodeBody returns the JSON form of the body of a request.
+func encodeBody(t *testing.T, body any) *bytes.Reader {
+	t.Helper()
+	encoded, err := json.Marshal(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return bytes.NewReader(encoded)
+}
+
 // TestPlatformFaults guards against faults that POST /faults doesn't set, against
 // faults that stay set although a later body doesn't name them, and against
 // unknown names that are ignored.
--- a/standin/platformfaults.go
+++ b/standin/platformfaults.go
@@ -18,6 +18,11 @@
 	ListLagMillis int `json:"lag"`
 	// FreezeLists keeps the lists as they were listed when it was set.
 	FreezeLists bool `json:"frozen"`
+	// RestoreMillis restores the table, at the moment when it is set, from a copy of
+	// itself of this age in milliseconds. The changes since are lost and their
+	// versions are given out again, in the next era. The copy is at most two minutes
+	// old, and objects and lists lose nothing.
+	RestoreMillis int `json:"restore"`
 	// Silent leaves calls on the connections that were open when it was set
 	// without a response. Connections opened later work.
 	Silent bool `json:"silent"`
--- a/standin/platformroutes.go
+++ b/standin/platformroutes.go
@@ -1,15 +1,12 @@
 package standin
 
 import (
-	"context"
 	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
 	"net/url"
-	"strconv"
 	"strings"
-	"time"
 
 	"github.com/go-chi/chi/v5"
 	"golang.org/x/time/rate"
@@ -20,9 +17,6 @@
 // maxRequestBytes bounds the body of a request.
 const maxRequestBytes = 64 << 20
 
-// maxPageRows is the maximum number of rows in a page.
-const maxPageRows = 10000
-
 // newRouter returns the routes of the protocol. Faults apply to all calls except
 // those that control the stand-in.
 func (p *Platform) newRouter() chi.Router {
@@ -39,12 +33,12 @@
 			router.Get("/endpoints", p.getEndpoints)
 			router.Get("/instances", p.getInstances)
 			router.Get("/objects/*", p.getObject)
-			router.Get("/table/row", p.getRow)
-			router.Get("/table/rows", p.getRows)
+			router.Get("/table/row", p.stateEra(p.getRow))
+			router.Get("/table/rows", p.stateEra(p.getRows))
 		})
 		router.Group(func(router chi.Router) {
 			router.Use(p.limitRate(p.writeLimiter, &p.writes))
-			router.Post("/table/commit", p.postCommit)
+			router.Post("/table/commit", p.stateEra(p.postCommit))
 			router.Put("/objects/*", p.putObject)
 		})
 	})
@@ -111,76 +105,6 @@
 	writeJSON(w, p.Stats())
 }
 
-func (p *Platform) postCommit(w http.ResponseWriter, r *http.Request) {
-	var txn savorystep.Txn
-	if !readJSON(w, r, &txn) {
-		return
-	}
-	p.rows.Add(uint64(len(txn.Writes)))
-	loseResponse, delay := p.takeCommitFault()
-	if delay > 0 {
-		p.delayedCommits.Add(1)
-		time.AfterFunc(delay, func() {
-			defer p.delayedCommits.Done()
-			_, _ = p.config.Table.Commit(context.Background(), txn)
-		})
-		http.Error(w, "commit is delayed", http.StatusInternalServerError)
-		return
-	}
-	commit, err := p.config.Table.Commit(r.Context(), txn)
-	switch {
-	case err != nil:
-		writeError(w, err)
-	case loseResponse:
-		http.Error(w, "response to the commit is lost", http.StatusInternalServerError)
-	default:
-		writeJSON(w, commit)
-	}
-}
-
-// takeCommitFault returns the fault of the next commit: whether its response is
-// lost, or the delay until it takes effect.
-func (p *Platform) takeCommitFault() (loseResponse bool, delay time.Duration) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.faults.CommitDelayMillis > 0 {
-		return false, milliseconds(p.faults.CommitDelayMillis)
-	}
-	if p.faults.LoseResponses > 0 {
-		p.faults.LoseResponses--
-		return true, 0
-	}
-	return false, 0
-}
-
-func (p *Platform) getRow(w http.ResponseWriter, r *http.Request) {
-	row, err := p.config.Table.Get(r.Context(), savorystep.RowKey(r.URL.Query().Get("key")))
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	writeJSON(w, row)
-}
-
-func (p *Platform) getRows(w http.ResponseWriter, r *http.Request) {
-	query := r.URL.Query()
-	limit, err := strconv.Atoi(query.Get("limit"))
-	if err != nil || limit < 1 || limit > maxPageRows {
-		http.Error(w, "limit must be 1 to "+strconv.Itoa(maxPageRows), http.StatusBadRequest)
-		return
-	}
-	prefix, after := savorystep.RowKey(query.Get("prefix")), savorystep.RowKey(query.Get("after"))
-	rows, err := p.config.Table.Scan(r.Context(), prefix, after, limit)
-	if err != nil {
-		writeError(w, err)
-		return
-	}
-	if rows == nil {
-		rows = []savorystep.Row{}
-	}
-	writeJSON(w, rows)
-}
-
 // objectName returns the object name in the path of a request.
 func objectName(r *http.Request) (savorystep.ObjectName, error) {
 	name, err := url.PathUnescape(strings.TrimPrefix(r.URL.EscapedPath(), "/objects/"))
--- a/standin/table.go
+++ b/standin/table.go
@@ -5,38 +5,52 @@
 	"sort"
 	"strings"
 	"sync"
+	"time"
 
 	"savorystep"
 )
 
 var _ savorystep.Table = &Table{}
 
-// A Table is a transactional table in memory.
+// A Table is a transactional table in memory. It can be restored from a copy of
+// itself.
 type Table struct {
 	mu      sync.Mutex
 	rows    map[savorystep.RowKey]savorystep.Row
 	version savorystep.RowVersion
+	era     savorystep.StoreEra
+	// hidesEra is true if responses state no era.
+	hidesEra bool
+	// history holds the changes that Restore can undo, the oldest first.
+	history []tableChange
+	// oldestVersion is the version before the oldest change in history.
+	oldestVersion savorystep.RowVersion
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{rows: make(map[savorystep.RowKey]savorystep.Row)}
+	return &Table{rows: make(map[savorystep.RowKey]savorystep.Row), era: savorystep.FirstStoreEra}
 }
 
-// Commit applies a transaction if all its conditions hold. Otherwise the result
-// has the rows whose conditions failed.
+// Commit applies a transaction if its era is that of the table and all its
+// conditions hold. Otherwise the result has the rows whose conditions failed.
 func (t *Table) Commit(ctx context.Context, txn savorystep.Txn) (savorystep.CommitResult, error) {
 	if err := ctx.Err(); err != nil {
 		return savorystep.CommitResult{}, savorystep.WrapError(savorystep.KindPlatformDown, err, "commit cancelled before it took effect")
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if txn.Era != 0 && txn.Era != t.era && !t.hidesEra {
+		return savorystep.CommitResult{Era: t.era}, nil
+	}
 	conflicts := t.conflicts(txn.Conditions)
 	if len(conflicts) > 0 {
-		return savorystep.CommitResult{Conflicts: conflicts}, nil
+		return savorystep.CommitResult{Conflicts: conflicts, Era: t.statedEra()}, nil
 	}
 	t.version++
+	now := time.Now()
 	for _, write := range txn.Writes {
+		t.recordChange(now, t.rows[write.Key], write.Key)
 		if write.Delete {
 			delete(t.rows, write.Key)
 			continue
@@ -44,7 +58,7 @@
 		value := append([]byte(nil), write.Value...)
 		t.rows[write.Key] = savorystep.Row{Key: write.Key, Version: t.version, Value: value}
 	}
-	return savorystep.CommitResult{Version: t.version}, nil
+	return savorystep.CommitResult{Version: t.version, Era: t.statedEra()}, nil
 }
 
 // conflicts returns the current rows of the conditions that don't hold. The
@@ -62,10 +76,8 @@
 
 // row returns a row, with version 0 if it doesn't exist. The caller holds mu.
 func (t *Table) row(key savorystep.RowKey) savorystep.Row {
-	row, ok := t.rows[key]
-	if !ok {
-		return savorystep.Row{Key: key}
-	}
+	row := t.rows[key]
+	row.Key, row.Era = key, t.statedEra()
 	return row
 }
 
@@ -88,9 +100,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var rows []savorystep.Row
-	for key, row := range t.rows {
+	for key := range t.rows {
 		if strings.HasPrefix(string(key), string(prefix)) && key > after {
-			rows = append(rows, row)
+			rows = append(rows, t.row(key))
 		}
 	}
 	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
--- a/store/client.go
+++ b/store/client.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"savorystep"
@@ -70,10 +71,12 @@
 	c.transport.CloseIdleConnections()
 }
 
-// An httpResult is the status and the whole body of an HTTP response.
+// An httpResult is the status, the era and the whole body of an HTTP response.
 type httpResult struct {
 	status int
 	body   []byte
+	// era is 0 if the response states none.
+	era savorystep.StoreEra
 }
 
 // read makes a call without side effects. It repeats a failed call once,
@@ -122,7 +125,17 @@
 	if len(responseBody) > maxResponseBytes {
 		return httpResult{}, savorystep.NewError(savorystep.KindPlatformDown, "response body longer than the allowed %d bytes", maxResponseBytes)
 	}
-	return httpResult{status: response.StatusCode, body: responseBody}, nil
+	return httpResult{status: response.StatusCode, body: responseBody, era: parseEra(response.Header)}, nil
+}
+
+// parseEra returns the era that the header of a response states, or 0 if it states
+// none or no number.
+func parseEra(header http.Header) savorystep.StoreEra {
+	era, err := strconv.ParseUint(header.Get(savorystep.HeaderEra), 10, savorystep.StoreEraBits)
+	if err != nil {
+		return 0
+	}
+	return savorystep.StoreEra(era)
 }
 
 // stripQuery removes the query, which may contain keys of callers, from a path.
--- a/store/clienttable.go
+++ b/store/clienttable.go
@@ -23,10 +23,16 @@
 	if err != nil {
 		return savorystep.CommitResult{}, err
 	}
+	if result.status == http.StatusGone && txn.Era != 0 {
+		return savorystep.CommitResult{Era: result.era}, nil
+	}
 	if result.status != http.StatusOK {
 		return savorystep.CommitResult{}, statusError(result)
 	}
-	return decodeCommit(result.body, txn)
+	commit, err := decodeCommit(result.body, txn)
+	commit.Era = result.era
+	setEra(commit.Conflicts, result.era)
+	return commit, err
 }
 
 // Get reads a row. The error has kind KindPlatformDown.
@@ -38,7 +44,9 @@
 	if result.status != http.StatusOK {
 		return savorystep.Row{}, statusError(result)
 	}
-	return decodeRow(result.body, key)
+	row, err := decodeRow(result.body, key)
+	row.Era = result.era
+	return row, err
 }
 
 // Scan reads at most limit rows with a prefix, in key order, after a key. The
@@ -56,7 +64,16 @@
 	if result.status != http.StatusOK {
 		return nil, statusError(result)
 	}
-	return decodeRows(result.body, prefix, after, limit)
+	rows, err := decodeRows(result.body, prefix, after, limit)
+	setEra(rows, result.era)
+	return rows, err
+}
+
+// setEra sets the era that a response stated in its rows.
+func setEra(rows []savorystep.Row, era savorystep.StoreEra) {
+	for i := range rows {
+		rows[i].Era = era
+	}
 }
 
 // malformedError returns the error for a response or a stored value that
--- a/txn.go
+++ b/txn.go
@@ -4,4 +4,7 @@
 type Txn struct {
 	Conditions []Condition `json:"conditions,omitempty"`
 	Writes     []Write     `json:"writes"`
+	// Era is the era of the versions in the conditions. In another era the
+	// transaction is not applied. Era 0 is not checked.
+	Era StoreEra `json:"era,omitempty"`
 }
