--- a/store/keysimulation_test.go
+++ b/store/keysimulation_test.go
@@ -21,9 +21,10 @@
 // A keyPlan describes a run of the idempotency store: keyed requests, faults and
 // crashes, with their times in milliseconds.
 type keyPlan struct {
-	Sends   []keySend
-	Faults  []keyFault
-	Crashes []keyCrash
+	Sends    []keySend
+	Faults   []keyFault
+	Crashes  []keyCrash
+	Restores []keyRestore
 }
 
 // What happens to a request after it got the permission.
@@ -146,11 +147,24 @@
 	for _, crash := range plan.Crashes {
 		after(crash.At, func() { s.crash(crash.Instance) })
 	}
+	for _, restore := range plan.Restores {
+		after(restore.At, func() {
+			restored := table.(interface {
+				VersionAt(at time.Time) savorystep.RowVersion
+				Restore(version savorystep.RowVersion)
+			})
+			lost := time.Duration(restore.LostMillis) * time.Millisecond
+			restored.Restore(restored.VersionAt(time.Now().Add(-lost)))
+		})
+	}
 	time.Sleep(planDurationMillis * time.Millisecond)
 	s.faulty.SetFaults(standin.TableFaults{})
 	_ = s.faulty.ApplyHeldCommits(context.Background()) // A commit that conflicts is no error.
 	s.events.Wait()
 	time.Sleep(10 * time.Second)
+	if len(plan.Restores) > 0 {
+		time.Sleep(2 * afterRestore)
+	}
 	s.checkEnd()
 	for _, instance := range s.instances {
 		s.stop(instance)
