Keep accepted changes across a restored table

What callers saw: after the table of serve came back from a copy that lacked a change of the configuration, no running instance accepted any further change: Apply read the table in a loop without a pause until its deadline. An instance that started then was ready with the older configuration, and from it could accept other changes under revisions that the others had in force, which they never took up.

Cause: the head of a restored table was compared with a revision of before the restore (hypotheses C1 and C3 in docs/decisions/restore.md).

Change: on a later era an instance compares its last changes with the table and writes those again that the table has lost, in one transaction on the head. For 5 s after an instance noticed the era it accepts no change and does not become ready, so that others write first; the row "logera" tells one that starts later that this is over. If the table has other changes in their place, those replace the configuration in force. A change is reported as accepted only by an instance that has it in force. Apply waits between reads while the head is below the revision in force, also with a table that states no era.

They found two more faults on the way: a change that was found by its ID was reported as accepted although no instance had it in force, and a late response put a change in force after the comparison.

--- a/store/keyrestore_test.go
+++ b/store/keyrestore_test.go
@@ -199,6 +199,16 @@
 	At, LostMillis int
 }
 
+// apply restores a table, which must be one of the stand-in.
+func (r keyRestore) apply(table savorystep.Table) {
+	restored := table.(interface {
+		VersionAt(at time.Time) savorystep.RowVersion
+		Restore(version savorystep.RowVersion)
+	})
+	lost := time.Duration(r.LostMillis) * time.Millisecond
+	restored.Restore(restored.VersionAt(time.Now().Add(-lost)))
+}
+
 // restoredKeyPlans draws plans with restores. An instance that crashes before it has
 // written its rows again takes what it knows with it, so the plans have no crashes.
 func restoredKeyPlans() *rapid.Generator[keyPlan] {
--- a/store/keysimulation_test.go
+++ b/store/keysimulation_test.go
@@ -153,14 +153,7 @@
 		after(crash.At, func() { s.crash(crash.Instance) })
 	}
 	for _, restore := range plan.Restores {
-		after(restore.At, func() {
-			restored := table.(interface {
-				VersionAt(at time.Time) savorystep.RowVersion
-				Restore(version savorystep.RowVersion)
-			})
-			lost := time.Duration(restore.LostMillis) * time.Millisecond
-			restored.Restore(restored.VersionAt(time.Now().Add(-lost)))
-		})
+		after(restore.At, func() { restore.apply(table) })
 	}
 	time.Sleep(planDurationMillis * time.Millisecond)
 	s.faulty.SetFaults(standin.TableFaults{})
--- a/store/log.go
+++ b/store/log.go
@@ -24,6 +24,15 @@
 	peerReport chan revisionReport
 	// pushRequests buffers the revision in force each time it rises.
 	pushRequests chan savorystep.Revision
+	// pollRequests buffers a request for an immediate poll.
+	pollRequests chan struct{}
+
+	guard  *restoreGuard
+	marker *eraMarker
+	// markedEra is the latest era whose marker is written. Only follow uses it.
+	markedEra savorystep.StoreEra
+	// reconciledEra is the era of the table that the configuration in force fits.
+	reconciledEra atomic.Uint32
 }
 
 // A revisionReport is the revision in force at a peer.
@@ -35,12 +44,19 @@
 // NewLog returns a configuration log at revision 0, which must be started. It
 // loads the configuration after the start.
 func NewLog(config LogConfig) *Log {
+	config = config.withDefaults()
+	guard := newRestoreGuard(logRestoreWindow, maxLogSilence)
 	l := &Log{
-		config:       config.withDefaults(),
+		config:       config,
 		state:        newLogState(),
 		peerReport:   make(chan revisionReport, 1),
 		pushRequests: make(chan savorystep.Revision, 1),
+		pollRequests: make(chan struct{}, 1),
+		guard:        guard,
+		marker:       &eraMarker{table: config.Table, clock: config.Clock, key: logEraRowKey, guard: guard},
+		markedEra:    savorystep.FirstStoreEra,
 	}
+	l.reconciledEra.Store(uint32(savorystep.FirstStoreEra))
 	if l.config.Facts != nil {
 		l.config.Facts.Subscribe(savorystep.FactRevision, l.onRevisionFact)
 	}
--- a/store/logapply.go
+++ b/store/logapply.go
@@ -65,10 +65,14 @@
 	if rows.head, err = l.config.Table.Get(ctx, headKey); err != nil {
 		return rows, err
 	}
+	l.guard.observe(rows.head.Era, l.config.Clock.Now())
 	if rows.id, err = l.config.Table.Get(ctx, changeIDKey(change.ID)); err != nil {
 		return rows, err
 	}
 	rows.record, err = l.config.Table.Get(ctx, recordKey(change.Service))
+	if err == nil && (rows.id.Era != rows.head.Era || rows.record.Era != rows.head.Era) {
+		err = errRestoring
+	}
 	return rows, err
 }
 
@@ -82,8 +86,22 @@
 	if err != nil {
 		return 0, false, err
 	}
+	if !l.isReconciled(rows.head.Era) {
+		select {
+		case l.pollRequests <- struct{}{}:
+		default: // A poll is already requested.
+		}
+		return 0, false, errRestoring
+	}
 	if rows.id.Version != 0 {
-		revision, err = decodeRevision(rows.id)
+		// This instance must have an accepted change, to write it again if the table
+		// loses it.
+		if revision, err = decodeRevision(rows.id); err == nil {
+			err = l.catchUp(ctx, revision)
+		}
+		if err == nil && l.View().Revision < revision {
+			err = errRestoring
+		}
 		return revision, err == nil, err
 	}
 	head, err := decodeRevision(rows.head)
@@ -94,15 +112,15 @@
 		return 0, false, err
 	}
 	view := l.View()
-	if view.Revision != head {
-		return 0, false, nil // The head rose after it was read.
+	if view.Revision > head {
+		return 0, false, errBehind // Without a delay, a table that stays behind would be read in a busy loop.
 	}
 	if err := checkAgainstView(view, l.state.lastChange(change.Service), change); err != nil {
 		return 0, true, err
 	}
 	change.Revision = head + 1
 	commit, err := l.config.Table.Commit(ctx, proposalTxn(rows, change))
-	if err != nil || len(commit.Conflicts) > 0 {
+	if err != nil || commit.Version == 0 {
 		return 0, false, err
 	}
 	l.recordEvent(savorystep.EventApply, change.Service, "%s applied revision %d", change.Author, change.Revision)
@@ -138,6 +156,7 @@
 	revision := encodeJSON(revisionRow{Revision: change.Revision})
 	value := encodeJSON(change)
 	return savorystep.Txn{
+		Era: rows.head.Era.OrFirst(),
 		Conditions: []savorystep.Condition{
 			{Key: rows.head.Key, Version: rows.head.Version},
 			{Key: rows.id.Key, Version: rows.id.Version},
--- a/store/logfollow.go
+++ b/store/logfollow.go
@@ -14,6 +14,9 @@
 // pushTimeout bounds the wait for the acknowledgements of a pushed revision.
 const pushTimeout = time.Second
 
+// maxPollDelayInRestore bounds the time between two polls within the restore window.
+const maxPollDelayInRestore = 5 * time.Second
+
 // maxPeersQueried bounds the peers that are queried for changes in one round.
 const maxPeersQueried = 3
 
@@ -57,7 +60,11 @@
 func (l *Log) follow(ctx context.Context) error {
 	for {
 		l.poll(ctx)
-		timer := time.NewTimer(savorystep.NextPollDelay(l.config.PollInterval, l.instanceCount()))
+		delay := savorystep.NextPollDelay(l.config.PollInterval, l.instanceCount())
+		if l.guard.isOpen() {
+			delay = min(delay, maxPollDelayInRestore)
+		}
+		timer := time.NewTimer(delay)
 		for waiting := true; waiting; {
 			select {
 			case <-ctx.Done():
@@ -65,6 +72,8 @@
 				return nil
 			case peerReport := <-l.peerReport:
 				l.fetchReported(ctx, peerReport)
+			case <-l.pollRequests:
+				waiting = false
 			case <-timer.C:
 				waiting = false
 			}
@@ -109,17 +118,27 @@
 func (l *Log) catchUpFromTable(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, l.config.ReadTimeout)
 	defer cancel()
-	head, err := l.head(ctx)
+	row, head, err := l.head(ctx)
 	if err != nil {
 		return err
 	}
+	era := row.Era.OrFirst()
+	isBehind := era > savorystep.FirstStoreEra && head < l.View().Revision // A late response was of an earlier era.
+	if isBehind || uint32(era) > l.reconciledEra.Load() {
+		if head, err = l.reconcile(ctx, row, head); err != nil {
+			return err
+		}
+	}
+	l.followEra(ctx)
 	if head < l.View().Revision {
 		return malformedError("log", "head %d is below the revision in force, %d", head, l.View().Revision)
 	}
 	if err := l.catchUp(ctx, head); err != nil {
 		return err
 	}
-	l.ready.Store(true)
+	if l.isReconciled(row.Era) {
+		l.ready.Store(true)
+	}
 	return nil
 }
 
--- a/store/logload.go
+++ b/store/logload.go
@@ -15,13 +15,15 @@
 	maxMissingChanges = 1024
 )
 
-// head reads the revision of the head.
-func (l *Log) head(ctx context.Context) (savorystep.Revision, error) {
+// head reads the row of the head and its revision.
+func (l *Log) head(ctx context.Context) (savorystep.Row, savorystep.Revision, error) {
 	row, err := l.config.Table.Get(ctx, headKey)
 	if err != nil {
-		return 0, err
+		return row, 0, err
 	}
-	return decodeRevision(row)
+	l.guard.observe(row.Era, l.config.Clock.Now())
+	revision, err := decodeRevision(row)
+	return row, revision, err
 }
 
 // catchUp brings the configuration in force to the revision of the head or a
@@ -32,7 +34,12 @@
 		return nil
 	}
 	if revision == 0 || head-revision > maxMissingChanges {
-		return l.loadRecords(ctx)
+		changes, err := l.readRecords(ctx)
+		if err != nil {
+			return err
+		}
+		l.install(changes, "the table")
+		return nil
 	}
 	changes, err := l.scanChanges(ctx, revision, head)
 	if err != nil {
@@ -69,25 +76,28 @@
 	return changes, nil
 }
 
-// loadRecords reads the last change of each service. Changes may be accepted
+// readRecords reads the last change of each service. Changes may be accepted
 // while the records are scanned, so it then reads the changes between the heads
 // before and after the scan.
-func (l *Log) loadRecords(ctx context.Context) error {
-	headBefore, err := l.head(ctx)
+func (l *Log) readRecords(ctx context.Context) ([]savorystep.Change, error) {
+	rowBefore, headBefore, err := l.head(ctx)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	latest, err := l.scanRecords(ctx)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	headAfter, err := l.head(ctx)
+	rowAfter, headAfter, err := l.head(ctx)
 	if err != nil {
-		return err
+		return nil, err
+	}
+	if rowAfter.Era != rowBefore.Era {
+		return nil, errRestoring
 	}
 	changesDuringScan, err := l.scanChanges(ctx, headBefore, headAfter)
 	if err != nil {
-		return err
+		return nil, err
 	}
 	for _, change := range changesDuringScan {
 		if change.Revision > latest[change.Service].Revision {
@@ -98,16 +108,15 @@
 	changes := make([]savorystep.Change, 0, len(latest))
 	for _, change := range latest {
 		if change.Revision > headAfter {
-			return malformedError("log", "record of %q at revision %d above head %d", change.Service, change.Revision, headAfter)
+			return nil, malformedError("log", "record of %q at revision %d above head %d", change.Service, change.Revision, headAfter)
 		}
 		changes = append(changes, change)
 	}
 	sort.Slice(changes, func(i, j int) bool { return changes[i].Revision < changes[j].Revision })
 	if n := len(changes); n > 0 && changes[n-1].Revision != headAfter || n == 0 && headAfter > 0 {
-		return malformedError("log", "no record at head %d", headAfter)
+		return nil, malformedError("log", "no record at head %d", headAfter)
 	}
-	l.install(changes, "the table")
-	return nil
+	return changes, nil
 }
 
 // scanRecords reads the rows of all records.
--- a/store/logsimulation_test.go
+++ b/store/logsimulation_test.go
@@ -25,6 +25,7 @@
 	Changes  []logChange
 	Faults   []keyFault
 	Restarts []keyCrash
+	Restores []keyRestore
 }
 
 // A logChange is applied up to Tries times with the same ID, on the base that
@@ -159,6 +160,9 @@
 	for _, restart := range plan.Restarts {
 		after(restart.At, func() { s.restart(restart.Instance) })
 	}
+	for _, restore := range plan.Restores {
+		after(restore.At, func() { restore.apply(table) })
+	}
 	time.Sleep(planDurationMillis * time.Millisecond)
 	s.faulty.SetFaults(standin.TableFaults{})
 	_ = s.faulty.ApplyHeldCommits(context.Background()) // A commit that conflicts is no error.
--- a/store/logstate.go
+++ b/store/logstate.go
@@ -68,6 +68,27 @@
 	return changes
 }
 
+// replace replaces the configuration in force, also by one of a lower revision. The
+// changes are the last ones of each service.
+func (s *logState) replace(changes []savorystep.Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.latestByService)
+	s.recent = nil
+	revision := savorystep.Revision(0)
+	for _, change := range changes {
+		s.latestByService[change.Service] = change
+		if revision+1 != change.Revision {
+			s.recent = nil
+		}
+		s.recent = append(s.recent, change)
+		revision = change.Revision
+	}
+	s.view.Store(buildView(revision, s.latestByService))
+	close(s.raised)
+	s.raised = make(chan struct{})
+}
+
 // buildView returns the configuration at a revision.
 func buildView(revision savorystep.Revision, latest map[savorystep.Service]savorystep.Change) *savorystep.View {
 	view := &savorystep.View{
