--- a/store/client.go
+++ b/store/client.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
 	"time"
 
 	"savorystep"
@@ -37,6 +39,10 @@
 	http         *http.Client
 	outageLogger outageLogger
 	registrar    *registrar
+
+	mu    sync.Mutex
+	era   savorystep.StoreEra
+	eraAt time.Time
 }
 
 // NewClient returns a client of the platform at the configured address. It
@@ -70,10 +76,12 @@
 	c.transport.CloseIdleConnections()
 }
 
-// An httpResult is the status and the whole body of an HTTP response.
+// An httpResult is the status, the era and the whole body of an HTTP response.
 type httpResult struct {
 	status int
 	body   []byte
+	// era is 0 if the response states none.
+	era savorystep.StoreEra
 }
 
 // read makes a call without side effects. It repeats a failed call once,
@@ -100,10 +108,29 @@
 		}
 		err = savorystep.WrapError(savorystep.KindPlatformDown, err, "no response to %s %s", method, stripQuery(path))
 	}
-	c.outageLogger.record(c.config.Clock.Now(), err)
+	now := c.config.Clock.Now()
+	c.outageLogger.record(now, err)
+	c.recordEra(result.era, now)
 	return result, err
 }
 
+// Era returns the latest era that a response of the table stated, and the time of the
+// last response that stated it. Both are zero before the first one.
+func (c *Client) Era() (savorystep.StoreEra, time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.era, c.eraAt
+}
+
+// recordEra records the era that a response stated, if any.
+func (c *Client) recordEra(era savorystep.StoreEra, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if era != 0 && era >= c.era {
+		c.era, c.eraAt = era, now
+	}
+}
+
 // roundTrip sends a request and reads the response, up to maxResponseBytes.
 func (c *Client) roundTrip(ctx context.Context, method, path string, body []byte) (httpResult, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
@@ -122,7 +149,17 @@
 	if len(responseBody) > maxResponseBytes {
 		return httpResult{}, savorystep.NewError(savorystep.KindPlatformDown, "response body longer than the allowed %d bytes", maxResponseBytes)
 	}
-	return httpResult{status: response.StatusCode, body: responseBody}, nil
+	return httpResult{status: response.StatusCode, body: responseBody, era: parseEra(response.Header)}, nil
+}
+
+// parseEra returns the era that the header of a response states, or 0 if it states
+// none or no number.
+func parseEra(header http.Header) savorystep.StoreEra {
+	era, err := strconv.ParseUint(header.Get(savorystep.HeaderEra), 10, savorystep.StoreEraBits)
+	if err != nil {
+		return 0
+	}
+	return savorystep.StoreEra(era)
 }
 
 // stripQuery removes the query, which may contain keys of callers, from a path.
--- a/store/keysimulation_test.go
+++ b/store/keysimulation_test.go
@@ -21,9 +21,12 @@
 // A keyPlan describes a run of the idempotency store: keyed requests, faults and
 // crashes, with their times in milliseconds.
 type keyPlan struct {
-	Sends   []keySend
-	Faults  []keyFault
-	Crashes []keyCrash
+	Sends    []keySend
+	Faults   []keyFault
+	Crashes  []keyCrash
+	Restores []keyRestore
+	// RestoreWindow is that of the store. 0 means the default.
+	RestoreWindow time.Duration
 }
 
 // What happens to a request after it got the permission.
@@ -92,9 +95,10 @@
 
 // A keySimulation runs a keyPlan.
 type keySimulation struct {
-	faulty  *standin.FaultyTable
-	objects savorystep.Objects
-	events  sync.WaitGroup
+	faulty        *standin.FaultyTable
+	objects       savorystep.Objects
+	restoreWindow time.Duration
+	events        sync.WaitGroup
 
 	mu         sync.Mutex
 	instances  [planInstances]*keyInstance
@@ -114,7 +118,9 @@
 
 func (s *keySimulation) newInstance() *keyInstance {
 	ctx, cancel := context.WithCancel(context.Background())
-	keys := store.NewIdempotencyStore(store.IdempotencyStoreConfig{Table: s.faulty, Objects: s.objects, MaxInlineBytes: 64})
+	keys := store.NewIdempotencyStore(store.IdempotencyStoreConfig{
+		Table: s.faulty, Objects: s.objects, MaxInlineBytes: 64, RestoreWindow: s.restoreWindow,
+	})
 	return &keyInstance{keys: keys, ctx: ctx, cancel: cancel, done: keys.Start(ctx)}
 }
 
@@ -127,7 +133,7 @@
 // runKeyPlan runs a plan in a synctest bubble, with a table that may be faulty.
 // It returns the violations and the history.
 func runKeyPlan(plan keyPlan, table savorystep.Table) (violations []string, history []porcupine.Operation) {
-	s := &keySimulation{faulty: standin.NewFaultyTable(table), objects: standin.NewObjects()}
+	s := &keySimulation{faulty: standin.NewFaultyTable(table), objects: standin.NewObjects(), restoreWindow: plan.RestoreWindow}
 	for i := range s.instances {
 		s.instances[i] = s.newInstance()
 	}
@@ -146,11 +152,17 @@
 	for _, crash := range plan.Crashes {
 		after(crash.At, func() { s.crash(crash.Instance) })
 	}
+	for _, restore := range plan.Restores {
+		after(restore.At, func() { restore.apply(table) })
+	}
 	time.Sleep(planDurationMillis * time.Millisecond)
 	s.faulty.SetFaults(standin.TableFaults{})
 	_ = s.faulty.ApplyHeldCommits(context.Background()) // A commit that conflicts is no error.
 	s.events.Wait()
 	time.Sleep(10 * time.Second)
+	if len(plan.Restores) > 0 {
+		time.Sleep(lostKeyAge)
+	}
 	s.checkEnd()
 	for _, instance := range s.instances {
 		s.stop(instance)
