Ask in one place whether an endpoint may get a request

What excludes an endpoint was asked in five files, each with its own mix of the states that endpoints, the endpoint list and this instance's attempts set, so a reader could not see in which order they count. Now endpoint/admission.go has all checks, each returns a reason from one closed list (Exclusion), and the ranking, the spill-over, cold endpoints, the earliest return and the counts go through them.

No behaviour changes.

--- /dev/null
+++ b/endpoint/admission.go
@@ -0,0 +1,79 @@
+package endpoint
+
+import (
+	"slices"
+	"time"
+
+	"savorystep"
+)
+
+// checkAvailability checks whether an endpoint may get a request, whatever it has room
+// for.
+func (t *Table) checkAvailability(now time.Time, s *endpointState, query *Query) Exclusion {
+	switch {
+	case s.State != savorystep.StateLive:
+		return ExclusionListed
+	case s.isLeaving:
+		return ExclusionLeaving
+	case s.isExpired(now):
+		return ExclusionExpired
+	case t.evacuatedZones[s.Place.Zone]:
+		return ExclusionEvacuated
+	case slices.Contains(query.AttemptedEndpoints, s.ID):
+		return ExclusionAttempted
+	case len(query.AllowedRegions) > 0 && !slices.Contains(query.AllowedRegions, s.Place.Region):
+		return ExclusionRegion
+	default:
+		return ExclusionNone
+	}
+}
+
+// checkRoom checks whether what an endpoint has stated to instances leaves room for a
+// request of this one.
+func (t *Table) checkRoom(now time.Time, s *endpointState) Exclusion {
+	switch {
+	case s.holdOff.isClosed(now):
+		return ExclusionClosed
+	case !s.holdOff.hasRoom():
+		return ExclusionReturning
+	case s.rateLimiter.isLimited(now) && !t.hasRateLimitRoom(now, s):
+		return ExclusionRateLimit
+	default:
+		return ExclusionNone
+	}
+}
+
+// checkEligibility checks whether an endpoint is part of the ranking for a request. The
+// next one in the ranking replaces an endpoint that is not.
+func (t *Table) checkEligibility(now time.Time, s *endpointState, query *Query) Exclusion {
+	if e := t.checkAvailability(now, s, query); e != ExclusionNone {
+		return e
+	}
+	if e := t.checkRoom(now, s); e != ExclusionNone {
+		return e
+	}
+	if query.excludesUnlimited && !s.rateLimiter.isLimited(now) {
+		return ExclusionSpillover
+	}
+	return ExclusionNone
+}
+
+// checkReadiness checks whether an endpoint that is part of a ranking is skipped there.
+func (s *endpointState) checkReadiness(now time.Time) Exclusion {
+	switch {
+	case s.isInBackoff(now):
+		return ExclusionBackoff
+	case s.isCold(now):
+		return ExclusionCold
+	default:
+		return ExclusionNone
+	}
+}
+
+// checkLoad checks whether an endpoint has less than a load per slot.
+func (s *endpointState) checkLoad(now time.Time, limit float64) Exclusion {
+	if s.load(now) >= limit*float64(s.Slots) {
+		return ExclusionLoad
+	}
+	return ExclusionNone
+}
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"savorystep"
 )
 
 // Choose returns an endpoint for a request and counts the request as in flight
@@ -66,7 +64,7 @@
 func (t *Table) chooseCold(now time.Time, query Query, latency *latencyEstimate) (Choice, *endpointState) {
 	var cold []rankedEndpoint
 	for _, s := range t.byService[query.Service] {
-		if t.isEligible(now, s, &query) && !s.isInBackoff(now) && s.isCold(now) {
+		if t.checkEligibility(now, s, &query) == ExclusionNone && s.checkReadiness(now) == ExclusionCold {
 			cold = append(cold, newRankedEndpoint(s, &query))
 		}
 	}
@@ -74,7 +72,7 @@
 		return cmp.Or(cmp.Compare(query.localityPenalty(a.state.Place), query.localityPenalty(b.state.Place)), cmp.Compare(b.score, a.score))
 	})
 	for _, r := range cold {
-		if t.allowColdRequest(now, r.state) {
+		if t.hasColdRoom(now, r.state) {
 			choice := r.state.estimate(now, query.AffinityKey, latency, false)
 			choice.Reason = ReasonCold
 			return choice, r.state
@@ -133,31 +131,6 @@
 	maxNonAffinityLoadPerSlot = 0.5
 )
 
-// isAvailable reports whether an endpoint may get a request, whatever its load,
-// backoff, warm-up and rate limit.
-func (t *Table) isAvailable(now time.Time, s *endpointState, query *Query) bool {
-	if s.State != savorystep.StateLive || s.isLeaving || s.isExpired(now) || t.evacuatedZones[s.Place.Zone] || slices.Contains(query.AttemptedEndpoints, s.ID) {
-		return false
-	}
-	return len(query.AllowedRegions) == 0 || slices.Contains(query.AllowedRegions, s.Place.Region)
-}
-
-// hasRoom reports whether what the endpoint has stated to instances leaves room for a
-// request of this one.
-func (t *Table) hasRoom(now time.Time, s *endpointState) bool {
-	return s.holdOff.hasRoom(now) && t.hasRateLimitRoom(now, s)
-}
-
-// isEligible reports whether an endpoint may get a request, whatever its load,
-// backoff and warm-up. An endpoint without room is not, so that the next one in the
-// ranking replaces it.
-func (t *Table) isEligible(now time.Time, s *endpointState, query *Query) bool {
-	if query.excludesUnlimited && !s.rateLimiter.isLimited(now) {
-		return false
-	}
-	return t.isAvailable(now, s, query) && t.hasRoom(now, s)
-}
-
 // mixBits spreads the bits of a hash (the finalizer of splitmix64).
 func mixBits(x uint64) uint64 {
 	x ^= x >> 30
--- a/endpoint/coldlimit.go
+++ b/endpoint/coldlimit.go
@@ -15,10 +15,10 @@
 	coldUtilization = 0.75
 )
 
-// allowColdRequest reports whether this instance may send a request to a cold
+// hasColdRoom reports whether this instance may send a request to a cold
 // endpoint now. The limit applies to all instances together, so each uses its own
 // share of it.
-func (t *Table) allowColdRequest(now time.Time, s *endpointState) bool {
+func (t *Table) hasColdRoom(now time.Time, s *endpointState) bool {
 	limit := t.specs[s.Service].ColdRate*t.config.ColdFactor + t.config.ColdSlack
 	s.coldRequestTimes = slices.DeleteFunc(s.coldRequestTimes, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
 	return len(s.coldRequestTimes) < t.instanceShare(now, int(limit*coldUtilization), s)
--- a/endpoint/holdoff.go
+++ b/endpoint/holdoff.go
@@ -24,9 +24,9 @@
 	return h.maxReturning > 0 && now.Before(h.until)
 }
 
-// hasRoom reports whether the endpoint may get a request now.
-func (h *holdOff) hasRoom(now time.Time) bool {
-	return h.maxReturning == 0 || (h.returning < h.maxReturning && !now.Before(h.until))
+// hasRoom reports whether the endpoint may get a request unless it is closed.
+func (h *holdOff) hasRoom() bool {
+	return h.maxReturning == 0 || h.returning < h.maxReturning
 }
 
 // start records a stated time. The responses to requests that were in flight when the
@@ -83,8 +83,8 @@
 	var earliest time.Time
 	for _, s := range t.byService[query.Service] {
 		switch {
-		case !t.isAvailable(now, s, &query):
-		case !s.holdOff.isClosed(now):
+		case t.checkAvailability(now, s, &query) != ExclusionNone:
+		case t.checkRoom(now, s) != ExclusionClosed:
 			return time.Time{}, false
 		case earliest.IsZero() || s.holdOff.until.Before(earliest):
 			earliest = s.holdOff.until
--- a/endpoint/ranking.go
+++ b/endpoint/ranking.go
@@ -56,7 +56,7 @@
 		rankings[i].endpoints = make([]rankedEndpoint, 0, maxRanking)
 	}
 	for _, s := range t.byService[query.Service] {
-		if !t.isEligible(now, s, &query) {
+		if t.checkEligibility(now, s, &query) != ExclusionNone {
 			continue
 		}
 		r := newRankedEndpoint(s, &query)
@@ -84,7 +84,7 @@
 	candidates := 0
 	for i, e := range r.endpoints {
 		s := e.state
-		if s.isInBackoff(now) || s.isCold(now) {
+		if s.checkReadiness(now) != ExclusionNone {
 			continue
 		}
 		if candidates >= affinityEndpoints && (chosen != nil || candidates > affinityEndpoints) {
@@ -95,7 +95,7 @@
 		if candidates > affinityEndpoints {
 			limit = maxNonAffinityLoadPerSlot
 		}
-		if s.load(now) >= limit*float64(s.Slots) {
+		if s.checkLoad(now, limit) != ExclusionNone {
 			continue
 		}
 		choice := s.estimate(now, query.AffinityKey, latency, i == 0)
--- a/endpoint/ratelimit.go
+++ b/endpoint/ratelimit.go
@@ -86,8 +86,13 @@
 
 // isLimited reports whether a limit is in force.
 func (l *rateLimiter) isLimited(now time.Time) bool {
+	return l.statement.IsLimited && l.isInForce(now)
+}
+
+// isInForce reports whether the limit that was last stated still applies.
+func (l *rateLimiter) isInForce(now time.Time) bool {
 	isEnded := !l.peerEndedAt.IsZero() && now.Sub(l.ownAt) >= ownStatementTTL
-	return l.statement.IsLimited && !isEnded && now.Sub(l.statedAt) < rateLimitTTL
+	return !isEnded && now.Sub(l.statedAt) < rateLimitTTL
 }
 
 // countRequest counts a request that is sent now.
@@ -193,15 +198,11 @@
 	return report
 }
 
-// hasRateLimitRoom reports whether the rate limit of an endpoint, if it states one,
-// allows this instance to send it a request now. The limit applies to all instances
-// together, so each uses its own share of it and spreads that over the window.
+// hasRateLimitRoom reports whether the rate limit in force of an endpoint allows this
+// instance to send it a request now. The limit applies to all instances together, so
+// each uses its own share of it and spreads that over the window.
 func (t *Table) hasRateLimitRoom(now time.Time, s *endpointState) bool {
-	l := &s.rateLimiter
-	if !l.isLimited(now) {
-		return true
-	}
-	share := t.rateLimitShare(now, s)
+	l, share := &s.rateLimiter, t.rateLimitShare(now, s)
 	if l.requests.sum(now) >= share {
 		return false
 	}
--- a/endpoint/spillover.go
+++ b/endpoint/spillover.go
@@ -25,14 +25,13 @@
 	var first rankedEndpoint
 	firstProximity, full, unlimited := -1, 0, 0
 	for _, s := range t.byService[query.Service] {
-		if !t.isAvailable(now, s, query) {
+		if t.checkAvailability(now, s, query) != ExclusionNone {
 			continue
 		}
-		isLimited := s.rateLimiter.isLimited(now)
 		switch {
-		case !s.holdOff.hasRoom(now), isLimited && !t.hasRateLimitRoom(now, s):
+		case t.checkRoom(now, s) != ExclusionNone:
 			full++
-		case !isLimited:
+		case !s.rateLimiter.isLimited(now):
 			unlimited++
 		}
 		r, proximity := newRankedEndpoint(s, query), query.proximity(s.Place)
@@ -40,7 +39,7 @@
 			first, firstProximity = r, proximity
 		}
 	}
-	if first.state == nil || t.hasRoom(now, first.state) {
+	if first.state == nil || t.checkRoom(now, first.state) == ExclusionNone {
 		return
 	}
 	credit := min(t.spilloverCredits[query.Service]+maxSpillover*float64(unlimited)/float64(full), maxSpilloverCredit)
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -200,7 +200,7 @@
 func (t *Table) CountEndpoints(now time.Time, service savorystep.Service) (all, usable int) {
 	for _, s := range t.byService[service] {
 		all++
-		if s.State == savorystep.StateLive && !s.isLeaving && !t.evacuatedZones[s.Place.Zone] && !s.isExpired(now) && !s.isInBackoff(now) && !s.isCold(now) && t.hasRoom(now, s) {
+		if t.checkEligibility(now, s, &Query{}) == ExclusionNone && s.checkReadiness(now) == ExclusionNone {
 			usable++
 		}
 	}
