Say which reasons exclude endpoints and until when

A request that found no endpoint left "16 of 22 can get requests" in the log; which of leaving, closed, limited, backoff and so on kept the others out, and for how long, had to be pieced together from earlier lines.

Now the step names each reason with the number of endpoints and the earliest known end. savorystep_gateway_excluded_endpoints counts endpoints by reason.

Scripts excluded and explain of endpoint.TestTable, ingress.TestDescribeNoEndpoint and cmd.TestGatewayStatus check reasons and ends.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"golang.org/x/sync/errgroup"
 	"k8s.io/klog/v2"
 
@@ -180,7 +179,7 @@
 	}{
 		{address: g.settings.PeerAddress, handler: peerMux},
 		{address: g.settings.DirectoryAddress, handler: platform.NewDirectoryHandler(g.directory.Addresses, ingress.LookupTTL)},
-		{address: g.metricsAddress(), handler: promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{})},
+		{address: g.metricsAddress(), handler: g.metricsHandler()},
 		{address: g.settings.ReadinessAddress, handler: platform.NewReadinessHandler(g.isReady)},
 	}
 	var servers []*http.Server
--- a/cmd/gatewaymetrics.go
+++ b/cmd/gatewaymetrics.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
+
+	"savorystep/endpoint"
 )
 
 // registerMetrics registers the metrics that are read from the components at each
@@ -30,6 +32,7 @@
 	for _, gauge := range gauges {
 		g.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: gauge.name, Help: gauge.help}, gauge.value))
 	}
+	g.registry.MustRegister(newExclusionCollector(func() []endpoint.ExcludedEndpoint { return g.router.Excluded(g.clock.Now()) }))
 	counters := []struct {
 		name, help string
 		value      func() float64
--- a/cmd/statuscmd.go
+++ b/cmd/statuscmd.go
@@ -5,19 +5,28 @@
 
 	"github.com/spf13/cobra"
 
+	"savorystep"
 	"savorystep/operator"
 )
 
 func newStatusCmd() *cobra.Command {
 	o := &clientFlags{}
+	var gatewayAddress string
 	cmd := &cobra.Command{
 		Use:   "status",
 		Short: "Show instances, revisions and load as one instance sees them",
 		Example: `  savorystep status
-  savorystep status --server 10.1.0.1:7003 --output json`,
-		RunE: func(cmd *cobra.Command, _ []string) error { return runStatusCmd(cmd, o) },
+  savorystep status --server 10.1.0.1:7003 --output json
+  savorystep status --gateway 10.5.64.8:9100`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			if gatewayAddress != "" {
+				return runGatewayStatusCmd(cmd, o, savorystep.Address(gatewayAddress))
+			}
+			return runStatusCmd(cmd, o)
+		},
 	}
 	o.addFlags(cmd)
+	cmd.Flags().StringVar(&gatewayAddress, "gateway", "", "metrics address of a gateway; shows which endpoints get no requests from it, why and for how long")
 	return withArgs(cmd, cobra.NoArgs)
 }
 
@@ -35,6 +44,20 @@
 	return o.printResult(cmd, status, func(w io.Writer) { printStatus(w, status) })
 }
 
+// runGatewayStatusCmd prints the status of a gateway, which has no operators' listener.
+func runGatewayStatusCmd(cmd *cobra.Command, o *clientFlags, address savorystep.Address) error {
+	if err := checkOutputFormat(o.outputFormat); err != nil {
+		return err
+	}
+	ctx, cancel := o.commandContext(cmd)
+	defer cancel()
+	status, err := fetchGatewayStatus(ctx, address)
+	if err != nil {
+		return err
+	}
+	return o.printResult(cmd, status, func(w io.Writer) { printGatewayStatus(w, status) })
+}
+
 func printStatus(w io.Writer, status *operator.Status) {
 	state := "ready"
 	if !status.Ready {
--- a/endpoint/admission.go
+++ b/endpoint/admission.go
@@ -7,6 +7,33 @@
 	"savorystep"
 )
 
+// An Admission says whether an endpoint may get a request now and, if not, why and
+// until when.
+type Admission struct {
+	Exclusion Exclusion
+	// Until is when the exclusion ends, zero if it ends with an event and not at a known
+	// time.
+	Until time.Time
+}
+
+// admission returns the admission of a request. Choose and all that reports about
+// endpoints use it or the checks that it combines, which are the only place that reads
+// the state of an endpoint for this purpose.
+func (t *Table) admission(now time.Time, s *endpointState, query *Query) Admission {
+	e := t.checkEligibility(now, s, query)
+	if e == ExclusionNone {
+		e = s.checkReadiness(now)
+	}
+	switch {
+	case e == ExclusionCold && !t.hasColdRoom(now, s):
+		e = ExclusionColdLimit
+	case e == ExclusionNone:
+		e = s.checkLoad(now, maxLoadPerSlot)
+	default:
+	}
+	return Admission{Exclusion: e, Until: t.exclusionEnd(now, s, e)}
+}
+
 // checkAvailability checks whether an endpoint may get a request, whatever it has room
 // for.
 func (t *Table) checkAvailability(now time.Time, s *endpointState, query *Query) Exclusion {
@@ -77,3 +104,21 @@
 	}
 	return ExclusionNone
 }
+
+// exclusionEnd returns when an exclusion of an endpoint ends, zero if that is not known.
+func (t *Table) exclusionEnd(now time.Time, s *endpointState, e Exclusion) time.Time {
+	switch e {
+	case ExclusionClosed:
+		return s.holdOff.until
+	case ExclusionRateLimit:
+		return t.rateLimitRoomAt(now, s)
+	case ExclusionBackoff:
+		return s.backoffUntil
+	case ExclusionCold:
+		return s.coldUntil(now)
+	case ExclusionColdLimit:
+		return t.coldRoomAt(now, s)
+	default:
+		return time.Time{}
+	}
+}
--- a/endpoint/choice.go
+++ b/endpoint/choice.go
@@ -46,6 +46,8 @@
 	startedAt   time.Time
 	// cached is true if the endpoint was assumed to have the object cached.
 	cached bool
+	// excludesUnlimited is that of the query for which no endpoint was found.
+	excludesUnlimited bool
 	// isMeasured is true if ExpectedLatency rests on measurements of the service.
 	isMeasured bool
 }
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -51,6 +51,7 @@
 	if choice, s := t.chooseCold(now, query, latency); s != nil {
 		return choice, s
 	}
+	late.excludesUnlimited = query.excludesUnlimited
 	return late, nil
 }
 
--- a/endpoint/coldlimit.go
+++ b/endpoint/coldlimit.go
@@ -19,7 +19,27 @@
 // endpoint now. The limit applies to all instances together, so each uses its own
 // share of it.
 func (t *Table) hasColdRoom(now time.Time, s *endpointState) bool {
-	limit := t.specs[s.Service].ColdRate*t.config.ColdFactor + t.config.ColdSlack
 	s.coldRequestTimes = slices.DeleteFunc(s.coldRequestTimes, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
-	return len(s.coldRequestTimes) < t.instanceShare(now, int(limit*coldUtilization), s)
+	return len(s.coldRequestTimes) < t.coldShare(now, s)
+}
+
+// coldShare returns the number of requests that this instance may send to a cold
+// endpoint in coldWindow.
+func (t *Table) coldShare(now time.Time, s *endpointState) int {
+	limit := t.specs[s.Service].ColdRate*t.config.ColdFactor + t.config.ColdSlack
+	return t.instanceShare(now, int(limit*coldUtilization), s)
+}
+
+// coldRoomAt returns when a cold endpoint without room has room again or is no longer
+// cold, whichever is earlier.
+func (t *Table) coldRoomAt(now time.Time, s *endpointState) time.Time {
+	warmAt, share, recent := s.coldUntil(now), t.coldShare(now, s), len(s.coldRequestTimes)
+	if share == 0 || recent < share {
+		return warmAt
+	}
+	roomAt := s.coldRequestTimes[recent-share].Add(coldWindow)
+	if roomAt.After(warmAt) {
+		return warmAt
+	}
+	return roomAt
 }
--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -93,6 +93,16 @@
 	return now.Before(s.warmAt) || (now.Before(s.suspectUntil) && s.ReportSequence <= s.suspectSequence)
 }
 
+// coldUntil returns when a cold endpoint no longer counts as cold, unless it reports
+// something else before.
+func (s *endpointState) coldUntil(now time.Time) time.Time {
+	isSuspect := now.Before(s.suspectUntil) && s.ReportSequence <= s.suspectSequence
+	if isSuspect && s.suspectUntil.After(s.warmAt) {
+		return s.suspectUntil
+	}
+	return s.warmAt
+}
+
 // isExpired reports whether the endpoint was not listed again before its expiry.
 func (s *endpointState) isExpired(now time.Time) bool {
 	return !s.expiresAt.IsZero() && !now.Before(s.expiresAt)
--- a/endpoint/exclusion.go
+++ b/endpoint/exclusion.go
@@ -37,6 +37,40 @@
 	// ExclusionCold means that it is or may be cold. It gets a request only if no other
 	// endpoint can.
 	ExclusionCold
+	// ExclusionColdLimit means that it is cold, and that this instance has used its share
+	// of the requests that a cold endpoint may get.
+	ExclusionColdLimit
 	// ExclusionLoad means that it has as many requests as it may queue.
 	ExclusionLoad
+	// exclusionCount is the number of exclusions.
+	exclusionCount
 )
+
+// String returns the name of the exclusion in logs, metrics and the status.
+func (e Exclusion) String() string {
+	names := [exclusionCount]string{
+		ExclusionNone: "none", ExclusionListed: "listed", ExclusionLeaving: "leaving", ExclusionExpired: "expired",
+		ExclusionEvacuated: "evacuated", ExclusionAttempted: "attempted", ExclusionRegion: "region", ExclusionClosed: "closed",
+		ExclusionReturning: "returning", ExclusionRateLimit: "limited", ExclusionSpillover: "spillover", ExclusionBackoff: "backoff",
+		ExclusionCold: "cold", ExclusionColdLimit: "coldlimit", ExclusionLoad: "load",
+	}
+	if e >= exclusionCount {
+		return "unknown"
+	}
+	return names[e]
+}
+
+// IsOfRequest reports whether the exclusion depends on the request and not only on the
+// endpoint.
+func (e Exclusion) IsOfRequest() bool {
+	return e == ExclusionAttempted || e == ExclusionRegion || e == ExclusionSpillover
+}
+
+// Exclusions returns all reasons, without ExclusionNone.
+func Exclusions() []Exclusion {
+	var all []Exclusion
+	for e := ExclusionNone + 1; e < exclusionCount; e++ {
+		all = append(all, e)
+	}
+	return all
+}
--- a/endpoint/ratelimit.go
+++ b/endpoint/ratelimit.go
@@ -209,6 +209,20 @@
 	return now.Sub(l.lastRequestAt) >= rateLimitWindow/time.Duration(2*share)
 }
 
+// rateLimitRoomAt returns when an endpoint without room in its rate limit has room for
+// a request of this instance, zero if the share of this instance allows none.
+func (t *Table) rateLimitRoomAt(now time.Time, s *endpointState) time.Time {
+	l, share := &s.rateLimiter, t.rateLimitShare(now, s)
+	if share == 0 {
+		return time.Time{}
+	}
+	roomAt := l.lastRequestAt.Add(rateLimitWindow / time.Duration(2*share))
+	if windowAt := l.requests.fallsBelow(now, share); windowAt.After(roomAt) {
+		return windowAt
+	}
+	return roomAt
+}
+
 // rateLimitShare returns the number of requests that this instance may send to an
 // endpoint with a rate limit in rateLimitWindow. The fleet sends at least one, which
 // is how it learns that the limit has ended.
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -78,6 +78,10 @@
 		return formatNews(s.table.ApplyLeaving(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))))
 	case "retry":
 		return s.retry(t, d)
+	case "excluded":
+		return s.excluded()
+	case "explain":
+		return s.explain(t, d)
 	default:
 		d.Fatalf(t, "unknown command %s", d.Cmd)
 	}
--- a/endpoint/windowcounter.go
+++ b/endpoint/windowcounter.go
@@ -47,6 +47,25 @@
 	c.total++
 }
 
+// fallsBelow returns when the window has less than count events, if none are added. It
+// returns the zero time if it has less now.
+func (c *windowCounter) fallsBelow(now time.Time, count int) time.Time {
+	const size = windowBuckets + 1
+	c.advance(now)
+	left := c.total
+	if left < count {
+		return time.Time{}
+	}
+	bucket := max(0, c.newest-windowBuckets)
+	for ; bucket < c.newest; bucket++ {
+		left -= c.counts[bucket%size]
+		if left < count {
+			break
+		}
+	}
+	return c.origin.Add(time.Duration(bucket+size) * c.bucketWidth)
+}
+
 // sum returns the number of events in the window.
 func (c *windowCounter) sum(now time.Time) int {
 	c.advance(now)
--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"savorystep"
+	"savorystep/endpoint"
 )
 
 // ApplyList exports Watcher.applyList.
@@ -59,3 +60,9 @@
 func (w *Watcher) SetOperatorReadsRecoveredAt(now time.Time) {
 	w.operatorReadsRecoveredAt.Store(&now)
 }
+
+// DescribeNoEndpoint exports Forwarder.describeNoEndpoint for a query for which Choose
+// returned a choice.
+func (p *Proxy) DescribeNoEndpoint(now time.Time, query endpoint.Query, choice endpoint.Choice) string {
+	return p.forwarder.describeNoEndpoint(now, query, choice)
+}
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -90,10 +90,11 @@
 			pr.addStep("no repeat left in the budget")
 			break
 		}
-		choice, ok := f.config.Router.choose(now, f.query(now, pr))
+		query := f.query(now, pr)
+		choice, ok := f.config.Router.choose(now, query)
 		f.metrics.countChoice(choice.Reason)
 		if !ok {
-			pr.addStep(f.describeNoEndpoint(now, pr.service, choice))
+			pr.addStep(f.describeNoEndpoint(now, query, choice))
 			break
 		}
 		result := f.attempt(ctx, now, pr, choice)
@@ -259,28 +260,6 @@
 	return f.config.Transport.Exchange(ctx, target, request)
 }
 
-// describeNoEndpoint returns the step of the log that explains why no endpoint
-// was selected. soonest has an expected time if endpoints have room but would all
-// respond after the deadline.
-func (f *Forwarder) describeNoEndpoint(now time.Time, service savorystep.Service, soonest endpoint.Choice) string {
-	if soonest.ExpectedLatency > 0 {
-		return fmt.Sprintf("no endpoint answers in time, the soonest in %v", soonest.ExpectedLatency.Round(time.Millisecond))
-	}
-	var total, usable int
-	f.config.Router.WithTable(func(t *endpoint.Table) { total, usable = t.CountEndpoints(now, service) })
-	return fmt.Sprintf("no endpoint has room, %d of %d can get requests", usable, total)
-}
-
-// describeChoice returns the endpoint of an attempt and why it was chosen, for the
-// log.
-func describeChoice(choice endpoint.Choice) string {
-	text := fmt.Sprintf("%s %s load %.1f expected %v", choice.Endpoint.ID, choice.Reason, choice.Load, choice.ExpectedLatency.Round(time.Millisecond))
-	if choice.IsRateLimited {
-		text += fmt.Sprintf(" limit %.1f/s recent %d", choice.RateLimit, choice.RecentRequests)
-	}
-	return text
-}
-
 // describeResult returns the status or error of an attempt for the log.
 func describeResult(result attemptResult, err error) string {
 	if result.response != nil {
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -139,6 +139,13 @@
 	return r.table.CountClosed(now)
 }
 
+// Excluded returns the endpoints that may get no requests now, by service and id.
+func (r *Router) Excluded(now time.Time) []endpoint.ExcludedEndpoint {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.Excluded(now)
+}
+
 // CountLeaving returns the number of endpoints that have said that they leave.
 func (r *Router) CountLeaving() int {
 	r.mu.Lock()
