Ask again whether an endpoint wants a request once its connection is open

An endpoint that said that it leaves, or wants no requests for a time, got the requests for which connections were being opened at that moment, up to 0.35 s later.

Cause: the choice was made before the connection was opened and nobody asked again. Now the pool asks the gateway after it has opened a connection and before the first byte is written. A request that is withdrawn has not run: it goes to another endpoint, takes nothing from the retry budget and does not count against the endpoint (outcome "withdrawn"). Requests on kept connections are sent at once and are not asked about.

--- a/endpoint/admission.go
+++ b/endpoint/admission.go
@@ -122,3 +122,16 @@
 		return time.Time{}
 	}
 }
+
+// Recheck returns why the endpoint of a choice may no longer get the request, which is
+// not sent yet, as far as the endpoint has said so since the choice was made.
+func (t *Table) Recheck(now time.Time, choice Choice) Exclusion {
+	id, startedAtMillis := choice.Endpoint.ID, choice.Endpoint.StartedAtMillis
+	if known, ok := t.leavings[id]; ok && known.startedAtMillis >= startedAtMillis {
+		return ExclusionLeaving
+	}
+	if s := t.byID[id]; s != nil && s.StartedAtMillis == startedAtMillis && s.holdOff.isClosed(now) {
+		return ExclusionClosed
+	}
+	return ExclusionNone
+}
--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -142,7 +142,7 @@
 		}
 		s.backOff(now, shedBackoff, s.shedsInRow)
 		s.shedsInRow++
-	case OutcomeCancelled, OutcomeResponseDropped:
+	case OutcomeCancelled, OutcomeResponseDropped, OutcomeWithdrawn:
 	}
 }
 
--- a/endpoint/outcome.go
+++ b/endpoint/outcome.go
@@ -23,6 +23,9 @@
 	OutcomeTimedOut
 	// OutcomeCancelled means that the caller cancelled the request.
 	OutcomeCancelled
+	// OutcomeWithdrawn means that the endpoint said that it wants no requests before the
+	// request was sent, which therefore was not.
+	OutcomeWithdrawn
 	// OutcomeResponseDropped means that this instance had no memory left for the
 	// response.
 	OutcomeResponseDropped
@@ -33,7 +36,7 @@
 	names := [...]string{
 		OutcomeAnswered: "answered", OutcomeFailed: "failed", OutcomeShed: "shed", OutcomeMisdirected: "gone",
 		OutcomeConnectFailed: "refused", OutcomeBrokenResponse: "broken", OutcomeTimedOut: "silent", OutcomeCancelled: "left",
-		OutcomeResponseDropped: "unread",
+		OutcomeResponseDropped: "unread", OutcomeWithdrawn: "withdrawn",
 	}
 	if int(o) >= len(names) {
 		return "unknown"
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -72,6 +72,10 @@
 		if c, err = p.dial(ctx, key.address); err != nil {
 			return nil, &ExchangeError{Stage: StageDial, NewConnection: true, Cause: err}
 		}
+		if err := request.confirm(); err != nil {
+			_ = c.Close()
+			return nil, &ExchangeError{Stage: StageUnsent, NewConnection: true, Cause: err}
+		}
 	}
 	response, persistent, err := c.exchange(ctx, request, &p.config)
 	if err != nil {
--- a/http1/pool_test.go
+++ b/http1/pool_test.go
@@ -329,3 +329,39 @@
 		t.Errorf("endpoint accepted %d connections, want 2", accepted.Load())
 	}
 }
+
+// TestBeforeSend guards against a request that is written although it was withdrawn
+// while its connection was opened, and against one on a kept connection that is asked
+// about although nothing can have changed.
+func TestBeforeSend(t *testing.T) {
+	target, accepted := startEndpoint(t, func(c *serverConn) {
+		for {
+			id, err := c.readRequest()
+			if err != nil {
+				return
+			}
+			c.writeResponse(id, "body")
+		}
+	})
+	pool := newPool()
+	errWithdrawn := errors.New("withdrawn")
+	asked := 0
+	request := newRequest("1")
+	request.BeforeSend = func() error { asked++; return errWithdrawn }
+	_, err := pool.Exchange(t.Context(), target, request)
+	var exchangeErr *http1.ExchangeError
+	if !errors.As(err, &exchangeErr) || exchangeErr.Stage != http1.StageUnsent || !errors.Is(err, errWithdrawn) {
+		t.Fatalf("error %v, want the one of BeforeSend at stage unsent", err)
+	}
+	request.BeforeSend = func() error { asked++; return nil }
+	for range 2 {
+		response, err := pool.Exchange(t.Context(), target, request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		response.Release()
+	}
+	if asked != 2 || accepted.Load() != 2 {
+		t.Errorf("BeforeSend was called %d times for %d connections, want 2 for 2", asked, accepted.Load())
+	}
+}
--- a/http1/request.go
+++ b/http1/request.go
@@ -17,6 +17,18 @@
 	Body   []byte
 	// HasBody is true if the request has a body, which may be empty.
 	HasBody bool
+	// BeforeSend is called after a connection was opened for the request and before the
+	// first byte is written. If it returns an error, the request is not sent. It is
+	// optional.
+	BeforeSend func() error
 	// AttemptID is the id that the endpoint echoes in its response.
 	AttemptID savorystep.RequestID
 }
+
+// confirm calls BeforeSend if there is one.
+func (r *Request) confirm() error {
+	if r.BeforeSend == nil {
+		return nil
+	}
+	return r.BeforeSend()
+}
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -120,7 +120,7 @@
 // recordResult records the result of an attempt. It returns true and the response
 // if the request is complete.
 func (f *Forwarder) recordResult(pr *proxiedRequest, result attemptResult) (bool, *http1.Response) {
-	if result.outcome != endpoint.OutcomeConnectFailed {
+	if result.outcome != endpoint.OutcomeConnectFailed && result.outcome != endpoint.OutcomeWithdrawn {
 		pr.deliveries++
 	}
 	if result.mayHaveRun {
@@ -174,6 +174,7 @@
 	request.Header = pr.Header.Clone()
 	request.Header[f.config.HeaderNames.Deadline] = []string{strconv.FormatInt(pr.deadline.Sub(now).Milliseconds(), 10)}
 	request.Header[f.config.HeaderNames.ExpectedEndpoint] = []string{string(choice.Endpoint.ID)}
+	request.BeforeSend = func() error { return f.config.Router.recheck(f.config.Clock.Now(), choice) }
 	response, err := f.exchange(ctx, pr, choice.Endpoint, &request)
 	endedAt := f.config.Clock.Now()
 	result := f.classify(ctx, response, err)
@@ -304,7 +305,10 @@
 		return attemptResult{outcome: endpoint.OutcomeBrokenResponse, mayHaveRun: true}
 	}
 	isSent := exchangeErr.Stage == http1.StageSent
+	var withdrawn *withdrawnError
 	switch {
+	case errors.As(err, &withdrawn):
+		return attemptResult{outcome: endpoint.OutcomeWithdrawn}
 	case exchangeErr.BudgetExceeded:
 		return attemptResult{outcome: endpoint.OutcomeResponseDropped, mayHaveRun: true}
 	case errors.Is(ctx.Err(), context.Canceled):
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -87,6 +87,17 @@
 	return r.table.Choose(now, query)
 }
 
+// recheck returns an error if the endpoint of a choice that is not sent yet has said
+// since that it wants no requests.
+func (r *Router) recheck(now time.Time, choice endpoint.Choice) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if e := r.table.Recheck(now, choice); e != endpoint.ExclusionNone {
+		return &withdrawnError{exclusion: e}
+	}
+	return nil
+}
+
 // recordOutcome records the outcome of an attempt. load is nil if the endpoint
 // reported none.
 func (r *Router) recordOutcome(now time.Time, choice endpoint.Choice, outcome endpoint.Outcome, load *endpoint.Load) {
