Keep the time for which an unlisted endpoint wants no requests

An endpoint that stated a time of more than a minute got requests before its end if its entry was missing from the list for longer than a minute, as in a long outage of the store, and was then listed again.

Cause: the time is kept with the tombstone of the entry, and tombstones are deleted after a minute.

--- a/endpoint/tombstone.go
+++ b/endpoint/tombstone.go
@@ -6,8 +6,9 @@
 	"savorystep"
 )
 
-// tombstoneTTL is how long the tombstone of a removed endpoint is kept. Reports
-// that were in flight at the removal are written within seconds.
+// tombstoneTTL is how long the tombstone of a removed endpoint is kept at least. Reports
+// that were in flight at the removal are written within seconds. A tombstone is kept
+// longer while the endpoint wants no requests.
 const tombstoneTTL = time.Minute
 
 // A tombstone records the last entry of a removed endpoint, so that a delayed
@@ -43,10 +44,11 @@
 	return newRateLimiter()
 }
 
-// evictTombstones deletes tombstones older than tombstoneTTL.
+// evictTombstones deletes tombstones older than tombstoneTTL, unless the endpoint is
+// closed.
 func (t *Table) evictTombstones(now time.Time) {
 	for id, tomb := range t.tombstones {
-		if now.Sub(tomb.removedAt) >= tombstoneTTL {
+		if now.Sub(tomb.removedAt) >= tombstoneTTL && !tomb.holdOff.isClosed(now) {
 			delete(t.tombstones, id)
 		}
 	}
