Heed the time that an endpoint states while it is missing from the list

An endpoint that rejected a request with a time got requests before its end if its entry was missing from the list when the response arrived, and was then listed again.

Cause: the time was recorded only for listed endpoints. Now the tombstone of the entry takes it, from which the endpoint gets it back.

Script retryafterwhileunlisted of endpoint.TestTable: the time was dropped before ("unchanged"), and the endpoint got the next request.

--- a/endpoint/holdoff.go
+++ b/endpoint/holdoff.go
@@ -65,14 +65,27 @@
 
 // RecordRetryAfter records that the response to a choice rejected the request and
 // stated that the endpoint wants no requests from this instance for a time. It returns
-// the end of that time, and true if it has begun or was moved.
+// the end of that time, and true if it has begun or was moved. The endpoint may be
+// missing from the list at present.
 func (t *Table) RecordRetryAfter(now time.Time, choice Choice, wait time.Duration) (time.Time, bool) {
-	s := t.byID[choice.Endpoint.ID]
-	if s == nil || s.StartedAtMillis != choice.Endpoint.StartedAtMillis {
+	h := t.knownHoldOff(choice.Endpoint)
+	if h == nil {
 		return time.Time{}, false
 	}
-	isChanged := s.holdOff.start(now, wait)
-	return s.holdOff.until, isChanged
+	isChanged := h.start(now, wait)
+	return h.until, isChanged
+}
+
+// knownHoldOff returns the hold-off of the incarnation of an endpoint, which is that of
+// its tombstone if it is not listed. It returns nil if neither is known.
+func (t *Table) knownHoldOff(e savorystep.Endpoint) *holdOff {
+	if s := t.byID[e.ID]; s != nil && s.StartedAtMillis == e.StartedAtMillis {
+		return &s.holdOff
+	}
+	if tomb := t.tombstones[e.ID]; tomb != nil && tomb.startedAtMillis == e.StartedAtMillis {
+		return &tomb.holdOff
+	}
+	return nil
 }
 
 // EarliestReturn returns when the first of the endpoints that a request may use,
