Send one request at a time to an endpoint that follows a leaving one

An endpoint that started again under its id and said that it leaves before its new start was listed got as many requests at once as its load allows when it was listed.

Cause: the response was taken for one of the earlier start, the only one known, and a new start is clean. Which of the two responded can't be told. Now, if such a response came within 10 s before the new start is listed, requests return to it one by one: its first answer says whether it leaves. An endpoint that was listed later, or of which only a peer has heard, is not affected.

One request is still sent, and if the listing takes longer than drain it counts against the endpoint's notice.

--- a/endpoint/leaving.go
+++ b/endpoint/leaving.go
@@ -16,6 +16,10 @@
 	// largest deployment in use has 777 endpoints, of which each may restart within
 	// leavingTTL under a new id.
 	maxLeavings = 4096
+	// maxListingDelay is how long after the start of an endpoint responses of it may be
+	// taken for those of its earlier incarnation, because the new one is not listed yet.
+	// Endpoints are listed within two heartbeats and a read of the list, 4 s.
+	maxListingDelay = 10 * time.Second
 )
 
 // A leaving records that an incarnation of an endpoint has said in a response that it
@@ -24,12 +28,20 @@
 type leaving struct {
 	startedAtMillis int64
 	heardAt         time.Time
+	// saidAt is when a response to this instance last said so, zero if none did.
+	saidAt time.Time
 }
 
 // RecordLeaving records that the response to a choice said that its endpoint leaves.
 // It returns false if that was known.
 func (t *Table) RecordLeaving(now time.Time, choice Choice) bool {
-	return t.ApplyLeaving(now, choice.Endpoint.ID, choice.Endpoint.StartedAtMillis)
+	id := choice.Endpoint.ID
+	isNew := t.ApplyLeaving(now, id, choice.Endpoint.StartedAtMillis)
+	if known, ok := t.leavings[id]; ok && known.startedAtMillis == choice.Endpoint.StartedAtMillis {
+		known.saidAt = now
+		t.leavings[id] = known
+	}
+	return isNew
 }
 
 // ApplyLeaving records that another instance heard that the incarnation of an endpoint
@@ -47,27 +59,34 @@
 	if !ok {
 		t.evictLeavings(now)
 	}
-	t.leavings[id] = leaving{startedAtMillis: startedAtMillis, heardAt: now}
+	t.leavings[id] = leaving{startedAtMillis: startedAtMillis, heardAt: now, saidAt: known.saidAt}
 	if s != nil {
 		s.isLeaving = true
 	}
 	return !ok || known.startedAtMillis != startedAtMillis
 }
 
-// hasLeft reports whether the incarnation of an entry has said that it leaves. An
-// entry of an earlier incarnation names a process that no longer exists.
-func (t *Table) hasLeft(now time.Time, entry savorystep.Endpoint) bool {
-	known, ok := t.leavings[entry.ID]
-	if !ok {
-		return false
-	}
-	if entry.StartedAtMillis > known.startedAtMillis {
-		delete(t.leavings, entry.ID)
-		return false
+// updateLeaving updates whether an endpoint leaves after its entry was put: that is the
+// case if its incarnation or a later one has said so. An entry of an earlier incarnation
+// names a process that no longer exists. A later incarnation is clean, but the last
+// response that said so may have come from it before it was listed, so requests return
+// to it one by one.
+func (t *Table) updateLeaving(now time.Time, s *endpointState) {
+	known, ok := t.leavings[s.ID]
+	switch {
+	case !ok:
+		s.isLeaving = false
+	case s.StartedAtMillis > known.startedAtMillis:
+		delete(t.leavings, s.ID)
+		s.isLeaving = false
+		if !known.saidAt.IsZero() && now.Sub(known.saidAt) < maxListingDelay {
+			s.holdOff = holdOff{until: now, maxReturning: 1}
+		}
+	default:
+		s.isLeaving = true
+		known.heardAt = now
+		t.leavings[s.ID] = known
 	}
-	known.heardAt = now
-	t.leavings[entry.ID] = known
-	return true
 }
 
 // evictLeavings deletes what is older than leavingTTL and, if there is no room for one
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -77,7 +77,7 @@
 		}
 		if known.Service == entry.Service {
 			known.update(now, entry)
-			known.isLeaving = t.hasLeft(now, entry)
+			t.updateLeaving(now, known)
 			return true
 		}
 		t.Remove(now, entry.ID)
@@ -89,7 +89,8 @@
 	if t.isStale(now, entry) {
 		return false
 	}
-	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, holdOff: hold, isLeaving: t.hasLeft(now, entry)}
+	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, holdOff: hold}
+	t.updateLeaving(now, s)
 	t.byID[entry.ID] = s
 	t.byService[entry.Service] = append(t.byService[entry.Service], s)
 	return true
