Check what endpoints say together and while the store or instances are away

No test had an endpoint that leaves, is closed and limited at once, all endpoints of a service at once with instances that stop or freeze, a store that is away meanwhile, or requests that wait on a kept connection behind a response with a notice.

The model gets outages of the store, in which restarted instances read the list as it was before, and planned stops of instances. A frozen instance counts as told when it runs again.

--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -111,17 +111,33 @@
 	}
 }
 
-// readEndpointList updates the table of an instance to the endpoints that run.
-func (f *fleet) readEndpointList(i *instance) {
-	listed := make(map[savorystep.EndpointID]bool)
+// listEndpoints returns the endpoint list, in which each endpoint has a new report.
+func (f *fleet) listEndpoints() []savorystep.Endpoint {
+	list := make([]savorystep.Endpoint, 0, len(f.endpoints))
 	for _, e := range f.endpoints {
 		if e.isDown || e.isUnlisted {
 			continue
 		}
-		listed[e.ID] = true
 		e.ReportSequence++
 		entry := e.Endpoint
 		entry.ColdRemaining = max(0, e.warmAt-f.scheduler.now)
+		list = append(list, entry)
+	}
+	return list
+}
+
+// readEndpointList updates the table of an instance to the endpoint list. During an
+// outage, only an instance that has no list yet reads one.
+func (f *fleet) readEndpointList(i *instance) {
+	list := i.staleList
+	if list == nil {
+		list = f.listEndpoints()
+	} else if len(i.table.IDs()) > 0 {
+		return
+	}
+	listed := make(map[savorystep.EndpointID]bool)
+	for _, entry := range list {
+		listed[entry.ID] = true
 		i.table.Put(f.now(), entry)
 	}
 	for _, id := range i.table.IDs() {
@@ -148,11 +164,11 @@
 	}
 }
 
-// isConnected reports whether two instances see each other. A frozen instance counts
-// as partitioned.
+// isConnected reports whether two instances see each other. A frozen or stopping
+// instance counts as partitioned.
 func (f *fleet) isConnected(i, other *instance) bool {
 	now := f.scheduler.now
-	return !i.isPartitioned && !other.isPartitioned && i.frozenUntil <= now && other.frozenUntil <= now
+	return !i.isStopping && !other.isStopping && !i.isPartitioned && !other.isPartitioned && i.frozenUntil <= now && other.frozenUntil <= now
 }
 
 // shareRateLimit sends what an endpoint stated to an instance to the others, if they
@@ -235,113 +251,6 @@
 	r.sendToInstance()
 }
 
-// startEvent starts an event and schedules its end if it has a duration.
-func (f *fleet) startEvent(event Event) {
-	instances := f.instances[:int(math.Ceil(event.Share*float64(len(f.instances))))]
-	endpoints := f.endpoints[:int(math.Ceil(event.Share*float64(len(f.endpoints))))]
-	switch event.Kind {
-	case EventBurst:
-		f.rateFactor = event.Factor
-	case EventFreeze, EventPartition, EventRestart:
-		f.startInstanceEvent(event, instances)
-	default:
-		for _, e := range endpoints {
-			f.startEndpointEvent(event, e)
-		}
-	}
-	if event.Duration > 0 {
-		f.scheduler.after(event.Duration, func() { f.endEvent(event.Kind, instances, endpoints) })
-	}
-}
-
-// startInstanceEvent starts an event for the instances that it affects.
-func (f *fleet) startInstanceEvent(event Event, instances []*instance) {
-	for n, i := range instances {
-		switch event.Kind {
-		case EventFreeze:
-			i.frozenUntil = f.scheduler.now + event.Duration
-		case EventPartition:
-			i.isPartitioned = true
-		default:
-			i.start(n, f.scenario.Limits)
-			i.isPartitioned = true
-			for _, e := range f.endpoints {
-				e.rateLimit.forget(i)
-				e.notices.forget(i)
-			}
-			f.readEndpointList(i)
-			f.scheduler.after(membershipDelay, func() { i.isPartitioned = false })
-		}
-	}
-}
-
-// startEndpointEvent starts an event for an endpoint that it affects.
-func (f *fleet) startEndpointEvent(event Event, e *simulatedEndpoint) {
-	switch event.Kind {
-	case EventCold:
-		e.becomeCold(listPeriod)
-	case EventDown:
-		e.goDown()
-	case EventDrain:
-		e.State = savorystep.StateLeaving
-	case EventFail:
-		e.failShare = event.Factor
-	case EventClose:
-		e.retryAfter = time.Duration(event.Factor * float64(time.Second))
-	case EventLeave:
-		e.isLeaving = true
-	case EventRateLimit:
-		e.rateLimit.set(f.scheduler.now, savorystep.RequestsPerSecond(event.Factor))
-	case EventSlow:
-		e.slowFactor = event.Factor
-	case EventUnlist:
-		e.isUnlisted = true
-	default:
-	}
-}
-
-// endEvent ends an event for the instances and endpoints that it affects.
-func (f *fleet) endEvent(kind EventKind, instances []*instance, endpoints []*simulatedEndpoint) {
-	switch kind {
-	case EventBurst:
-		f.rateFactor = 1
-	case EventPartition:
-		for _, i := range instances {
-			i.isPartitioned = false
-		}
-	default:
-		for _, e := range endpoints {
-			f.endEndpointEvent(kind, e)
-		}
-	}
-}
-
-// endEndpointEvent ends an event for an endpoint that it affects.
-func (f *fleet) endEndpointEvent(kind EventKind, e *simulatedEndpoint) {
-	switch kind {
-	case EventDown:
-		e.isDown = false
-		e.StartedAtMillis++
-		e.ReportSequence = 0
-		e.becomeCold(0)
-	case EventDrain:
-		e.goDown()
-	case EventFail:
-		e.failShare = 0
-	case EventClose:
-		e.retryAfter = 0
-	case EventLeave:
-		e.goDown()
-	case EventRateLimit:
-		e.rateLimit.end(f.scheduler.now)
-	case EventSlow:
-		e.slowFactor = 1
-	case EventUnlist:
-		e.isUnlisted = false
-	default:
-	}
-}
-
 // networkDelay returns the one-way delay between a place and an endpoint.
 func networkDelay(from savorystep.Place, e *simulatedEndpoint) time.Duration {
 	if from.Region == e.Place.Region {
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -17,6 +17,10 @@
 	starts int
 	// isPartitioned is true while it and the other instances do not see each other.
 	isPartitioned bool
+	// isStopping is true while it gets no requests and ends.
+	isStopping bool
+	// staleList is the endpoint list that it reads during an outage, nil otherwise.
+	staleList []savorystep.Endpoint
 	// frozenUntil is when a frozen instance runs again.
 	frozenUntil time.Duration
 }
--- a/simulation/noticelog.go
+++ b/simulation/noticelog.go
@@ -57,10 +57,22 @@
 	l.closings = slices.DeleteFunc(l.closings, func(c closing) bool { return c.to == restarted })
 }
 
+// delay records that an instance freezes. What the endpoint tells it meanwhile, or has
+// told it so recently that the response is still on its way, reaches it at the end.
+func (l *noticeLog) delay(now time.Duration, frozen *instance) {
+	for i := range l.closings {
+		c := &l.closings[i]
+		if c.to == frozen && now < c.start-retryAfterNotice+2*otherRegionDelay {
+			c.start = max(c.start, frozen.frozenUntil+retryAfterNotice)
+		}
+	}
+}
+
 // addClosing records that the endpoint rejects a request of an instance and wants no
 // more for a time.
 func (l *noticeLog) addClosing(now time.Duration, to *instance, wait time.Duration) {
-	l.closings = append(l.closings, closing{to: to, start: now + retryAfterNotice, end: now + wait})
+	toldAt := max(now, to.frozenUntil)
+	l.closings = append(l.closings, closing{to: to, start: toldAt + retryAfterNotice, end: now + wait})
 }
 
 // addArrival records a request that arrives now and that a caller sent to an instance
--- a/simulation/request.go
+++ b/simulation/request.go
@@ -29,17 +29,26 @@
 }
 
 // sendToInstance sends the request to a random instance in the region of the
-// caller, or to any instance if the region has none.
+// caller, or to any instance if the region has none. It is refused if all are stopping.
 func (r *request) sendToInstance() {
 	f := r.fleet
-	var candidates []*instance
+	var candidates, all []*instance
 	for i, candidate := range f.instances {
+		if candidate.isStopping {
+			continue
+		}
+		all = append(all, candidate)
 		if i%f.scenario.Regions == r.region {
 			candidates = append(candidates, candidate)
 		}
 	}
 	if len(candidates) == 0 {
-		candidates = f.instances
+		candidates = all
+	}
+	if len(candidates) == 0 {
+		f.result.Refused++
+		r.second.Refused++
+		return
 	}
 	r.instance = candidates[f.random.IntN(len(candidates))]
 	r.attempted, r.received, r.receivedAt = nil, 0, f.scheduler.now
--- a/simulation/scenario.go
+++ b/simulation/scenario.go
@@ -58,63 +58,6 @@
 	return l.ColdRate*l.ColdFactor + l.ColdSlack
 }
 
-// An EventKind says what an event does to the fleet.
-type EventKind string
-
-// The kinds of events.
-const (
-	// EventBurst multiplies the request rate by Factor.
-	EventBurst EventKind = "burst"
-	// EventCold makes endpoints cold and empties their caches.
-	EventCold EventKind = "cold"
-	// EventPartition partitions instances from all others.
-	EventPartition EventKind = "cut"
-	// EventClose makes endpoints reject requests for its duration and state for how long
-	// they want none: Factor seconds, to each instance.
-	EventClose EventKind = "close"
-	// EventDown stops endpoints, which are cold when they start again.
-	EventDown EventKind = "down"
-	// EventDrain makes endpoints leave. They stop for good when it ends.
-	EventDrain EventKind = "drain"
-	// EventFail makes endpoints answer the fraction Factor of the requests that they
-	// run with an error.
-	EventFail EventKind = "fail"
-	// EventFreeze keeps instances from running.
-	EventFreeze EventKind = "freeze"
-	// EventLeave makes endpoints say in their responses that they leave, while the
-	// endpoint list has them as before.
-	EventLeave EventKind = "leave"
-	// EventRateLimit makes endpoints state a rate limit of Factor requests per second
-	// in their responses. It replaces an earlier one.
-	EventRateLimit EventKind = "limit"
-	// EventRestart restarts instances under new ids.
-	EventRestart EventKind = "restart"
-	// EventSlow multiplies the time that endpoints take for a request by Factor.
-	EventSlow EventKind = "slow"
-	// EventUnlist removes endpoints from the endpoint list, although they run.
-	EventUnlist EventKind = "unlist"
-)
-
-// EventKinds returns all kinds of events.
-func EventKinds() []EventKind {
-	return []EventKind{
-		EventBurst, EventClose, EventCold, EventPartition, EventDown, EventDrain, EventFail, EventFreeze, EventLeave, EventRateLimit, EventRestart, EventSlow, EventUnlist,
-	}
-}
-
-// An Event is a change of the load or a fault during a run.
-type Event struct {
-	// Start is the time since the start of the run. Duration is zero for an event
-	// that does not end; EventCold and EventRestart need none.
-	Start, Duration time.Duration
-	Kind            EventKind
-	// Share is the fraction of the instances or endpoints that the event affects.
-	Share float64
-	// Factor is the factor of EventBurst and EventSlow, the fraction of EventFail, the
-	// rate of EventRateLimit and the seconds of EventClose.
-	Factor float64
-}
-
 // A Policy says how instances choose endpoints. Experiments compare policies.
 type Policy struct {
 	Name string
