Spend little of the retry budget in the first window of a restarted instance

Fleets that were restarted shortly after endpoints began to fail sent more retries in 10 s than allowed.

Cause: each instance may use 0.8 of its share, by its own count, and a new one starts with a whole share while the retries of the one that it replaces are still in the window. Now it uses the other 0.2 until it has counted a whole window itself, and gets the slack bit by bit, so that several starts in a row add up to one share. Only an instance that runs since the first start of the system has a whole budget at once.

Script retrybudgetafterstart of endpoint.TestTable fails without the change.

--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -86,6 +86,7 @@
 		RetryRatio:  settings.Bounds.RetryRatio,
 		RetrySlack:  settings.Bounds.RetrySlack,
 		RetryWindow: settings.Bounds.RetryWindow,
+		MayReplace:  !settings.FirstStart,
 	}
 }
 
--- a/endpoint/config.go
+++ b/endpoint/config.go
@@ -18,4 +18,7 @@
 	// RetrySlack.
 	RetryRatio, RetrySlack float64
 	RetryWindow            time.Duration
+	// MayReplace is true if instances may have run before this one was started. Their
+	// retries count against the same limit.
+	MayReplace bool
 }
--- a/endpoint/retrybudget.go
+++ b/endpoint/retrybudget.go
@@ -13,6 +13,9 @@
 	// budgetUtilization is the fraction of the budget that is used. The remainder
 	// covers requests that other instances count in another bucket.
 	budgetUtilization = 0.8
+	// replacementUtilization is the fraction that is used in the first window of an
+	// instance that may replace others, which may have used budgetUtilization.
+	replacementUtilization = 1 - budgetUtilization
 )
 
 // A retryBudget counts the requests of a service and their retries over a sliding
@@ -75,11 +78,22 @@
 func (t *Table) AllowRetry(now time.Time, service savorystep.Service) bool {
 	b := t.budget(service)
 	i := b.advance(now)
-	instances := float64(max(len(t.instanceSeenAt), minInstances))
-	allowed := budgetUtilization * (t.config.RetryRatio*sum(b.requests[:]) + t.config.RetrySlack/instances)
-	if sum(b.retries[:])+1 > allowed {
+	if sum(b.retries[:])+1 > t.allowedRetries(now, b) {
 		return false
 	}
 	b.retries[i]++
 	return true
 }
+
+// allowedRetries returns the number of retries that a budget allows in the window that
+// ends now. An instance that may replace others gets its share of the slack bit by bit,
+// so that a series of starts does not add up to several shares.
+func (t *Table) allowedRetries(now time.Time, b *retryBudget) float64 {
+	slack := t.config.RetrySlack / float64(max(len(t.instanceSeenAt), minInstances))
+	utilization := budgetUtilization
+	if age, window := now.Sub(t.startedAt), t.config.RetryWindow+b.bucketWidth; t.config.MayReplace && age < window {
+		utilization = replacementUtilization
+		slack *= float64(age) / float64(window)
+	}
+	return utilization * (t.config.RetryRatio*sum(b.requests[:]) + slack)
+}
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -90,11 +90,10 @@
 
 // createTable replaces the table by one without endpoints.
 func (s *script) createTable(d *datadriven.TestData) {
-	config := endpoint.Config{Self: "self", ColdFactor: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second}
+	config := endpoint.Config{Self: "self", ColdFactor: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second, MayReplace: d.HasArg("replaces")}
 	s.table = endpoint.NewTable(config)
 	s.inFlight = make(map[savorystep.EndpointID][]endpoint.Choice)
 	s.table.SetSpecs(map[savorystep.Service]savorystep.ServiceSpec{"s": {Name: "s", ColdRate: 7.6, Warmup: 3 * time.Second}})
-	_ = d
 }
 
 // arg returns an argument of a command, or the empty string.
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -38,6 +38,7 @@
 	i.table = endpoint.NewTable(endpoint.Config{
 		Self: i.id, ColdFactor: limits.ColdFactor, ColdSlack: limits.ColdSlack,
 		RetryRatio: limits.RetryRatio, RetrySlack: limits.RetrySlack, RetryWindow: limits.RetryWindow,
+		MayReplace: i.starts > 1,
 	})
 	i.table.SetSpecs(map[savorystep.Service]savorystep.ServiceSpec{service: {Name: service, ColdRate: limits.ColdRate}})
 }
