--- /dev/null
+++ b/endpoint/admission.go
@@ -0,0 +1,137 @@
+package endpoint
+
+import (
+	"slices"
+	"time"
+
+	"savorystep"
+)
+
+// An Admission says whether an endpoint may get a request now and, if not, why and
+// until when.
+type Admission struct {
+	Exclusion Exclusion
+	// Until is when the exclusion ends, zero if it ends with an event and not at a known
+	// time.
+	Until time.Time
+}
+
+// admission returns the admission of a request. Choose and all that reports about
+// endpoints use it or the checks that it combines, which are the only place that reads
+// the state of an endpoint for this purpose.
+func (t *Table) admission(now time.Time, s *endpointState, query *Query) Admission {
+	e := t.checkEligibility(now, s, query)
+	if e == ExclusionNone {
+		e = s.checkReadiness(now)
+	}
+	switch {
+	case e == ExclusionCold && !t.hasColdRoom(now, s):
+		e = ExclusionColdLimit
+	case e == ExclusionNone:
+		e = s.checkLoad(now, maxLoadPerSlot)
+	default:
+	}
+	return Admission{Exclusion: e, Until: t.exclusionEnd(now, s, e)}
+}
+
+// checkAvailability checks whether an endpoint may get a request, whatever it has room
+// for.
+func (t *Table) checkAvailability(now time.Time, s *endpointState, query *Query) Exclusion {
+	switch {
+	case s.State != savorystep.StateLive:
+		return ExclusionListed
+	case s.isLeaving:
+		return ExclusionLeaving
+	case s.isExpired(now):
+		return ExclusionExpired
+	case t.evacuatedZones[s.Place.Zone]:
+		return ExclusionEvacuated
+	case slices.Contains(query.AttemptedEndpoints, s.ID):
+		return ExclusionAttempted
+	case len(query.AllowedRegions) > 0 && !slices.Contains(query.AllowedRegions, s.Place.Region):
+		return ExclusionRegion
+	default:
+		return ExclusionNone
+	}
+}
+
+// checkRoom checks whether what an endpoint has stated to instances leaves room for a
+// request of this one.
+func (t *Table) checkRoom(now time.Time, s *endpointState) Exclusion {
+	switch {
+	case s.holdOff.isClosed(now):
+		return ExclusionClosed
+	case !s.holdOff.hasRoom():
+		return ExclusionReturning
+	case s.rateLimiter.isLimited(now) && !t.hasRateLimitRoom(now, s):
+		return ExclusionRateLimit
+	default:
+		return ExclusionNone
+	}
+}
+
+// checkEligibility checks whether an endpoint is part of the ranking for a request. The
+// next one in the ranking replaces an endpoint that is not.
+func (t *Table) checkEligibility(now time.Time, s *endpointState, query *Query) Exclusion {
+	if e := t.checkAvailability(now, s, query); e != ExclusionNone {
+		return e
+	}
+	if e := t.checkRoom(now, s); e != ExclusionNone {
+		return e
+	}
+	if query.excludesUnlimited && !s.rateLimiter.isLimited(now) {
+		return ExclusionSpillover
+	}
+	return ExclusionNone
+}
+
+// checkReadiness checks whether an endpoint that is part of a ranking is skipped there.
+func (s *endpointState) checkReadiness(now time.Time) Exclusion {
+	switch {
+	case s.isInBackoff(now):
+		return ExclusionBackoff
+	case s.isCold(now):
+		return ExclusionCold
+	default:
+		return ExclusionNone
+	}
+}
+
+// checkLoad checks whether an endpoint has less than a load per slot.
+func (s *endpointState) checkLoad(now time.Time, limit float64) Exclusion {
+	if s.load(now) >= limit*float64(s.Slots) {
+		return ExclusionLoad
+	}
+	return ExclusionNone
+}
+
+// exclusionEnd returns when an exclusion of an endpoint ends, zero if that is not known.
+func (t *Table) exclusionEnd(now time.Time, s *endpointState, e Exclusion) time.Time {
+	switch e {
+	case ExclusionClosed:
+		return s.holdOff.until
+	case ExclusionRateLimit:
+		return t.rateLimitRoomAt(now, s)
+	case ExclusionBackoff:
+		return s.backoffUntil
+	case ExclusionCold:
+		return s.coldUntil(now)
+	case ExclusionColdLimit:
+		return t.coldRoomAt(now, s)
+	default:
+		return time.Time{}
+	}
+}
+
+// Recheck returns why the endpoint of a choice may no longer get the request, which is
+// not sent yet, as far as the endpoint has said so since the choice was made.
+func (t *Table) Recheck(now time.Time, choice Choice) Exclusion {
+	id, startedAtMillis := choice.Endpoint.ID, choice.Endpoint.StartedAtMillis
+	if known, ok := t.leavings[id]; ok && known.startedAtMillis >= startedAtMillis {
+		return ExclusionLeaving
+	}
+	if s := t.byID[id]; s != nil && s.StartedAtMillis == startedAtMillis && s.holdOff.isClosed(now) {
+		return ExclusionClosed
+	}
+	return ExclusionNone
+}
--- a/endpoint/holdoff.go
+++ b/endpoint/holdoff.go
@@ -24,9 +24,9 @@
 	return h.maxReturning > 0 && now.Before(h.until)
 }
 
-// hasRoom reports whether the endpoint may get a request now.
-func (h *holdOff) hasRoom(now time.Time) bool {
-	return h.maxReturning == 0 || (h.returning < h.maxReturning && !now.Before(h.until))
+// hasRoom reports whether the endpoint may get a request unless it is closed.
+func (h *holdOff) hasRoom() bool {
+	return h.maxReturning == 0 || h.returning < h.maxReturning
 }
 
 // start records a stated time. The responses to requests that were in flight when the
@@ -65,9 +65,10 @@
 
 // RecordRetryAfter records that the response to a choice rejected the request and
 // stated that the endpoint wants no requests from this instance for a time. It returns
-// the end of that time, and true if it has begun or was moved.
+// the end of that time, and true if it has begun or was moved. The endpoint may be
+// missing from the list at present.
 func (t *Table) RecordRetryAfter(now time.Time, choice Choice, wait time.Duration) (time.Time, bool) {
-	h := t.holdOffFor(choice.Endpoint.ID, choice.Endpoint.StartedAtMillis)
+	h := t.knownHoldOff(choice.Endpoint)
 	if h == nil {
 		return time.Time{}, false
 	}
@@ -75,17 +76,13 @@
 	return h.until, isChanged
 }
 
-// holdOffFor returns the hold-off of an incarnation of an endpoint, which may have been
-// removed while a request was in flight there. It returns nil if the incarnation is not
-// known, or not the latest.
-func (t *Table) holdOffFor(id savorystep.EndpointID, startedAtMillis int64) *holdOff {
-	if s := t.byID[id]; s != nil {
-		if s.StartedAtMillis != startedAtMillis {
-			return nil
-		}
+// knownHoldOff returns the hold-off of the incarnation of an endpoint, which is that of
+// its tombstone if it is not listed. It returns nil if neither is known.
+func (t *Table) knownHoldOff(e savorystep.Endpoint) *holdOff {
+	if s := t.byID[e.ID]; s != nil && s.StartedAtMillis == e.StartedAtMillis {
 		return &s.holdOff
 	}
-	if tomb := t.tombstones[id]; tomb != nil && tomb.startedAtMillis == startedAtMillis {
+	if tomb := t.tombstones[e.ID]; tomb != nil && tomb.startedAtMillis == e.StartedAtMillis {
 		return &tomb.holdOff
 	}
 	return nil
@@ -99,8 +96,8 @@
 	var earliest time.Time
 	for _, s := range t.byService[query.Service] {
 		switch {
-		case !t.isAvailable(now, s, &query):
-		case !s.holdOff.isClosed(now):
+		case t.checkAvailability(now, s, &query) != ExclusionNone:
+		case t.checkRoom(now, s) != ExclusionClosed:
 			return time.Time{}, false
 		case earliest.IsZero() || s.holdOff.until.Before(earliest):
 			earliest = s.holdOff.until
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -80,6 +80,10 @@
 		return formatNews(s.table.ApplyLeaving(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))))
 	case "retry":
 		return s.retry(t, d)
+	case "excluded":
+		return s.excluded()
+	case "explain":
+		return s.explain(t, d)
 	default:
 		d.Fatalf(t, "unknown command %s", d.Cmd)
 	}
@@ -88,11 +92,10 @@
 
 // createTable replaces the table by one without endpoints.
 func (s *script) createTable(d *datadriven.TestData) {
-	config := endpoint.Config{Self: "self", ColdFactor: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second}
+	config := endpoint.Config{Self: "self", ColdFactor: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second, MayReplace: d.HasArg("replaces")}
 	s.table = endpoint.NewTable(config)
 	s.inFlight = make(map[savorystep.EndpointID][]endpoint.Choice)
 	s.table.SetSpecs(map[savorystep.Service]savorystep.ServiceSpec{"s": {Name: "s", ColdRate: 7.6, Warmup: 3 * time.Second}})
-	_ = d
 }
 
 // arg returns an argument of a command, or the empty string.
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -17,6 +17,10 @@
 	starts int
 	// isPartitioned is true while it and the other instances do not see each other.
 	isPartitioned bool
+	// isStopping is true while it gets no requests and ends.
+	isStopping bool
+	// staleList is the endpoint list that it reads during an outage, nil otherwise.
+	staleList []savorystep.Endpoint
 	// frozenUntil is when a frozen instance runs again.
 	frozenUntil time.Duration
 }
@@ -34,6 +38,7 @@
 	i.table = endpoint.NewTable(endpoint.Config{
 		Self: i.id, ColdFactor: limits.ColdFactor, ColdSlack: limits.ColdSlack,
 		RetryRatio: limits.RetryRatio, RetrySlack: limits.RetrySlack, RetryWindow: limits.RetryWindow,
+		MayReplace: i.starts > 1,
 	})
 	i.table.SetSpecs(map[savorystep.Service]savorystep.ServiceSpec{service: {Name: service, ColdRate: limits.ColdRate}})
 }
