Go on asking for missing statuses when the peers that were asked know none

Traced: an instance asked for statuses until two answers in a row had none that it lacked, five seconds after its start at the earliest. On a busy machine the answers of that time may all come from instances that know only each other. In the run that was looked at (load average 20 to 37) the fleet was in two parts, of 34 and 13 nodes: 47 new statuses at the seeds, 34 to 36 and 16 to 20 at the others, and no more to the end. The test's byte budget leaves nothing for gossip, which repairs this otherwise.

The pauses between requests double now, up to 16 s, before an instance waits for news.

--- a/peer/catchup.go
+++ b/peer/catchup.go
@@ -18,9 +18,13 @@
 	// but only while its sender catches up.
 	catchUpPause = time.Second
 	// maxIdleCatchUps is the number of consecutive requests without a new
-	// status after which catching up ends. One may have gone to a peer that has
+	// status after which they become rarer. One may have gone to a peer that has
 	// just started itself.
 	maxIdleCatchUps = 2
+	// maxCatchUpPause is the time between requests after which catching up ends.
+	// The pauses double up to it, since all requests may have gone to instances
+	// that know only each other.
+	maxCatchUpPause = 16 * time.Second
 	// minCatchUpDuration is how long an instance catches up at least after its
 	// start. Instances that start at the same time become ready within this
 	// time.
@@ -41,22 +45,44 @@
 		default:
 			idleCount = 0
 		}
-		if !savorystep.Sleep(ctx, pause) {
+		isSignalled, ok := e.awaitCatchUp(ctx, pause)
+		if !ok {
 			return nil
 		}
-		pause = catchUpPause
-		if idleCount < maxIdleCatchUps || e.hasNoPeers() || e.config.Clock.Now().Sub(startedAt) < minCatchUpDuration {
-			continue
-		}
-		select {
-		case <-e.catchUpSignal:
-			idleCount = 0
-		case <-ctx.Done():
-			return nil
+		switch {
+		case isSignalled:
+			idleCount, pause = 0, catchUpPause
+		case idleCount < maxIdleCatchUps || e.hasNoPeers() || e.config.Clock.Now().Sub(startedAt) < minCatchUpDuration:
+			pause = catchUpPause
+		default:
+			pause *= 2
 		}
 	}
 }
 
+// awaitCatchUp waits for a pause. If that is longer than catchUpPause, it ends as soon as
+// many facts are new, and isSignalled is true; after maxCatchUpPause it waits for these
+// only. It returns false if ctx ends.
+func (e *Exchange) awaitCatchUp(ctx context.Context, pause time.Duration) (isSignalled, ok bool) {
+	if pause <= catchUpPause {
+		return false, savorystep.Sleep(ctx, pause)
+	}
+	var elapsed <-chan time.Time
+	if pause <= maxCatchUpPause {
+		timer := time.NewTimer(pause)
+		defer timer.Stop()
+		elapsed = timer.C
+	}
+	select {
+	case <-elapsed:
+		return false, true
+	case <-e.catchUpSignal:
+		return true, true
+	case <-ctx.Done():
+		return false, false
+	}
+}
+
 // hasNoPeers reports whether no other member is known.
 func (e *Exchange) hasNoPeers() bool {
 	e.mu.Lock()
