Do not count an outage in the time of a pending entry

A late report that the store lists while it is away looked like that of a live endpoint: the entry of an endpoint that has left was used after 6 s, of which the store had counted none.

The 6 s begin anew at the first read after failed ones, and at a change of era.

TestLateReportIsNotUsedAfterOutage: used 13 s after the start, right after an outage of 10 s, without the change; not before 6 s later with it.

--- a/endpoint/tombstone.go
+++ b/endpoint/tombstone.go
@@ -102,3 +102,13 @@
 		}
 	}
 }
+
+// DelayPending lets the time of pending endpoints begin anew, because the store could
+// not be read, or did not count the silence of endpoints.
+func (t *Table) DelayPending(now time.Time) {
+	for _, tomb := range t.tombstones {
+		if !tomb.pendingSince.IsZero() {
+			tomb.pendingSince = now
+		}
+	}
+}
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -227,8 +227,12 @@
 	case !w.listFailedSince.IsZero() && now.Sub(w.listFailedSince) >= minOutage:
 		w.graceEnd = w.recoveryTime(now).Add(relistGrace)
 	}
+	isDelayed := isRestored || !w.listFailedSince.IsZero()
 	w.listFailedSince = time.Time{}
 	w.config.Router.WithTable(func(t *endpoint.Table) {
+		if isDelayed {
+			t.DelayPending(now)
+		}
 		w.removeEndpoints(now, t, removedEndpoints(t, changes))
 		for _, entry := range changes.Endpoints {
 			delete(w.graceUntil, entry.ID)
--- a/ingress/watcher_test.go
+++ b/ingress/watcher_test.go
@@ -121,3 +121,41 @@
 		})
 	}
 }
+
+// TestLateReportIsNotUsedAfterOutage guards against requests to an endpoint that has
+// left, whose entry was written by a late report and is still listed because the store
+// was away when it would have been removed.
+func TestLateReportIsNotUsedAfterOutage(t *testing.T) {
+	router := ingress.NewRouter(endpoint.Config{Self: "self", ColdFactor: 1, ColdSlack: 100})
+	watcher := ingress.NewWatcher(ingress.WatcherConfig{Router: router, Clock: savorystep.SystemClock{}})
+	start := time.Now()
+	entry := func(sequence uint64) savorystep.Endpoint {
+		return savorystep.Endpoint{ID: "a", Service: "s", State: savorystep.StateLive, Slots: 3, ReportSequence: sequence, WrittenVersion: savorystep.CatalogVersion(sequence)}
+	}
+	listed := func(after time.Duration, changes savorystep.EndpointChanges) int {
+		watcher.ApplyList(start.Add(after), changes)
+		count := 0
+		router.WithTable(func(table *endpoint.Table) { count, _ = table.CountEndpoints(start.Add(after), "s") })
+		return count
+	}
+	for _, step := range []struct {
+		after    time.Duration
+		changes  savorystep.EndpointChanges
+		failedAt time.Duration
+		want     int
+	}{
+		{after: 0, changes: savorystep.EndpointChanges{Version: 1, Full: true, Endpoints: []savorystep.Endpoint{entry(1)}}, want: 1},
+		{after: time.Second, changes: savorystep.EndpointChanges{Version: 2, Removed: []savorystep.EndpointID{"a"}}, want: 0},
+		{after: 2 * time.Second, changes: savorystep.EndpointChanges{Version: 3, Endpoints: []savorystep.Endpoint{entry(3)}}, want: 0},
+		{failedAt: 3 * time.Second, after: 13 * time.Second, changes: savorystep.EndpointChanges{Version: 3}, want: 0},
+		{after: 18 * time.Second, changes: savorystep.EndpointChanges{Version: 3}, want: 0},
+		{after: 19 * time.Second, changes: savorystep.EndpointChanges{Version: 3}, want: 1},
+	} {
+		if step.failedAt > 0 {
+			watcher.RecordListFailure(start.Add(step.failedAt))
+		}
+		if got := listed(step.after, step.changes); got != step.want {
+			t.Errorf("%v after the start the table has %d endpoints, want %d", step.after, got, step.want)
+		}
+	}
+}
