Test the permission of an old build after a restored table

A build from before the era writes rows of keys without a sequence and an era. A released row that another instance writes again must not replace such a permission. The stand-in also rejects the restore of a table that can't be restored.

--- a/standin/platformroutes.go
+++ b/standin/platformroutes.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/url"
@@ -97,6 +98,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if _, ok := p.config.Table.(restorableTable); !ok && faults.RestoreMillis > 0 {
+		http.Error(w, fmt.Sprintf("a table of type %T can't be restored", p.config.Table), http.StatusBadRequest)
+		return
+	}
 	p.SetFaults(faults)
 	writeJSON(w, faults)
 }
--- a/store/keyrestore_test.go
+++ b/store/keyrestore_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/anishathalye/porcupine"
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"savorystep"
@@ -184,6 +185,36 @@
 	})
 }
 
+// TestKeysRestoredOldBuild guards against a released row that replaces the permission
+// of a build that writes neither a sequence nor an era, whose request then runs twice.
+func TestKeysRestoredOldBuild(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.NewTable()
+		keys := startKeys(t, table, standin.NewObjects())
+		time.Sleep(time.Minute)
+		for range 2 {
+			if err := mustBegin(t, keys, "a").Release(t.Context()); err != nil {
+				t.Fatal(err)
+			}
+		}
+		restoreTable(table, 5*time.Second)
+		permission, err := cbor.Marshal(map[int]any{1: 1, 2: "old", 3: 1})
+		if err != nil {
+			t.Fatal(err)
+		}
+		commit, err := table.Commit(t.Context(), savorystep.Txn{
+			Conditions: []savorystep.Condition{{Key: "key/orders/a"}},
+			Writes:     []savorystep.Write{{Key: "key/orders/a", Value: permission}},
+		})
+		if err != nil || commit.Version == 0 {
+			t.Fatalf("Commit without an era = %+v, %v, want success", commit, err)
+		}
+		time.Sleep(afterRestore)
+		_, err = begin(t, keys, "a", time.Second)
+		wantKind(t, err, savorystep.KindInProgress)
+	})
+}
+
 // mustBeginAfterRestore requests the permission for a key that is free until the
 // restore of its table is over.
 func mustBeginAfterRestore(t *testing.T, keys *store.IdempotencyStore, key string) {
