Count endpoints as cold after a standstill until the list is read

Instances that were frozen while endpoints became cold sent them all that had arrived in the meantime as soon as they ran again.

Cause: they chose by the list that they had read before. Now an instance ticks with each choice and every 250 ms, by a clock that counts suspensions of the machine. After a gap of a second or more all endpoints count as cold for it, so that it sends each no more than its share, until a read of the list that began later has ended, 1.5 s at most. A read that fails ends it, too: this instance then knows as much as any that can't read the list.

Instances that ignore standstills fail it (TestColdLimitAfterFreezeCanFail). Script standstill of endpoint.TestTable and ingress.TestStandstillLimitsRequests check the gap, both clocks and the end.

--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -73,7 +73,9 @@
 }
 
 func newGatewayRouter(settings platform.Settings, self savorystep.Instance) *ingress.Router {
-	return ingress.NewRouter(endpointConfig(settings, self))
+	router := ingress.NewRouter(endpointConfig(settings, self))
+	router.WatchStandstills(savorystep.NewBootClock())
+	return router
 }
 
 // endpointConfig returns the configuration of the endpoint table, with the limits
--- a/endpoint/admission.go
+++ b/endpoint/admission.go
@@ -22,7 +22,7 @@
 func (t *Table) admission(now time.Time, s *endpointState, query *Query) Admission {
 	e := t.checkEligibility(now, s, query)
 	if e == ExclusionNone {
-		e = s.checkReadiness(now)
+		e = t.checkReadiness(now, s)
 	}
 	switch {
 	case e == ExclusionCold && !t.hasColdRoom(now, s):
@@ -86,11 +86,11 @@
 }
 
 // checkReadiness checks whether an endpoint that is part of a ranking is skipped there.
-func (s *endpointState) checkReadiness(now time.Time) Exclusion {
+func (t *Table) checkReadiness(now time.Time, s *endpointState) Exclusion {
 	switch {
 	case s.isInBackoff(now):
 		return ExclusionBackoff
-	case s.isCold(now):
+	case t.isCold(now, s):
 		return ExclusionCold
 	default:
 		return ExclusionNone
@@ -115,7 +115,7 @@
 	case ExclusionBackoff:
 		return s.backoffUntil
 	case ExclusionCold:
-		return s.coldUntil(now)
+		return t.coldUntil(now, s)
 	case ExclusionColdLimit:
 		return t.coldRoomAt(now, s)
 	default:
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -24,7 +24,7 @@
 		choice.IsRateLimited, choice.RateLimit = true, s.rateLimiter.statement.Rate
 		choice.RecentRequests = s.rateLimiter.requests.sum(now)
 	}
-	if s.isCold(now) {
+	if t.isCold(now, s) {
 		s.coldRequestTimes = append(s.coldRequestTimes, now)
 	}
 	return choice, true
@@ -39,7 +39,7 @@
 	var best, late Choice
 	var chosen *endpointState
 	for _, ranking := range t.rankings(now, query) {
-		choice, s, tooLate := ranking.choose(now, query, latency)
+		choice, s, tooLate := ranking.choose(now, t, query, latency)
 		late = late.sooner(tooLate)
 		if s != nil && (chosen == nil || choice.cost(&query, s) < best.cost(&query, chosen)) {
 			best, chosen = choice, s
@@ -65,7 +65,7 @@
 func (t *Table) chooseCold(now time.Time, query Query, latency *latencyEstimate) (Choice, *endpointState) {
 	var cold []rankedEndpoint
 	for _, s := range t.byService[query.Service] {
-		if t.checkEligibility(now, s, &query) == ExclusionNone && s.checkReadiness(now) == ExclusionCold {
+		if t.checkEligibility(now, s, &query) == ExclusionNone && t.checkReadiness(now, s) == ExclusionCold {
 			cold = append(cold, newRankedEndpoint(s, &query))
 		}
 	}
--- a/endpoint/coldlimit.go
+++ b/endpoint/coldlimit.go
@@ -33,7 +33,7 @@
 // coldRoomAt returns when a cold endpoint without room has room again or is no longer
 // cold, whichever is earlier.
 func (t *Table) coldRoomAt(now time.Time, s *endpointState) time.Time {
-	warmAt, share, recent := s.coldUntil(now), t.coldShare(now, s), len(s.coldRequestTimes)
+	warmAt, share, recent := t.coldUntil(now, s), t.coldShare(now, s), len(s.coldRequestTimes)
 	if share == 0 || recent < share {
 		return warmAt
 	}
--- a/endpoint/ranking.go
+++ b/endpoint/ranking.go
@@ -80,11 +80,11 @@
 // first affinityEndpoints are considered, and one more if none of them can take
 // the request: any other would have to fetch the object first and evict another
 // one from its cache.
-func (r *ranking) choose(now time.Time, query Query, latency *latencyEstimate) (best Choice, chosen *endpointState, late Choice) {
+func (r *ranking) choose(now time.Time, t *Table, query Query, latency *latencyEstimate) (best Choice, chosen *endpointState, late Choice) {
 	candidates := 0
 	for i, e := range r.endpoints {
 		s := e.state
-		if s.checkReadiness(now) != ExclusionNone {
+		if t.checkReadiness(now, s) != ExclusionNone {
 			continue
 		}
 		if candidates >= affinityEndpoints && (chosen != nil || candidates > affinityEndpoints) {
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -31,7 +31,8 @@
 	leavings         map[savorystep.EndpointID]leaving
 	// startedAt is when the first endpoint was put. It counts as the start of this
 	// instance.
-	startedAt time.Time
+	startedAt  time.Time
+	standstill standstill
 }
 
 // NewTable returns a table without endpoints.
@@ -185,7 +186,7 @@
 	took := now.Sub(choice.startedAt)
 	switch outcome {
 	case OutcomeAnswered:
-		if choice.Load < float64(s.Slots) && !s.isCold(now) {
+		if choice.Load < float64(s.Slots) && !t.isCold(now, s) {
 			t.latency(s.Service).record(choice.cached, took)
 		}
 		s.cached.add(now, choice.affinityKey)
@@ -201,7 +202,7 @@
 func (t *Table) CountEndpoints(now time.Time, service savorystep.Service) (all, usable int) {
 	for _, s := range t.byService[service] {
 		all++
-		if t.checkEligibility(now, s, &Query{}) == ExclusionNone && s.checkReadiness(now) == ExclusionNone {
+		if t.checkEligibility(now, s, &Query{}) == ExclusionNone && t.checkReadiness(now, s) == ExclusionNone {
 			usable++
 		}
 	}
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -78,6 +78,10 @@
 		return formatNews(s.table.ApplyLeaving(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))))
 	case "retry":
 		return s.retry(t, d)
+	case "tick":
+		s.table.Tick(s.now, s.now)
+	case "list-read":
+		s.table.ListRead(s.now.Add(-time.Duration(intArg(t, d, "ago")) * time.Millisecond))
 	case "excluded":
 		return s.excluded()
 	case "explain":
--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -66,3 +66,8 @@
 func (p *Proxy) DescribeNoEndpoint(now time.Time, query endpoint.Query, choice endpoint.Choice) string {
 	return p.forwarder.describeNoEndpoint(now, query, choice)
 }
+
+// Choose exports Router.choose.
+func (r *Router) Choose(now time.Time, query endpoint.Query) (endpoint.Choice, bool) {
+	return r.choose(now, query)
+}
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -16,7 +16,10 @@
 	routing      atomic.Pointer[savorystep.Routing]
 	hasEndpoints atomic.Bool
 
-	mu            sync.Mutex
+	mu sync.Mutex
+	// runtimeClock counts suspensions of the machine. It is nil if standstills of this
+	// instance are not watched.
+	runtimeClock  savorystep.Clock
 	table         *endpoint.Table
 	splitters     map[savorystep.RouteName]*weightedSplitter
 	responseSizes responseSizes
@@ -68,9 +71,26 @@
 func (r *Router) SetInstances(now time.Time, ids []savorystep.InstanceID) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.tick(now)
 	r.table.SetInstances(now, ids)
 }
 
+// WatchStandstills makes the router treat all endpoints as cold after this instance stood
+// still, until the endpoint list is read. The clock counts suspensions of the machine.
+// SetInstances must be called every 250 ms from then on.
+func (r *Router) WatchStandstills(runtimeClock savorystep.Clock) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.runtimeClock = runtimeClock
+}
+
+// tick records that this instance runs. The caller holds mu.
+func (r *Router) tick(now time.Time) {
+	if r.runtimeClock != nil {
+		r.table.Tick(now, r.runtimeClock.Now())
+	}
+}
+
 // WithTable calls f with the endpoint table while the router is locked. f must not
 // keep the table or call the router.
 func (r *Router) WithTable(f func(*endpoint.Table)) {
@@ -84,6 +104,7 @@
 func (r *Router) choose(now time.Time, query endpoint.Query) (endpoint.Choice, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.tick(now)
 	return r.table.Choose(now, query)
 }
 
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -152,6 +152,7 @@
 		dep.record(now, err)
 		if err != nil {
 			w.recordListFailure(now)
+			w.config.Router.WithTable(func(t *endpoint.Table) { t.ListRead(startedAt) })
 			savorystep.Sleep(ctx, dep.backoff())
 			continue
 		}
@@ -159,6 +160,7 @@
 		isRestored := changes.Version.IsRestored(version)
 		version = changes.Version
 		w.applyList(now, changes, isRestored)
+		w.config.Router.WithTable(func(t *endpoint.Table) { t.ListRead(startedAt) })
 		if !isFirst {
 			// The first list may come from a peer and be a second old, so the
 			// second read follows at once.
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -129,6 +129,7 @@
 // readEndpointList updates the table of an instance to the endpoint list. During an
 // outage, only an instance that has no list yet reads one.
 func (f *fleet) readEndpointList(i *instance) {
+	defer i.table.ListRead(f.now())
 	list := i.staleList
 	if list == nil {
 		list = f.listEndpoints()
@@ -157,6 +158,9 @@
 		}
 	}
 	if i.frozenUntil <= f.scheduler.now {
+		if !f.policy.IgnoresStandstills {
+			i.table.Tick(f.now(), f.now())
+		}
 		i.table.SetInstances(f.now(), visible)
 	}
 	if !f.isOver() {
--- a/simulation/request.go
+++ b/simulation/request.go
@@ -82,6 +82,9 @@
 		query.TimeLeft = r.deadline - f.scheduler.now
 	}
 	table := r.instance.table
+	if !f.policy.IgnoresStandstills {
+		table.Tick(f.now(), f.now())
+	}
 	choice, ok := table.Choose(f.now(), query)
 	if !ok {
 		r.refuse()
--- a/simulation/scenario.go
+++ b/simulation/scenario.go
@@ -70,6 +70,9 @@
 	// IgnoresPeers makes each instance use the limits as if it were the only one. It
 	// shows that the checks of the limits can fail.
 	IgnoresPeers bool
+	// IgnoresStandstills makes instances go on after a standstill as if they had not stood
+	// still. It shows that the check of it can fail.
+	IgnoresStandstills bool
 	// IgnoresNotices makes instances ignore what endpoints say about further requests.
 	// It shows that the checks of it can fail.
 	IgnoresNotices bool
--- a/simulation/simulation_test.go
+++ b/simulation/simulation_test.go
@@ -207,3 +207,21 @@
 		}
 	}
 }
+
+// TestColdLimitAfterFreezeCanFail shows that TestColdLimitAfterFreeze can fail: instances
+// that do not notice that they stood still.
+func TestColdLimitAfterFreezeCanFail(t *testing.T) {
+	policy := simulation.DefaultPolicy()
+	policy.IgnoresStandstills = true
+	for _, size := range fleetSizes {
+		scenario := siteScenario(1)
+		scenario.Instances = size
+		scenario.Events = []simulation.Event{
+			{Kind: simulation.EventFreeze, Start: 6 * time.Second, Duration: 5 * time.Second, Share: 0.4},
+			{Kind: simulation.EventCold, Start: 9 * time.Second, Share: 1},
+		}
+		if result := simulation.Run(scenario, policy); float64(result.MaxColdPerSecond) <= result.ColdBound {
+			t.Errorf("%d instances: %d requests at a cold endpoint in a second although they ignore standstills, want more than the bound %.1f", size, result.MaxColdPerSecond, result.ColdBound)
+		}
+	}
+}
