Heed the rate limit that an endpoint states while it is missing from the list

An endpoint that stated a rate limit while its entry was missing from the list, or of which a peer reported one then, got requests without a limit when it was listed again, until its next response.

Cause: statements were recorded only for listed endpoints, like the time for which an endpoint wants no requests before. Now the tombstone of the entry takes them.

Script ratelimitwhileunlisted of endpoint.TestTable: both statements were dropped and 4 of 4 requests sent before, none now. The tests of package simulation about rate limits, leaving and closed endpoints pass.

--- a/endpoint/ratelimit.go
+++ b/endpoint/ratelimit.go
@@ -171,11 +171,10 @@
 // RecordRateLimit records what the response to a choice says about the rate limit of
 // the endpoint.
 func (t *Table) RecordRateLimit(now time.Time, choice Choice, statement RateLimitStatement) RateLimitReport {
-	s := t.byID[choice.Endpoint.ID]
-	if s == nil || s.StartedAtMillis != choice.Endpoint.StartedAtMillis {
+	l := t.knownRateLimiter(choice.Endpoint.ID, choice.Endpoint.StartedAtMillis)
+	if l == nil {
 		return RateLimitReport{}
 	}
-	l := &s.rateLimiter
 	l.expire(now)
 	if (!statement.IsLimited && !l.statement.IsLimited) || !l.recordOwn(now, choice.startedAt, statement) {
 		return RateLimitReport{}
@@ -186,11 +185,10 @@
 // ApplyRateLimit applies a statement that another instance got from the incarnation
 // of an endpoint that started at startedAtMillis.
 func (t *Table) ApplyRateLimit(now time.Time, id savorystep.EndpointID, startedAtMillis int64, statement RateLimitStatement) RateLimitReport {
-	s := t.byID[id]
-	if s == nil || s.StartedAtMillis != startedAtMillis {
+	l := t.knownRateLimiter(id, startedAtMillis)
+	if l == nil {
 		return RateLimitReport{}
 	}
-	l := &s.rateLimiter
 	l.expire(now)
 	l.recordPeer(now, statement)
 	report := l.takeReport(now)
@@ -198,6 +196,18 @@
 	return report
 }
 
+// knownRateLimiter returns the rate limiter of the incarnation of an endpoint, which is
+// that of its tombstone if it is not listed. It returns nil if neither is known.
+func (t *Table) knownRateLimiter(id savorystep.EndpointID, startedAtMillis int64) *rateLimiter {
+	if s := t.byID[id]; s != nil && s.StartedAtMillis == startedAtMillis {
+		return &s.rateLimiter
+	}
+	if tomb := t.tombstones[id]; tomb != nil && tomb.startedAtMillis == startedAtMillis {
+		return &tomb.rateLimiter
+	}
+	return nil
+}
+
 // hasRateLimitRoom reports whether the rate limit in force of an endpoint allows this
 // instance to send it a request now. The limit applies to all instances together, so
 // each uses its own share of it and spreads that over the window.
