Withdraw a request also if its closed endpoint is missing from the list

A request for which a connection was being opened was sent although its endpoint had stated a time for which it wants none, if the entry of the endpoint was removed from the list meanwhile: the question before the request is sent looked at listed endpoints only.

endpoint.TestRecheck, "removed and closed", fails without the change.

--- a/endpoint/admission.go
+++ b/endpoint/admission.go
@@ -16,9 +16,9 @@
 	Until time.Time
 }
 
-// admission returns the admission of a request. Choose and all that reports about
-// endpoints use it or the checks that it combines, which are the only place that reads
-// the state of an endpoint for this purpose.
+// admission returns whether an endpoint may get a request. Reports about endpoints use
+// it. Choose uses the checks that it combines, since endpoints that are not eligible are
+// left out of a ranking, and those that are not ready are skipped in it.
 func (t *Table) admission(now time.Time, s *endpointState, query *Query) Admission {
 	e := t.checkEligibility(now, s, query)
 	if e == ExclusionNone {
@@ -123,14 +123,13 @@
 	}
 }
 
-// Recheck returns why the endpoint of a choice may no longer get the request, which is
-// not sent yet, as far as the endpoint has said so since the choice was made.
+// Recheck returns why the endpoint of a choice may no longer get the request, which was
+// not sent yet. It considers only what the endpoint has said since the choice was made.
 func (t *Table) Recheck(now time.Time, choice Choice) Exclusion {
-	id, startedAtMillis := choice.Endpoint.ID, choice.Endpoint.StartedAtMillis
-	if known, ok := t.leavings[id]; ok && known.startedAtMillis >= startedAtMillis {
+	if known, ok := t.leavings[choice.Endpoint.ID]; ok && known.startedAtMillis >= choice.Endpoint.StartedAtMillis {
 		return ExclusionLeaving
 	}
-	if s := t.byID[id]; s != nil && s.StartedAtMillis == startedAtMillis && s.holdOff.isClosed(now) {
+	if h := t.knownHoldOff(choice.Endpoint); h != nil && h.isClosed(now) {
 		return ExclusionClosed
 	}
 	return ExclusionNone
