Count pictures of the catalog from when they were made

Callers saw: an instance could act on routes that are older than the bound that it keeps for them, by up to the time for which a response was held up on its way, or for which the machine was suspended during a read from a reader.

Cause: a picture counted from the arrival of the response.

Change: a read of the store counts from its start, or from the end of the wait if there was no change until then. A reader states for how long it held a query (Catalog-Held-Ms); its follower counts from the sending of the query plus that time, on the clock since boot, less the stated age, which is rounded up. The responses of older readers, which do not state it, count from their arrival as before. A change that comes late in a wait makes the reader's picture look up to 1.5 s old; it reads once more within 0.2 s (the wait at the store ends before the picture is 1.7 s old), so its followers stay.

--- a/catalog.go
+++ b/catalog.go
@@ -70,6 +70,12 @@
 	Removed   []EndpointID
 }
 
+// HasWaited implements the method of OperatorChanges. A read of the endpoint list does
+// not wait.
+func (c EndpointChanges) HasWaited() bool {
+	return false
+}
+
 // UpTo returns the version up to which these are the changes.
 func (c EndpointChanges) UpTo() CatalogVersion {
 	return c.Version
@@ -88,11 +94,19 @@
 	EvacuatedZones []Zone `cbor:"Evacuated"`
 	// RestoredZones were evacuated and may receive requests again.
 	RestoredZones []Zone `cbor:"Returned"`
+	// IsUnchanged is true if the store had no change until the wait ended.
+	IsUnchanged bool `cbor:"-"`
 	// IsFallback is true if another instance had to be queried because the store
 	// failed.
 	IsFallback bool `cbor:"-"`
 }
 
+// HasWaited reports whether the store held its response back until the wait ended, so
+// that it was made no earlier.
+func (c OperatorChanges) HasWaited() bool {
+	return c.IsUnchanged
+}
+
 // UpTo returns the version up to which these are the changes.
 func (c OperatorChanges) UpTo() CatalogVersion {
 	return c.Version
--- a/ingress/homefleet_test.go
+++ b/ingress/homefleet_test.go
@@ -62,7 +62,7 @@
 func newHomeFleet(ctx context.Context, config homeFleetConfig) *homeFleet {
 	store := &homeStore{
 		regions: []savorystep.Region{"north", "south"}, confirmedAt: make(map[savorystep.Revision]time.Time),
-		access: make(map[savorystep.InstanceID]storeAccess), changed: make(chan struct{}),
+		access: make(map[savorystep.InstanceID]storeAccess), calls: make(map[savorystep.InstanceID]int), changed: make(chan struct{}),
 	}
 	regionByZone := make(map[savorystep.Zone]savorystep.Region)
 	for _, region := range store.regions {
@@ -159,8 +159,9 @@
 
 // callCounts are numbers of calls since the start of a fleet.
 type callCounts struct {
-	calls, relayedCalls map[savorystep.InstanceID]int
-	storeCalls          int
+	calls, relayedCalls, storeCallsBy map[savorystep.InstanceID]int
+	// storeCalls is the number of calls to the store.
+	storeCalls int
 }
 
 // countCalls returns the numbers of calls so far.
@@ -169,7 +170,11 @@
 	defer f.mu.Unlock()
 	f.store.mu.Lock()
 	defer f.store.mu.Unlock()
-	return callCounts{calls: maps.Clone(f.calls), relayedCalls: maps.Clone(f.relayedCalls), storeCalls: f.store.calls}
+	counts := callCounts{calls: maps.Clone(f.calls), relayedCalls: maps.Clone(f.relayedCalls), storeCallsBy: maps.Clone(f.store.calls)}
+	for _, count := range counts.storeCallsBy {
+		counts.storeCalls += count
+	}
+	return counts
 }
 
 // isGone reports whether an instance has lost power.
--- a/ingress/homestore_test.go
+++ b/ingress/homestore_test.go
@@ -42,8 +42,10 @@
 	revision    savorystep.Revision
 	confirmedAt map[savorystep.Revision]time.Time
 	access      map[savorystep.InstanceID]storeAccess
-	// calls is the number of calls.
-	calls int
+	// responseLatency is the time of a response on its way.
+	responseLatency time.Duration
+	// calls is the number of calls of each instance.
+	calls map[savorystep.InstanceID]int
 	// changed is closed and replaced at each change of revision or access.
 	changed chan struct{}
 }
@@ -124,17 +126,23 @@
 		}
 		return changes.Routing != nil
 	})
+	changes.IsUnchanged = err == nil && after != 0 && changes.Routing == nil
 	return changes, err
 }
 
 // await calls read with the store locked until it returns true or wait has passed.
 func (c *homeStoreClient) await(ctx context.Context, wait time.Duration, read func() bool) error {
 	c.mu.Lock()
-	c.calls++
+	c.calls[c.id]++
 	c.mu.Unlock()
-	timeout := time.After(wait + storeTimeout)
-	timer := time.After(wait)
+	defer savorystep.Sleep(ctx, c.responseLatency)
 	savorystep.Sleep(ctx, storeLatency)
+	timeout := time.After(wait + storeTimeout - storeLatency)
+	var timer <-chan time.Time
+	hasWaited := wait <= storeLatency
+	if !hasWaited {
+		timer = time.After(wait - storeLatency)
+	}
 	for {
 		c.mu.Lock()
 		access, changed := c.access[c.id], c.changed
@@ -143,7 +151,7 @@
 		switch {
 		case access == accessRejected:
 			return errTurnedAway
-		case isRead:
+		case isRead, access == accessServed && hasWaited:
 			return nil
 		case access == accessSilent, access == accessGone:
 			timer = nil
--- a/peer/catalogread.go
+++ b/peer/catalogread.go
@@ -90,20 +90,25 @@
 	return reading, err
 }
 
-// readStore reads changes from the store.
+// readStore reads changes from the store. They count as up to date from the start of the
+// read, or from the end of the wait if there was no change until then: the response may
+// have been held up on its way, or the machine suspended.
 func readStore[R any, C catalogChanges](ctx context.Context, r *CatalogRelay, query catalogQuery, section catalogSection[R, C]) (catalogReading[C], error) {
-	started := r.startReading()
+	upToDateAt := r.config.AgeClock.Now()
 	changes, err := section.readStore(ctx, query.after, query.maxWait)
-	return catalogReading[C]{changes: changes, upToDateAt: started.upToDateAt(), origin: originStore, source: "the store"}, err
+	if changes.HasWaited() {
+		upToDateAt = earliest(upToDateAt.Add(query.maxWait), r.config.AgeClock.Now())
+	}
+	return catalogReading[C]{changes: changes, upToDateAt: upToDateAt, origin: originStore, source: "the store"}, err
 }
 
 // fetchChanges fetches changes from a peer. The error wraps errStale if the picture of
 // this instance, with them, is about to become too old.
 func fetchChanges[R any, C catalogChanges](ctx context.Context, r *CatalogRelay, address savorystep.Address, query catalogQuery, section catalogSection[R, C]) (catalogReading[C], error) {
 	reading := catalogReading[C]{origin: originPeer}
-	updatedAt := r.mirror.updatedAt(section.freshness)
+	updatedAt, sentAt := r.mirror.updatedAt(section.freshness), r.config.AgeClock.Now()
 	if query.after != 0 {
-		query.maxWait = maxWaitUntil(r.config.AgeClock.Now(), updatedAt, query.maxWait, section.maxAge-followerMargin)
+		query.maxWait = maxWaitUntil(sentAt, updatedAt, query.maxWait, section.maxAge-followerMargin)
 	}
 	response, age, err := fetchCatalog[R](ctx, r, address, section.path, query)
 	if err == nil {
@@ -113,7 +118,7 @@
 		return reading, err
 	}
 	now := r.config.AgeClock.Now()
-	reading.upToDateAt = latest(updatedAt, now.Add(-age))
+	reading.upToDateAt = latest(updatedAt, age.upToDateAt(sentAt, now))
 	if query.after == 0 {
 		return reading, nil
 	}
--- a/peer/catalogrelay.go
+++ b/peer/catalogrelay.go
@@ -134,6 +134,7 @@
 // catalogChanges are the changes of a section up to a version.
 type catalogChanges interface {
 	UpTo() savorystep.CatalogVersion
+	HasWaited() bool
 }
 
 // A catalogSection describes how one section of the catalog is read. R is the
--- a/peer/catalogrelaywire.go
+++ b/peer/catalogrelaywire.go
@@ -135,39 +135,40 @@
 	}, nil
 }
 
-// fetchCatalog fetches the changes after a version from a peer, and the age of the
-// peer's picture. The error wraps errStale if the peer has not read the store recently or serves too many
+// fetchCatalog fetches the changes after a version from a peer, and the age of its
+// response. The error wraps errStale if the peer has not read the store recently or serves too many
 // peers.
-func fetchCatalog[T any](ctx context.Context, r *CatalogRelay, address savorystep.Address, path string, query catalogQuery) (T, time.Duration, error) {
+func fetchCatalog[T any](ctx context.Context, r *CatalogRelay, address savorystep.Address, path string, query catalogQuery) (T, responseAge, error) {
 	var decoded T
+	var age responseAge
 	ctx, cancel := context.WithTimeout(ctx, query.maxWait+readerTimeoutMargin)
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+string(address)+path+"?"+query.urlValues().Encode(), http.NoBody)
 	if err != nil {
-		return decoded, 0, savorystep.WrapError(savorystep.KindBadRequest, err, "create request to peer %s", address)
+		return decoded, age, savorystep.WrapError(savorystep.KindBadRequest, err, "create request to peer %s", address)
 	}
 	request.Header.Set("Authorization", r.authorization)
 	response, err := r.client.Do(request)
 	if err != nil {
-		return decoded, 0, savorystep.WrapError(savorystep.KindNotReady, err, "request %s from peer %s", path, address)
+		return decoded, age, savorystep.WrapError(savorystep.KindNotReady, err, "request %s from peer %s", path, address)
 	}
 	defer func() { _ = response.Body.Close() }()
 	data, err := io.ReadAll(io.LimitReader(response.Body, maxListBytes+1))
 	if err != nil {
-		return decoded, 0, savorystep.WrapError(savorystep.KindNotReady, err, "read response of peer %s to request for %s", address, path)
+		return decoded, age, savorystep.WrapError(savorystep.KindNotReady, err, "read response of peer %s to request for %s", address, path)
 	}
 	if response.StatusCode == http.StatusServiceUnavailable {
-		return decoded, 0, savorystep.WrapError(savorystep.KindNotReady, errStale, "request %s from peer %s", path, address)
+		return decoded, age, savorystep.WrapError(savorystep.KindNotReady, errStale, "request %s from peer %s", path, address)
 	}
 	if response.StatusCode != http.StatusOK {
-		return decoded, 0, savorystep.NewError(savorystep.KindNotReady, "peer %s responded to request for %s with status %d, want %d", address, path, response.StatusCode, http.StatusOK)
+		return decoded, age, savorystep.NewError(savorystep.KindNotReady, "peer %s responded to request for %s with status %d, want %d", address, path, response.StatusCode, http.StatusOK)
 	}
 	if order := response.Header.Get(orderHeader); query.after != 0 && order != orderByEra {
-		return decoded, 0, savorystep.WrapError(savorystep.KindNotReady, errStale, "peer %s orders versions of %s by %q, want %q", address, path, order, orderByEra)
+		return decoded, age, savorystep.WrapError(savorystep.KindNotReady, errStale, "peer %s orders versions of %s by %q, want %q", address, path, order, orderByEra)
 	}
-	age, ok := ageOf(response.Header)
-	if query.allowRelayed && !ok {
-		return decoded, 0, savorystep.WrapError(savorystep.KindNotReady, errStale, "peer %s does not state the age of %s", address, path)
+	age = responseAgeOf(response.Header)
+	if query.allowRelayed && !age.hasAge {
+		return decoded, age, savorystep.WrapError(savorystep.KindNotReady, errStale, "peer %s does not state the age of %s", address, path)
 	}
 	decoded, err = Codec[T]{Limit: maxListBytes}.Decode(data)
 	return decoded, age, err
@@ -263,6 +264,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	startedAt := r.config.AgeClock.Now()
 	release, ok := r.acquire(query)
 	if !ok {
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -281,7 +283,8 @@
 		return
 	}
 	w.Header().Set("Content-Type", "application/cbor")
-	setAge(w.Header(), r.config.AgeClock.Now().Sub(upToDateAt))
+	now := r.config.AgeClock.Now()
+	responseAge{age: now.Sub(upToDateAt), held: now.Sub(startedAt)}.set(w.Header())
 	w.Header().Set(orderHeader, orderByEra)
 	_, _ = w.Write(data)
 }
--- a/peer/mirror.go
+++ b/peer/mirror.go
@@ -66,7 +66,7 @@
 func (f *freshness) recordUpdate(upToDateAt time.Time, origin changeOrigin) {
 	switch origin {
 	case originStore:
-		f.storeReadAt, f.updatedAt = upToDateAt, upToDateAt
+		f.storeReadAt, f.updatedAt = upToDateAt, latest(f.updatedAt, upToDateAt)
 	case originReader, originFallback:
 		f.updatedAt = upToDateAt
 	case originPeer:
