Let lookups outside the caller's region last 0.5 s

Callers saw: a caller whose region had no ready instance, as in a planned restart of a small region, got the addresses of instances in the homes of its routes and used them for up to 6 s (some callers cache an answer three times as long as it lasts), also after the homes had moved to another region.

Cause: all lookups lasted 2 s, which is bound to the time from SIGTERM to the end of a process, not to changes of the configuration.

Change: a lookup that names instances outside the caller's region lasts 0.5 s. Such a caller asks four times as often until its region has a ready instance.

Evidence: TestDirectoryLifetimeOutsideRegion fails with one lifetime for all lookups (2 s for both hosts, less than a third of 2.5 s wanted) and passes with the change.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -179,7 +179,7 @@
 		handler http.Handler
 	}{
 		{address: g.settings.PeerAddress, handler: peerMux},
-		{address: g.settings.DirectoryAddress, handler: platform.NewDirectoryHandler(g.directory.Addresses, ingress.LookupTTL)},
+		{address: g.settings.DirectoryAddress, handler: platform.NewDirectoryHandler(g.directory.Lookup)},
 		{address: g.metricsAddress(), handler: promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{})},
 		{address: g.settings.ReadinessAddress, handler: platform.NewReadinessHandler(g.isReady)},
 	}
--- a/ingress/directory.go
+++ b/ingress/directory.go
@@ -46,11 +46,11 @@
 	return d
 }
 
-// Addresses returns the caller addresses of ready instances for a lookup of a host
+// Lookup returns the caller addresses of ready instances for a lookup of a host
 // from a region: those in the region or, if there are none, in the homes of the
 // host's routes or, if a route has no homes, in all regions. It returns a random
-// selection of 64 if there are more.
-func (d *Directory) Addresses(host string, region savorystep.Region) []savorystep.Address {
+// selection of 64 if there are more. Callers may cache the addresses for the time ttl.
+func (d *Directory) Lookup(host string, region savorystep.Region) (addresses []savorystep.Address, ttl time.Duration) {
 	lookup := lookup{region: region}
 	// An instance that does not know the routes yet does not know their homes.
 	if routing := d.config.Router.Routing(); routing != nil {
@@ -58,7 +58,10 @@
 	}
 	addresses, scope := readyAddresses(d.config.Members.Members(d.config.Clock.Now()), lookup)
 	d.recordScope(region, scope)
-	return addresses
+	if scope == scopeRegion {
+		return addresses, lookupTTL
+	}
+	return addresses, remoteLookupTTL
 }
 
 // recordScope counts a lookup and logs when the scope of lookups from a region
@@ -134,7 +137,14 @@
 	return nil, scopeNone
 }
 
-// LookupTTL is how long callers may cache the result of a lookup. Some cache it
-// three times as long, which must stay below the time from SIGTERM to the end of
-// the process.
-const LookupTTL = 2 * time.Second
+const (
+	// lookupTTL is how long callers may cache the result of a lookup. Some cache it
+	// three times as long, which must stay below the time from SIGTERM to the end of
+	// the process.
+	lookupTTL = 2 * time.Second
+	// remoteLookupTTL is the same for instances outside the caller's region. The homes
+	// of a route may change, and callers that cache the result three times as long must
+	// not use the former homes for longer than a change of the configuration may take,
+	// 2.5 s.
+	remoteLookupTTL = 500 * time.Millisecond
+)
--- a/ingress/directory_test.go
+++ b/ingress/directory_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	"savorystep"
 	"savorystep/endpoint"
@@ -60,7 +61,7 @@
 			}
 			members := slices.DeleteFunc(lookupMembers(), func(m savorystep.Member) bool { return slices.Contains(c.without, m.Instance.CallerAddress) })
 			directory := ingress.NewDirectory(ingress.DirectoryConfig{Clock: savorystep.SystemClock{}, Members: &fleetMembers{members: members}, Router: router})
-			got := directory.Addresses(c.host, savorystep.Region(c.region))
+			got, _ := directory.Lookup(c.host, savorystep.Region(c.region))
 			slices.Sort(got)
 			if !slices.Equal(got, c.want) {
 				t.Errorf("lookup of %s from %s names %v, want %v", c.host, c.region, got, c.want)
@@ -68,3 +69,30 @@
 		})
 	}
 }
+
+// TestDirectoryLifetimeOutsideRegion guards against callers that send requests to
+// instances in the former home of a route, because they cache a lookup that named them
+// for longer than a change of the configuration may take to be in force. Some callers
+// cache a lookup for three times its lifetime.
+func TestDirectoryLifetimeOutsideRegion(t *testing.T) {
+	const (
+		limit     = 2500 * time.Millisecond
+		lifetimes = 3
+	)
+	routing := savorystep.NewRouting(1, []*savorystep.Route{
+		{Name: "bound", Host: "bound", Prefix: "/", Regions: []savorystep.Region{"south"}, Split: []savorystep.WeightedService{{Service: "s", Weight: 1}}},
+		{Name: "free", Host: "free", Prefix: "/", Split: []savorystep.WeightedService{{Service: "s", Weight: 1}}},
+	}, nil, savorystep.ClientLimits{})
+	router := ingress.NewRouter(endpoint.Config{})
+	router.SetRouting(routing)
+	directory := ingress.NewDirectory(ingress.DirectoryConfig{Clock: savorystep.SystemClock{}, Members: &fleetMembers{members: lookupMembers()}, Router: router})
+	for _, host := range []string{"bound", "free"} {
+		addresses, ttl := directory.Lookup(host, "west")
+		if len(addresses) == 0 || ttl <= 0 || lifetimes*ttl >= limit {
+			t.Errorf("lookup of %s from a region without instances names %v for %v, want instances for less than a third of %v", host, addresses, ttl, limit)
+		}
+		if _, ttl := directory.Lookup(host, "north"); ttl != 2*time.Second {
+			t.Errorf("lookup of %s from a region with instances lasts %v, want 2s", host, ttl)
+		}
+	}
+}
