Wait for the first of two connections in their test

Traced: the test sends the hello frames of two connections one after the other and takes the first for the older one, but the two are read by goroutines of their own. If the second is read first, the first one is kept, and ends after 1.5 s without a frame. With the two frames sent in the other order, 50 ms apart, the test failed with the same message after 1.60 s in 1 of 1 run.

It waits for a response on the first connection now, and checks the same. 20 of 20 runs passed.

--- a/peer/wire_test.go
+++ b/peer/wire_test.go
@@ -213,6 +213,8 @@
 	e, url := startExchange(t, Config{Self: savorystep.Instance{ID: "self"}})
 	one := dialRaw(t, url)
 	one.hello("raw")
+	one.send(frame{Facts: &factsFrame{AckID: 1}})
+	one.receive(func(f frame) bool { return f.Ack != nil })
 	two := dialRaw(t, url)
 	two.hello("raw")
 	if closed := one.waitForClose(); closed.Code != closeDuplicate {
