--- a/ingress/operatorstate.go
+++ b/ingress/operatorstate.go
@@ -9,8 +9,8 @@
 
 // restoredHold is how long a configuration and evacuations stay in force that a
 // restored store lacks, not counting the time in which the store can't be read.
-// Operators write again what it lacks within seconds; the store
-// counts as stable 4 s after its return, and a change takes effect within 3 s of that.
+// Operators write again what it lacks within seconds; the store counts as stable 4 s
+// after its return, and a change takes effect within 3 s of that.
 const restoredHold = 10 * time.Second
 
 // An operatorState applies the operators' configuration to a Router. After the store
--- a/peer/catalogread.go
+++ b/peer/catalogread.go
@@ -136,9 +136,9 @@
 }
 
 // fetchFromAnyPeer fetches the whole catalog, of any age, from the first ready
-// peer that responds, those with the newest configuration first. An instance uses it when it starts while the store does
-// not respond: an old catalog is better than none, and later reads deliver the
-// changes since.
+// peer that responds, those with the newest configuration first. An instance uses it
+// when it starts while the store does not respond: an old catalog is better than none,
+// and later reads deliver the changes since.
 func fetchFromAnyPeer[T any](ctx context.Context, r *CatalogRelay, path string) (T, error) {
 	var response T
 	err := error(savorystep.NewError(savorystep.KindNotReady, "read %s from peers: none is ready", path))
--- a/peer/catalogrelaywire.go
+++ b/peer/catalogrelaywire.go
@@ -136,8 +136,8 @@
 }
 
 // fetchCatalog fetches the changes after a version from a peer, and the age of its
-// response. The error wraps errStale if the peer has not read the store recently or serves too many
-// peers.
+// response. The error wraps errStale if the peer has not read the store recently or
+// serves too many peers.
 func fetchCatalog[T any](ctx context.Context, r *CatalogRelay, address savorystep.Address, path string, query catalogQuery) (T, responseAge, error) {
 	var decoded T
 	var age responseAge
@@ -198,9 +198,10 @@
 type mirrorReadFunc[T any] func(*mirror, catalogQuery) (T, time.Time, bool)
 
 // waitForChanges returns the changes that a query requests, and the time at which
-// the mirror was last up to date, as soon as there is a change or maxWait has passed. It returns false as soon as the mirror was last up to
-// date maxAge ago, or if ctx ends. A query that allows a stale response
-// does not wait; it gets false if there is no change.
+// the mirror was last up to date, as soon as there is a change or maxWait has passed.
+// It returns false as soon as the mirror was last up to date maxAge ago, or if ctx
+// ends. A query that allows a stale response does not wait; it gets false if there is
+// no change.
 func waitForChanges[T any](ctx context.Context, r *CatalogRelay, query catalogQuery, maxAge time.Duration, readMirror mirrorReadFunc[T]) (T, time.Time, bool) {
 	timer := time.NewTimer(query.maxWait)
 	defer timer.Stop()
