--- a/review/_standin/casepause.go
+++ b/review/_standin/casepause.go
@@ -13,7 +13,7 @@
 func init() { plays["pause"] = playPause }
 
 const (
-	pauseClients = 9
+	pauseClients = 18
 	// pauseBytes is the size of an upload. The example configuration allows 64 MiB.
 	pauseBytes = 9_000_000
 	// pauseWork is the mean time that an endpoint works on an upload, at most 1.3 times as
