--- a/review/_standin/main.go
+++ b/review/_standin/main.go
@@ -32,6 +32,9 @@
 	_, _ = fmt.Fprintf(recordFile, time.Now().Format("15:04:05.000 ")+format+"\n", args...)
 }
 
+// maxLength is the longest time that a case may take.
+const maxLength = 115 * time.Second
+
 // A world is a small deployment.
 type world struct {
 	dir       string
@@ -141,6 +144,11 @@
 		defer func() { _ = os.RemoveAll(dir) }()
 	}
 	record("case %s, trouble %t", name, trouble)
+	// The gateways end with this process.
+	time.AfterFunc(maxLength, func() {
+		record("not over after %v", maxLength)
+		os.Exit(2)
+	})
 	found, err := p(dir, binary, trouble)
 	if err != nil {
 		record("could not run: %v", err)
