Reject a response without a length after its connection broke

An endpoint had crashed while it streamed its answer.

Cause: the body of an upload is written by a goroutine while the response is read. The kernel reports the error of a connection once. If the write got the reset, its error only decided whether the connection is used again, and the reader of the response got an end of file, which ends a response that has neither a length nor chunks.

Change: such a response is complete only if the write of the body didn't fail, was still waiting, or failed with EPIPE, which says that the endpoint had closed its side before. Any other error (reset, time-out of unacknowledged data) means that the end of file proves nothing. Responses with a length or chunks state their own end and are not concerned.

TestUnframedResponseBeforeUploadEnds passed before and after.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -4,9 +4,11 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"syscall"
@@ -107,7 +109,12 @@
 	}
 	response, persistent, err := c.readMatchingResponse(request, config)
 	if bodyWritten != nil {
-		persistent = c.finishBodyWrite(bodyWritten, err == nil) && persistent
+		isWritten, writeErr := c.finishBodyWrite(bodyWritten)
+		persistent = persistent && isWritten
+		if err == nil && response.isUnframed && isConnBroken(writeErr) {
+			response.Release()
+			err = &ExchangeError{Stage: StageSent, InvalidResponse: true, Cause: fmt.Errorf("response without a length, connection broken: %w", writeErr)}
+		}
 	}
 	if err != nil {
 		var exchangeErr *ExchangeError
@@ -124,23 +131,27 @@
 	return response, persistent && stop(), nil
 }
 
-// finishBodyWrite ends the goroutine that writes the body and waits for it. It
-// reports whether the whole body had been written when the response arrived. If
-// not, the endpoint still expects the rest of the body, so the connection can't
-// carry another request.
-func (c *conn) finishBodyWrite(bodyWritten <-chan error, hasResponse bool) bool {
-	if hasResponse {
-		select {
-		case err := <-bodyWritten:
-			return err == nil
-		default:
-		}
+// finishBodyWrite ends the goroutine that writes the body. It reports whether the whole
+// body had been written before, and returns the error of the write. If it had not, the
+// endpoint still expects the rest of the body, so the connection can't carry another
+// request.
+func (c *conn) finishBodyWrite(bodyWritten <-chan error) (bool, error) {
+	select {
+	case err := <-bodyWritten:
+		return err == nil, err
+	default:
 	}
 	_ = c.SetDeadline(time.Unix(1, 0))
-	if err := <-bodyWritten; err != nil {
-		return false
-	}
-	return false
+	return false, <-bodyWritten
+}
+
+// isConnBroken reports whether the error of a write shows that the connection broke
+// before the endpoint closed its side. The kernel reports a reset or a timeout to one
+// call only: if that was the write, the reader gets an end of file instead. A write
+// after the endpoint closed its side fails with EPIPE, and one that was still waiting
+// with os.ErrDeadlineExceeded.
+func isConnBroken(writeErr error) bool {
+	return writeErr != nil && !errors.Is(writeErr, syscall.EPIPE) && !errors.Is(writeErr, os.ErrDeadlineExceeded)
 }
 
 // stageAfterWrite returns the stage of a write that failed after n bytes.
--- a/http1/response.go
+++ b/http1/response.go
@@ -13,6 +13,9 @@
 	Header http.Header
 	Body   []byte
 
+	// isUnframed is true if the body has neither a length nor chunks and ends with the
+	// connection.
+	isUnframed  bool
 	reservation *Reservation
 }
 
@@ -33,6 +36,7 @@
 		return fmt.Errorf("the answer has more than %d bytes", maxBytes)
 	}
 	r.Body = body
+	r.isUnframed = head.ContentLength < 0 && len(head.TransferEncoding) == 0
 	return head.Body.Close()
 }
 
