Count the crash of an endpoint that has sent a part of its response

Callers saw: a request that crashes endpoints in the middle of their answer took down one endpoint after the other, with all that they worked on, each time it was sent. It was never quarantined.

Cause: two questions were answered in two places. http1 marked a response that broke off in its body, or in the status line of its head, as one that is not valid; ingress took that for a sign that the endpoint lives.

Change: http1 alone says whether the endpoint ended the connection, by the error that its reader got, which parsers may hide (http.ReadResponse returns "malformed HTTP response" for a status line that broke off). A connection that timed out, a deadline, a cancelled request and bytes that are no response on an open connection don't count. Ingress adds that nothing listens at the endpoint's address any more. ExchangeError.InvalidResponse had no other reader and is gone; the test of the memory budget asks ClosedByEndpoint instead, which now decides what it decided.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -111,21 +111,13 @@
 	if bodyWritten != nil {
 		isWritten, writeErr := c.finishBodyWrite(bodyWritten)
 		persistent = persistent && isWritten
-		if err == nil && response.isUnframed && isConnBroken(writeErr) {
-			response.Release()
-			err = &ExchangeError{Stage: StageSent, InvalidResponse: true, Cause: fmt.Errorf("response without a length, connection broken: %w", writeErr)}
+		if isConnBroken(writeErr) {
+			c.headReader.endErr = writeErr
+			err = errorOfBrokenConn(response, err, writeErr)
 		}
 	}
 	if err != nil {
-		var exchangeErr *ExchangeError
-		if errors.As(err, &exchangeErr) {
-			exchangeErr.NewConnection = isNew
-			if cause := context.Cause(ctx); cause != nil {
-				exchangeErr.InvalidResponse, exchangeErr.Cause = false, cause
-			}
-			return nil, false, exchangeErr
-		}
-		return nil, false, c.newExchangeError(ctx, StageSent, isNew, err)
+		return nil, false, c.finishExchangeError(ctx, isNew, err)
 	}
 	c.isReused = true
 	return response, persistent && stop(), nil
@@ -154,6 +146,24 @@
 	return writeErr != nil && !errors.Is(writeErr, syscall.EPIPE) && !errors.Is(writeErr, os.ErrDeadlineExceeded)
 }
 
+// errorOfBrokenConn returns the error of an exchange on a connection that broke, as the
+// write of the body reported, and whose reader returned response or readErr. It returns
+// nil if the response is complete all the same.
+func errorOfBrokenConn(response *Response, readErr, writeErr error) error {
+	var exchangeErr *ExchangeError
+	switch {
+	case readErr == nil && !response.isUnframed:
+		return nil
+	case readErr == nil:
+		response.Release()
+		return &ExchangeError{Stage: StageSent, Cause: fmt.Errorf("response without a length, connection broken: %w", writeErr)}
+	case isClosedByPeer(readErr) && errors.As(readErr, &exchangeErr):
+		// The reader's end of file says only that the connection broke.
+		exchangeErr.Cause = writeErr
+	}
+	return readErr
+}
+
 // stageAfterWrite returns the stage of a write that failed after n bytes.
 func stageAfterWrite(n int) Stage {
 	if n == 0 {
@@ -165,10 +175,29 @@
 // newExchangeError returns an ExchangeError. If ctx has ended, its cause replaces
 // err.
 func (c *conn) newExchangeError(ctx context.Context, stage Stage, isNew bool, err error) error {
+	return c.finishExchangeError(ctx, isNew, &ExchangeError{Stage: stage, Cause: err})
+}
+
+// finishExchangeError completes the error of an exchange that failed after its
+// connection was opened. If ctx has ended, its cause replaces that of the error.
+func (c *conn) finishExchangeError(ctx context.Context, isNew bool, err error) error {
+	var exchangeErr *ExchangeError
+	if !errors.As(err, &exchangeErr) {
+		exchangeErr = &ExchangeError{Stage: StageSent, Cause: err}
+	}
+	exchangeErr.NewConnection = isNew
 	if cause := context.Cause(ctx); cause != nil {
-		err = cause
+		exchangeErr.Cause = cause
+		return exchangeErr
 	}
-	return &ExchangeError{Stage: stage, NewConnection: isNew, Cause: err}
+	exchangeErr.ClosedByEndpoint = isClosedByPeer(exchangeErr.Cause) || isClosedByPeer(c.headReader.endErr)
+	return exchangeErr
+}
+
+// isClosedByPeer reports whether an error says that the peer ended the connection. A
+// connection that timed out or was cut was not ended by the peer.
+func isClosedByPeer(err error) bool {
+	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
 // readMatchingResponse reads responses until one has the attempt id of request, and
@@ -187,12 +216,12 @@
 		}
 		response.Release()
 		if !persistent {
-			return nil, false, &ExchangeError{Stage: StageSent, InvalidResponse: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "answer to %q", ids)}
+			return nil, false, &ExchangeError{Stage: StageSent, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "answer to %q", ids)}
 		}
 		// Further responses on this connection may be mismatched, too.
 		inSync = false
 	}
-	return nil, false, &ExchangeError{Stage: StageSent, InvalidResponse: true, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "%d answers to other requests", maxMismatchedResponses)}
+	return nil, false, &ExchangeError{Stage: StageSent, Cause: savorystep.NewError(savorystep.KindUpstreamFailed, "%d answers to other requests", maxMismatchedResponses)}
 }
 
 // belongsTo reports whether a response with the given attempt ids is the one to a
@@ -214,14 +243,14 @@
 func (c *conn) readResponse(request *Request, config *Config) (*Response, bool, error) {
 	head, err := c.readHead(request)
 	if err != nil {
-		return nil, false, &ExchangeError{Stage: StageSent, InvalidResponse: !isConnError(err), Cause: err}
+		return nil, false, &ExchangeError{Stage: StageSent, Cause: err}
 	}
 	response := &Response{Status: head.StatusCode, Header: head.Header, reservation: config.ResponseBudget.NewReservation()}
 	if err := response.readBody(head, config.MaxResponseBytes); err != nil {
 		// The body is not closed, because closing reads it to its end.
 		response.Release()
 		budgetExceeded := errors.Is(err, ErrBudgetExceeded)
-		return nil, false, &ExchangeError{Stage: StageSent, InvalidResponse: !budgetExceeded, BudgetExceeded: budgetExceeded, Cause: err}
+		return nil, false, &ExchangeError{Stage: StageSent, BudgetExceeded: budgetExceeded, Cause: err}
 	}
 	c.idleTimeout = keepAliveTimeout(head.Header)
 	return response, !head.Close, nil
@@ -243,13 +272,6 @@
 	}
 }
 
-// isConnError reports whether an error comes from the connection rather than
-// from parsing what was read.
-func isConnError(err error) bool {
-	var netErr net.Error
-	return errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &netErr)
-}
-
 // keepAliveTimeout returns how long a connection may stay idle by the timeout
 // that the endpoint states in its Keep-Alive header, zero if it states none.
 func keepAliveTimeout(header http.Header) time.Duration {
--- a/http1/exchangeerror.go
+++ b/http1/exchangeerror.go
@@ -21,9 +21,10 @@
 	Stage Stage
 	// NewConnection is true if the connection had not carried an exchange before.
 	NewConnection bool
-	// InvalidResponse is true if the endpoint sent something other than a complete
-	// response to the request.
-	InvalidResponse bool
+	// ClosedByEndpoint is true if the endpoint ended the connection, with or without a
+	// reset, before it had sent a complete response: it crashed, stopped, broke off the
+	// response or closed a connection that was idle.
+	ClosedByEndpoint bool
 	// BudgetExceeded is true if the memory budget of this instance had no room for
 	// the response, which says nothing about the health of the endpoint.
 	BudgetExceeded bool
--- a/http1/headlimit.go
+++ b/http1/headlimit.go
@@ -13,13 +13,16 @@
 var errHeadTooLarge = fmt.Errorf("the head of the answer has more than %d bytes", maxHeadBytes)
 
 // A headLimitReader bounds the size of response heads. It limits the bytes read
-// from the connection, so that a larger head is never held in memory.
+// from the connection, so that a larger head is never held in memory. It keeps the error
+// that ended the connection, which parsers may replace by their own.
 type headLimitReader struct {
 	io.Reader
 	// remaining is how many more bytes the head may have. It applies only while
 	// inHead is true.
 	remaining int
 	inHead    bool
+	// endErr is the error of the last read, nil while the connection delivers data.
+	endErr error
 }
 
 var _ io.Reader = &headLimitReader{}
@@ -38,13 +41,16 @@
 // Read reads from the connection. It returns errHeadTooLarge once a head has
 // reached its limit.
 func (l *headLimitReader) Read(p []byte) (int, error) {
-	if !l.inHead {
-		return l.Reader.Read(p)
+	if l.inHead {
+		if l.remaining <= 0 {
+			return 0, errHeadTooLarge
+		}
+		p = p[:min(len(p), l.remaining)]
 	}
-	if l.remaining <= 0 {
-		return 0, errHeadTooLarge
+	n, err := l.Reader.Read(p)
+	if l.inHead {
+		l.remaining -= n
 	}
-	n, err := l.Reader.Read(p[:min(len(p), l.remaining)])
-	l.remaining -= n
+	l.endErr = err
 	return n, err
 }
--- a/http1/responselimits_test.go
+++ b/http1/responselimits_test.go
@@ -98,7 +98,7 @@
 	}
 	_, err := pool.Exchange(t.Context(), target, newRequest("1"))
 	var exchangeErr *http1.ExchangeError
-	if !errors.As(err, &exchangeErr) || !exchangeErr.BudgetExceeded || exchangeErr.InvalidResponse || exchangeErr.Stage != http1.StageSent {
+	if !errors.As(err, &exchangeErr) || !exchangeErr.BudgetExceeded || exchangeErr.ClosedByEndpoint || exchangeErr.Stage != http1.StageSent {
 		t.Fatalf("error %v, want an exceeded budget with stage %d", err, http1.StageSent)
 	}
 	for _, response := range responses {
--- /dev/null
+++ b/ingress/crash_test.go
@@ -0,0 +1,153 @@
+package ingress_test
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"savorystep"
+	"savorystep/endpoint"
+	"savorystep/http1"
+	"savorystep/ingress"
+)
+
+// A mortalEndpoint is an endpoint on a real socket that crashes when it runs a request
+// for a path that contains "poison".
+type mortalEndpoint struct {
+	listener net.Listener
+	// dying is what the endpoint sends before it crashes.
+	dying string
+	// survives is true if the endpoint closes the connection instead of crashing.
+	survives bool
+	runs     *atomic.Int64
+}
+
+// startMortalEndpoint starts an endpoint and returns its address.
+func startMortalEndpoint(t *testing.T, e mortalEndpoint) savorystep.Address {
+	t.Helper()
+	var err error
+	if e.listener, err = (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = e.listener.Close() })
+	go func() {
+		for {
+			c, err := e.listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.serve(c)
+		}
+	}()
+	return savorystep.Address(e.listener.Addr().String())
+}
+
+// serve serves one connection. A poisonous request ends it with a reset.
+func (e *mortalEndpoint) serve(c net.Conn) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if !strings.Contains(r.URL.Path, "poison") {
+			_, _ = reader.Discard(int(max(0, r.ContentLength)))
+			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok")
+			continue
+		}
+		e.runs.Add(1)
+		_, _ = fmt.Fprint(c, e.dying)
+		// What was sent arrives before the reset.
+		time.Sleep(5 * time.Millisecond)
+		if !e.survives {
+			_ = e.listener.Close()
+		}
+		_ = c.(*net.TCPConn).SetLinger(0)
+		return
+	}
+}
+
+// newMortalProxy returns a proxy with eight endpoints.
+func newMortalProxy(t *testing.T, e mortalEndpoint) *ingress.Proxy {
+	t.Helper()
+	_, _, router := newTestProxy(t, "ok")
+	router.WithTable(func(table *endpoint.Table) {
+		for _, id := range []savorystep.EndpointID{"a", "b", "c", "d", "e", "f", "g", "h"} {
+			table.Put(time.Now(), savorystep.Endpoint{
+				ID: id, Service: "s", State: savorystep.StateLive, Slots: 50, StartedAtMillis: 1, ReportSequence: 2, WrittenVersion: 3,
+				Address: startMortalEndpoint(t, e), Place: savorystep.Place{Zone: "z"},
+			})
+		}
+	})
+	facts := &fakeFacts{}
+	return ingress.NewProxy(ingress.ProxyConfig{
+		Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(facts), RateLimits: ingress.NewRateLimits(facts, router),
+		Transport: http1.NewPool(http1.Config{HeaderNames: names}), Router: router,
+	})
+}
+
+// post sends a request with a body through a proxy and returns the status.
+func post(t *testing.T, proxy *ingress.Proxy, target, body string) int {
+	t.Helper()
+	r := httptest.NewRequestWithContext(t.Context(), http.MethodPost, "http://h"+target, strings.NewReader(body))
+	r.RequestURI = target
+	recorder := httptest.NewRecorder()
+	proxy.ServeHTTP(recorder, r)
+	return recorder.Code
+}
+
+// TestQuarantineAtEachStage guards against a request that is never quarantined because
+// the endpoints which it crashes have sent a part of their response before.
+func TestQuarantineAtEachStage(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+	cases := []struct{ name, dying string }{
+		{name: "before the head", dying: ""},
+		{name: "in the head", dying: head},
+		{name: "in an interim response", dying: "HTTP/1.1 102 Processing\r\n\r\nHTTP"},
+		{name: "in a body with a length", dying: head + "Content-Length: 10\r\n\r\nhalf"},
+		{name: "in a chunked body", dying: head + "Transfer-Encoding: chunked\r\n\r\na\r\nhalf"},
+		{name: "between chunks", dying: head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n"},
+		{name: "in a body without a length", dying: head + "\r\nhalf"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int64
+			proxy := newMortalProxy(t, mortalEndpoint{dying: c.dying, runs: &runs})
+			status := 0
+			for range 8 {
+				status = post(t, proxy, "/once/poison", "body")
+			}
+			if runs.Load() != 3 || status != http.StatusServiceUnavailable {
+				t.Errorf("%d endpoints crashed, the last request got status %d, want 3 and 503", runs.Load(), status)
+			}
+			if status := post(t, proxy, "/once/other", "body"); status != http.StatusOK {
+				t.Errorf("status %d for another request, want 200", status)
+			}
+		})
+	}
+}
+
+// TestBrokenResponsesAreNoCrash guards against the quarantine of a request whose
+// responses are cut off or garbled by endpoints that go on running.
+func TestBrokenResponsesAreNoCrash(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nSignature: s\r\n"
+	for _, dying := range []string{"", head, head + "Content-Length: 10\r\n\r\nhalf", head + "\r\nhalf", "no response\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\nno chunk\r\n"} {
+		var runs atomic.Int64
+		proxy := newMortalProxy(t, mortalEndpoint{dying: dying, survives: true, runs: &runs})
+		for range 6 {
+			if status := post(t, proxy, "/once/poison", "body"); status != http.StatusBadGateway {
+				t.Errorf("after %q: status %d, want 502", dying, status)
+			}
+		}
+		if runs.Load() != 6 {
+			t.Errorf("after %q: %d runs, want 6", dying, runs.Load())
+		}
+	}
+}
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -127,7 +127,7 @@
 		<-f.block
 		return respond(http.StatusOK, "Signature", "s")
 	default:
-		return nil, &http1.ExchangeError{Stage: http1.StageSent, Cause: errReset}
+		return nil, &http1.ExchangeError{Stage: http1.StageSent, ClosedByEndpoint: true, Cause: errReset}
 	}
 }
 
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -199,7 +199,7 @@
 	switch {
 	case result.outcome == endpoint.OutcomeAnswered:
 		f.config.Quarantine.clear(pr.fingerprint)
-	case isClosedByEndpoint(err) && refusesConnections(ctx, choice.Endpoint.Address):
+	case crashed(ctx, err, choice.Endpoint.Address):
 		f.config.Quarantine.recordCrash(endedAt, pr.fingerprint, choice.Endpoint)
 	}
 	pr.addStep(fmt.Sprintf("%s: %s in %v", describeChoice(choice), describeResult(result, err), endedAt.Sub(now).Round(time.Millisecond)))
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -156,12 +156,13 @@
 	q.facts.Publish(savorystep.FactCrash, factSubject(key), savorystep.CrashFact{Endpoints: ids})
 }
 
-// isClosedByEndpoint reports whether an exchange failed because the endpoint closed
-// the connection without a response.
-func isClosedByEndpoint(err error) bool {
+// crashed reports whether an exchange that ended with an error shows that its endpoint
+// crashed while it ran the request: the endpoint ended the connection before it had sent
+// a complete response, whether in the head or in the body, and nothing listens at its
+// address any more. An endpoint that only breaks off its responses goes on listening.
+func crashed(ctx context.Context, err error, address savorystep.Address) bool {
 	var exchangeErr *http1.ExchangeError
-	return errors.As(err, &exchangeErr) && !errors.Is(err, errEndpointDown) && exchangeErr.Stage == http1.StageSent && !exchangeErr.InvalidResponse && !exchangeErr.BudgetExceeded &&
-		!errors.Is(err, context.Canceled) && !errors.Is(err, context.DeadlineExceeded) && !errors.Is(err, syscall.ETIMEDOUT)
+	return errors.As(err, &exchangeErr) && exchangeErr.Stage == http1.StageSent && exchangeErr.ClosedByEndpoint && refusesConnections(ctx, address)
 }
 
 // refusesConnections reports whether nothing listens at an address.
--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -28,7 +28,7 @@
 	if r.Target == "/safe/poison" {
 		t.crashes++
 		t.crashed[e.ID] = true
-		return nil, &http1.ExchangeError{Stage: http1.StageSent, Cause: io.EOF}
+		return nil, &http1.ExchangeError{Stage: http1.StageSent, ClosedByEndpoint: true, Cause: io.EOF}
 	}
 	return &http1.Response{Status: http.StatusOK, Header: http.Header{"Signature": {"s"}}}, nil
 }
