Do not quarantine a busy request because endpoints failed together

Callers saw: a request that many callers send was refused by all instances for ten minutes after a zone failed, although the endpoints of the other zones run it.

Cause: each endpoint that crashed while it ran the request counted, whether or not the crashes had one cause. Three of them quarantined the request, and one that is quarantined is never sent, so no answer could clear it.

Change: crashes count in a row. A crash extends the streak that was known when its attempt was sent, so those of a zone or a herd count once, whichever instances see them, and without comparing clocks. Three in a row quarantine a request, five if this instance saw it answered in the last minutes: at that limit two of the three late deliveries that the platform allows are used. An instance that published a crash clears its own fact when another one saw the request answered; an instance that started later got both in any order.

RecentlyAnswered is exported by package upstream, so that both quarantines use it. Facts of older instances have no streak; the number of endpoints counts.

--- a/factbodies.go
+++ b/factbodies.go
@@ -39,6 +39,10 @@
 	// Cleared is true if a request with the fingerprint has since been answered,
 	// so that the crashes reported by all instances no longer count.
 	Cleared bool `cbor:"2,keyasint,omitempty"`
+	// Streak is the number of crashes in a row: each ended an attempt that was sent when
+	// the crash before it was known. Crashes at the same time, as in the failure of a
+	// zone, count once. 0 means that the instance does not tell.
+	Streak int `cbor:"3,keyasint,omitempty"`
 }
 
 // An UnknownFact is the number of requests of callers for an unknown name.
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -82,10 +82,12 @@
 			pr.addStep("the instance stops before the deadline")
 			break
 		}
-		if f.config.Quarantine.isQuarantined(now, pr.fingerprint) {
-			pr.addStep(fmt.Sprintf("quarantined, %d endpoints died with it", quarantineThreshold))
+		streak, isQuarantined := f.config.Quarantine.check(now, pr.fingerprint)
+		if isQuarantined {
+			pr.addStep(fmt.Sprintf("quarantined as fingerprint=%s, %d endpoints in a row died with it", factSubject(pr.fingerprint), streak))
 			break
 		}
+		pr.crashStreak = streak
 		if pr.deliveries > 0 && !f.config.Router.mayRetry(now, pr.service) {
 			pr.addStep("no repeat left in the budget")
 			break
@@ -198,9 +200,9 @@
 	f.metrics.countAttempt(result.outcome, choice.IsRateLimited)
 	switch {
 	case result.outcome == endpoint.OutcomeAnswered:
-		f.config.Quarantine.clear(pr.fingerprint)
+		f.config.Quarantine.recordAnswer(endedAt, pr.fingerprint)
 	case crashed(ctx, err, choice.Endpoint.Address):
-		f.config.Quarantine.recordCrash(endedAt, pr.fingerprint, choice.Endpoint)
+		f.config.Quarantine.recordCrash(endedAt, pr.fingerprint, pr.crashStreak, choice.Endpoint)
 	}
 	pr.addStep(fmt.Sprintf("%s: %s in %v", describeChoice(choice), describeResult(result, err), endedAt.Sub(now).Round(time.Millisecond)))
 	return result
--- a/ingress/proxiedrequest.go
+++ b/ingress/proxiedrequest.go
@@ -17,6 +17,9 @@
 	affinityKey uint64
 	// fingerprint is the same when the caller sends the request again.
 	fingerprint savorystep.Fingerprint
+	// crashStreak is the number of crashes in a row that were known when the last attempt
+	// was sent.
+	crashStreak int
 	// receivedAt is when the request's header had been read.
 	receivedAt time.Time
 	// deadline is the caller's deadline or the end of the route's timeout, whichever
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -15,12 +15,19 @@
 
 	"savorystep"
 	"savorystep/http1"
+	"savorystep/upstream"
 )
 
 const (
-	// quarantineThreshold is the number of endpoints that must crash while they run
-	// a request before it is quarantined.
-	quarantineThreshold = 3
+	// quarantineStreak is the number of crashes in a row that quarantine a request.
+	quarantineStreak = 3
+	// answeredQuarantineStreak is the same for a request that an endpoint answered in the
+	// last minutes, according to this instance. It keeps two of the three deliveries that
+	// the platform allows later than 4 s after the third crash.
+	answeredQuarantineStreak = 5
+	// togetherWindow is the time within which crashes may have one cause, such as the
+	// failure of a zone.
+	togetherWindow = 4 * time.Second
 	// quarantineDuration is how long a request stays quarantined after the last
 	// crash.
 	quarantineDuration = 10 * time.Minute
@@ -31,26 +38,21 @@
 	maxCrashRecords = 10_000
 )
 
-// A Quarantine stops the forwarding of requests that crashed several endpoints,
-// whichever instances their callers sent them to. It shares crashes with the
+// A Quarantine stops the forwarding of requests that crashed several endpoints, one after
+// the other, whichever instances their callers sent them to. It shares crashes with the
 // other instances. It is safe for concurrent use.
 type Quarantine struct {
-	facts savorystep.Facts
+	facts    savorystep.Facts
+	answered *upstream.RecentlyAnswered
 
 	mu      sync.Mutex
 	records map[savorystep.Fingerprint]*crashRecord
 }
 
-// A crashRecord holds the endpoints that crashed while they ran a request.
-type crashRecord struct {
-	endpoints map[savorystep.EndpointID]bool
-	lastCrash time.Time
-}
-
 // NewQuarantine returns an empty quarantine that exchanges crashes with other
 // instances through facts.
 func NewQuarantine(facts savorystep.Facts) *Quarantine {
-	q := &Quarantine{facts: facts, records: make(map[savorystep.Fingerprint]*crashRecord)}
+	q := &Quarantine{facts: facts, answered: upstream.NewRecentlyAnswered(), records: make(map[savorystep.Fingerprint]*crashRecord)}
 	facts.Subscribe(savorystep.FactCrash, q.applyFact)
 	return q
 }
@@ -69,41 +71,54 @@
 // applyFact applies a crash fact, by which another instance reports or clears the
 // crashes of a request.
 func (q *Quarantine) applyFact(fact savorystep.ReceivedFact) {
-	key, err := strconv.ParseUint(fact.Subject, 16, 64)
+	number, err := strconv.ParseUint(fact.Subject, 16, 64)
 	var body savorystep.CrashFact
 	if err != nil || cbor.Unmarshal(fact.Body, &body) != nil {
 		log.Warningf("can't decode crash fact of instance %s with subject %q", fact.Instance, fact.Subject)
 		return
 	}
-	q.mu.Lock()
-	defer q.mu.Unlock()
+	key := savorystep.Fingerprint(number)
 	if body.Cleared {
-		delete(q.records, savorystep.Fingerprint(key))
+		q.applyCleared(key)
 		return
 	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	record := q.recordOf(fact.ReceivedAt, key)
 	for _, id := range body.Endpoints {
-		q.addCrash(fact.ReceivedAt, savorystep.Fingerprint(key), id)
+		record.addCrash(fact.ReceivedAt, id)
+	}
+	if body.Streak == 0 {
+		body.Streak = len(record.endpoints)
+	}
+	record.streak = max(record.streak, body.Streak)
+}
+
+// applyCleared drops the crashes of a request that another instance cleared. What this
+// instance published of them is cleared, too: an instance that starts later gets the
+// facts of all instances, in any order.
+func (q *Quarantine) applyCleared(key savorystep.Fingerprint) {
+	q.mu.Lock()
+	record := q.records[key]
+	delete(q.records, key)
+	q.mu.Unlock()
+	if record != nil && record.isPublished {
+		q.facts.Publish(savorystep.FactCrash, factSubject(key), savorystep.CrashFact{Cleared: true})
 	}
 }
 
-// addCrash records a crash and returns all endpoints that crashed while they ran
-// the request. The caller must hold q.mu.
-func (q *Quarantine) addCrash(now time.Time, key savorystep.Fingerprint, id savorystep.EndpointID) []savorystep.EndpointID {
+// recordOf returns the record of a request, which it adds if there is none or if that
+// has expired. The caller must hold q.mu.
+func (q *Quarantine) recordOf(now time.Time, key savorystep.Fingerprint) *crashRecord {
 	record := q.records[key]
-	if record == nil || now.Sub(record.lastCrash) >= quarantineDuration {
+	if record == nil || record.isExpired(now) {
 		if len(q.records) >= maxCrashRecords {
 			q.evict(now)
 		}
-		record = &crashRecord{endpoints: make(map[savorystep.EndpointID]bool)}
+		record = newCrashRecord(now)
 		q.records[key] = record
 	}
-	record.endpoints[id] = true
-	record.lastCrash = now
-	ids := make([]savorystep.EndpointID, 0, len(record.endpoints))
-	for id := range record.endpoints {
-		ids = append(ids, id)
-	}
-	return ids
+	return record
 }
 
 // evict drops expired records. If none has expired, it halves the age limit until
@@ -118,18 +133,31 @@
 	}
 }
 
-// isQuarantined reports whether a request must not be forwarded.
-func (q *Quarantine) isQuarantined(now time.Time, key savorystep.Fingerprint) bool {
+// check returns the number of crashes in a row of a request that are known, and whether
+// it must not be forwarded.
+func (q *Quarantine) check(now time.Time, key savorystep.Fingerprint) (streak int, isQuarantined bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	record := q.records[key]
-	return record != nil && len(record.endpoints) >= quarantineThreshold && now.Sub(record.lastCrash) < quarantineDuration
+	if record == nil || record.isExpired(now) {
+		return 0, false
+	}
+	return record.streak, record.exceeds(q.limit(now, key))
+}
+
+// limit returns the number of crashes in a row that quarantine a request.
+func (q *Quarantine) limit(now time.Time, key savorystep.Fingerprint) int {
+	if q.answered.Has(key, now) {
+		return answeredQuarantineStreak
+	}
+	return quarantineStreak
 }
 
-// clear drops the crashes of a request that an endpoint has answered, here and at
-// the other instances. Other requests caused these crashes, or the endpoints
-// failed together.
-func (q *Quarantine) clear(key savorystep.Fingerprint) {
+// recordAnswer records that an endpoint has answered a request, and drops its crashes
+// here and at the other instances: other requests caused them, or the endpoints failed
+// together.
+func (q *Quarantine) recordAnswer(now time.Time, key savorystep.Fingerprint) {
+	q.answered.Add(key, now)
 	q.mu.Lock()
 	_, ok := q.records[key]
 	delete(q.records, key)
@@ -144,16 +172,21 @@
 	return strconv.FormatUint(uint64(key), 16)
 }
 
-// recordCrash records the crash of an endpoint that ran a request, and publishes
-// it. The id of the crash includes the start time of the endpoint, so that each
-// incarnation counts once.
-func (q *Quarantine) recordCrash(now time.Time, key savorystep.Fingerprint, crashed savorystep.Endpoint) {
+// recordCrash records the crash of an endpoint that ran a request, and publishes it.
+// knownStreak is what check returned before the request was sent to the endpoint. The id
+// of the crash includes the start time of the endpoint, so that each incarnation counts
+// once.
+func (q *Quarantine) recordCrash(now time.Time, key savorystep.Fingerprint, knownStreak int, crashed savorystep.Endpoint) {
 	id := savorystep.EndpointID(fmt.Sprintf("%s@%d", crashed.ID, crashed.StartedAtMillis))
 	q.mu.Lock()
-	ids := q.addCrash(now, key, id)
+	record := q.recordOf(now, key)
+	record.addCrash(now, id)
+	record.streak, record.isPublished = max(record.streak, knownStreak+1), true
+	fact := savorystep.CrashFact{Endpoints: record.endpointIDs(), Streak: record.streak}
+	isQuarantined := record.exceeds(q.limit(now, key))
 	q.mu.Unlock()
-	log.Warningf("endpoint %s crashed while it ran request fingerprint=%s, which crashed %d endpoints", id, factSubject(key), len(ids))
-	q.facts.Publish(savorystep.FactCrash, factSubject(key), savorystep.CrashFact{Endpoints: ids})
+	log.Warningf("endpoint %s crashed while it ran request fingerprint=%s, which crashed %d endpoints, %d in a row, quarantined %t", id, factSubject(key), len(fact.Endpoints), fact.Streak, isQuarantined)
+	q.facts.Publish(savorystep.FactCrash, factSubject(key), fact)
 }
 
 // crashed reports whether an exchange that ended with an error shows that its endpoint
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -45,7 +45,7 @@
 	config   QuarantineConfig
 	crashes  *crashTable
 	locks    *fingerprintLocks
-	answered *recentlyAnswered
+	answered *RecentlyAnswered
 }
 
 // NewQuarantine returns a quarantine around another forwarder, which must pass
@@ -55,7 +55,7 @@
 		config.Clock = savorystep.SystemClock{}
 	}
 	setDefault(&config.BroadcastTimeout, 200*time.Millisecond)
-	q := &Quarantine{next: next, config: config, crashes: newCrashTable(), locks: newFingerprintLocks(), answered: newRecentlyAnswered()}
+	q := &Quarantine{next: next, config: config, crashes: newCrashTable(), locks: newFingerprintLocks(), answered: NewRecentlyAnswered()}
 	config.Facts.Subscribe(savorystep.FactCrash, q.handleCrashes)
 	for _, fact := range config.Facts.Facts(savorystep.FactCrash) {
 		q.handleCrashes(fact)
@@ -160,7 +160,7 @@
 
 // crashLimit returns the number of crashes that quarantine a fingerprint.
 func (q *Quarantine) crashLimit(key savorystep.Fingerprint) int {
-	if q.answered.has(key, q.config.Clock.Now()) {
+	if q.answered.Has(key, q.config.Clock.Now()) {
 		return answeredQuarantineCrashes
 	}
 	return quarantineCrashes
@@ -190,7 +190,7 @@
 // does.
 func (a *admission) onAnswered() {
 	q, key := a.quarantine, a.request.Fingerprint
-	q.answered.add(key, q.config.Clock.Now())
+	q.answered.Add(key, q.config.Clock.Now())
 	if !q.crashes.clearBefore(key, a.lastAttemptStart()) {
 		return
 	}
--- a/upstream/recentlyanswered.go
+++ b/upstream/recentlyanswered.go
@@ -16,30 +16,30 @@
 	maxAnsweredFingerprints = 8192
 )
 
-// recentlyAnswered holds the fingerprints of requests that got a response in
-// the last one to two minutes.
-type recentlyAnswered struct {
+// A RecentlyAnswered holds the fingerprints of requests that got a response in
+// the last one to two minutes. It is safe for concurrent use.
+type RecentlyAnswered struct {
 	mu        sync.Mutex
 	current   map[savorystep.Fingerprint]struct{}
 	previous  map[savorystep.Fingerprint]struct{}
 	rotatedAt time.Time
 }
 
-// newRecentlyAnswered returns an empty set.
-func newRecentlyAnswered() *recentlyAnswered {
-	return &recentlyAnswered{current: make(map[savorystep.Fingerprint]struct{})}
+// NewRecentlyAnswered returns an empty set.
+func NewRecentlyAnswered() *RecentlyAnswered {
+	return &RecentlyAnswered{current: make(map[savorystep.Fingerprint]struct{})}
 }
 
-// add records a response to a fingerprint.
-func (a *recentlyAnswered) add(key savorystep.Fingerprint, now time.Time) {
+// Add records a response to a fingerprint.
+func (a *RecentlyAnswered) Add(key savorystep.Fingerprint, now time.Time) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.rotate(now)
 	a.current[key] = struct{}{}
 }
 
-// has reports whether a fingerprint recently got a response.
-func (a *recentlyAnswered) has(key savorystep.Fingerprint, now time.Time) bool {
+// Has reports whether a fingerprint recently got a response.
+func (a *RecentlyAnswered) Has(key savorystep.Fingerprint, now time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.rotate(now)
@@ -53,7 +53,7 @@
 // rotate replaces the previous set by the current one when the current one is
 // answeredRotation old or full. If it is twice as old, both sets are discarded.
 // The caller holds mu.
-func (a *recentlyAnswered) rotate(now time.Time) {
+func (a *RecentlyAnswered) rotate(now time.Time) {
 	age := now.Sub(a.rotatedAt)
 	if age < answeredRotation && len(a.current) < maxAnsweredFingerprints {
 		return
