Take no planned stop for a crash, and a cancelled attempt for none

Cause: an endpoint that ends as planned also ends its connections and refuses new ones. An attempt that another request cancelled was never taken for one whose endpoint crashed, although the other one had found that nothing listens.

Change: the end of an endpoint that has said that it leaves, is listed as leaving or is not listed any more is no crash. The cause with which attempts are cancelled says whether the endpoint refused connections, which counts, or was silent, which doesn't: its machine may be cut off.

--- a/endpoint/leaving.go
+++ b/endpoint/leaving.go
@@ -109,6 +109,16 @@
 	}
 }
 
+// IsStopping reports whether an endpoint stops as planned, or may: it has said that it
+// leaves, or is not listed any more.
+func (t *Table) IsStopping(e savorystep.Endpoint) bool {
+	if known, ok := t.leavings[e.ID]; ok && known.startedAtMillis == e.StartedAtMillis {
+		return true
+	}
+	s := t.byID[e.ID]
+	return s == nil || s.StartedAtMillis != e.StartedAtMillis || s.State == savorystep.StateLeaving || s.isLeaving
+}
+
 // CountLeaving returns the number of listed endpoints that have said that they leave.
 func (t *Table) CountLeaving() int {
 	count := 0
--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -2,12 +2,16 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -151,3 +155,78 @@
 		}
 	}
 }
+
+// A stoppingTransport simulates endpoints that end as planned while they run a request,
+// and refuse connections afterwards.
+type stoppingTransport struct {
+	router *ingress.Router
+	// announce tells the router that an endpoint stops.
+	announce func(table *endpoint.Table, e savorystep.Endpoint)
+	runs     int
+}
+
+func (t *stoppingTransport) Exchange(_ context.Context, e savorystep.Endpoint, _ *http1.Request) (*http1.Response, error) {
+	t.runs++
+	t.router.WithTable(func(table *endpoint.Table) { t.announce(table, e) })
+	return nil, &http1.ExchangeError{Stage: http1.StageSent, ClosedByEndpoint: true, Cause: io.EOF}
+}
+
+// TestPlannedStopIsNoCrash guards against the quarantine of a request that runs on
+// endpoints which a release replaces one after the other.
+func TestPlannedStopIsNoCrash(t *testing.T) {
+	tests := []struct {
+		name     string
+		announce func(table *endpoint.Table, e savorystep.Endpoint)
+	}{
+		{name: "said so in a response", announce: func(table *endpoint.Table, e savorystep.Endpoint) {
+			table.ApplyLeaving(time.Now(), e.ID, e.StartedAtMillis)
+		}},
+		{name: "listed as leaving", announce: func(table *endpoint.Table, e savorystep.Endpoint) {
+			e.State = savorystep.StateLeaving
+			e.ReportSequence++
+			e.WrittenVersion++
+			table.Put(time.Now(), e)
+		}},
+		{name: "not listed any more", announce: func(table *endpoint.Table, e savorystep.Endpoint) {
+			table.Remove(time.Now(), e.ID)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			transport := &stoppingTransport{announce: test.announce}
+			proxies, routers := newHerdProxies(t, transport)
+			transport.router = routers[0]
+			for n := range 6 {
+				if status := sendAttempt(t, proxies[0], strconv.Itoa(n)); status != http.StatusBadGateway {
+					t.Errorf("request %d: status %d, want 502", n, status)
+				}
+			}
+			if transport.runs != 6 {
+				t.Errorf("%d runs, want 6", transport.runs)
+			}
+		})
+	}
+}
+
+// TestCrashOfCancelledAttempt guards against a crash that is not counted because another
+// request found first that the endpoint refuses connections, and against counting the
+// attempts at a machine that is silent.
+func TestCrashOfCancelledAttempt(t *testing.T) {
+	address := startMortalEndpoint(t, mortalEndpoint{})
+	tests := []struct {
+		name  string
+		found error
+		want  bool
+	}{
+		{name: "refuses connections", found: syscall.ECONNREFUSED, want: true},
+		{name: "is silent", found: syscall.ETIMEDOUT, want: false},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			err := &http1.ExchangeError{Stage: http1.StageSent, Cause: ingress.EndpointDownCause(test.found)}
+			if got := ingress.Crashed(t.Context(), err, address); got != test.want {
+				t.Errorf("crashed is %t after %v, want %t", got, err, test.want)
+			}
+		})
+	}
+}
--- a/ingress/export_test.go
+++ b/ingress/export_test.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"time"
 
 	"savorystep"
@@ -71,3 +72,13 @@
 func (r *Router) Choose(now time.Time, query endpoint.Query) (endpoint.Choice, bool) {
 	return r.choose(now, query)
 }
+
+// Crashed exports crashed.
+func Crashed(ctx context.Context, err error, address savorystep.Address) bool {
+	return crashed(ctx, err, address)
+}
+
+// EndpointDownCause exports endpointDownCause.
+func EndpointDownCause(err error) error {
+	return endpointDownCause(err)
+}
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -194,14 +194,14 @@
 		response.Release()
 	}
 	f.config.Router.recordOutcome(endedAt, choice, result.outcome, load)
-	if isEndpointDown(err) {
-		f.attempts.cancelAll(choice.Endpoint.ID)
+	if cause := endpointDownCause(err); cause != nil {
+		f.attempts.cancelAll(choice.Endpoint.ID, cause)
 	}
 	f.metrics.countAttempt(result.outcome, choice.IsRateLimited)
 	switch {
 	case result.outcome == endpoint.OutcomeAnswered:
 		f.config.Quarantine.recordAnswer(endedAt, pr.fingerprint)
-	case crashed(ctx, err, choice.Endpoint.Address):
+	case !f.config.Router.isStopping(choice.Endpoint) && crashed(ctx, err, choice.Endpoint.Address):
 		f.config.Quarantine.recordCrash(endedAt, pr.fingerprint, pr.crashStreak, choice.Endpoint)
 	}
 	pr.addStep(fmt.Sprintf("%s: %s in %v", describeChoice(choice), describeResult(result, err), endedAt.Sub(now).Round(time.Millisecond)))
--- a/ingress/herdcrash_test.go
+++ b/ingress/herdcrash_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -49,9 +50,8 @@
 }
 
 // newHerdProxies returns the proxies of two instances that exchange facts, with twelve
-// endpoints in zone z1 and two in zone z2, and a function that removes the endpoints of
-// zone z1 from their lists.
-func newHerdProxies(t *testing.T, transport ingress.Transport) ([]*ingress.Proxy, func()) {
+// endpoints in zone z1 and two in zone z2, and their routers.
+func newHerdProxies(t *testing.T, transport ingress.Transport) ([]*ingress.Proxy, []*ingress.Router) {
 	t.Helper()
 	facts := &fakeFacts{}
 	var proxies []*ingress.Proxy
@@ -81,15 +81,7 @@
 			Place: savorystep.Place{Region: "r", Zone: "z1"}, Transport: transport, Router: router,
 		}))
 	}
-	return proxies, func() {
-		for _, router := range routers {
-			router.WithTable(func(table *endpoint.Table) {
-				for i := range 12 {
-					table.Remove(time.Now(), savorystep.EndpointID(fmt.Sprintf("e%d", i)))
-				}
-			})
-		}
-	}
+	return proxies, routers
 }
 
 // sendAttempt sends the busy request with an attempt id and returns the status.
@@ -108,17 +100,23 @@
 // of the other zone can still run it.
 func TestBusyRequestSurvivesZoneFailure(t *testing.T) {
 	transport := &herdTransport{held: make(map[savorystep.EndpointID]int), crash: make(chan struct{})}
-	proxies, unlistCrashed := newHerdProxies(t, transport)
+	proxies, routers := newHerdProxies(t, transport)
 	var group sync.WaitGroup
 	for n := range 40 {
-		group.Go(func() { sendAttempt(t, proxies[n%2], fmt.Sprint(n)) })
+		group.Go(func() { sendAttempt(t, proxies[n%2], strconv.Itoa(n)) })
 	}
 	for transport.heldAt() < 6 {
 		time.Sleep(time.Millisecond)
 	}
 	close(transport.crash)
 	group.Wait()
-	unlistCrashed()
+	for _, router := range routers {
+		router.WithTable(func(table *endpoint.Table) {
+			for i := range 12 {
+				table.Remove(time.Now(), savorystep.EndpointID(fmt.Sprintf("e%d", i)))
+			}
+		})
+	}
 	for n := range 20 {
 		if status := sendAttempt(t, proxies[n%2], fmt.Sprint("later", n)); status != http.StatusOK {
 			t.Fatalf("status %d for the busy request after the failure of a zone, want 200", status)
--- a/ingress/inflightattempts.go
+++ b/ingress/inflightattempts.go
@@ -9,9 +9,12 @@
 	"savorystep"
 )
 
-// errEndpointDown cancels an attempt at an endpoint that another request found to
-// be down.
-var errEndpointDown = errors.New("another request found the endpoint to be down")
+// The causes with which an attempt is cancelled because another request found its
+// endpoint to be down: nothing listens at its address, or its machine is silent.
+var (
+	errEndpointRefuses = errors.New("another request found that the endpoint refuses connections")
+	errEndpointSilent  = errors.New("another request found that the endpoint acknowledges nothing")
+)
 
 // inFlightAttempts holds the cancel functions of the attempts in flight that are
 // safe to retry, by endpoint. A machine that loses power sends no TCP reset, so
@@ -45,19 +48,27 @@
 	}
 }
 
-// cancelAll cancels all registered attempts at an endpoint with errEndpointDown.
-func (a *inFlightAttempts) cancelAll(id savorystep.EndpointID) {
+// cancelAll cancels all registered attempts at an endpoint.
+func (a *inFlightAttempts) cancelAll(id savorystep.EndpointID, cause error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for cancel := range a.byEndpoint[id] {
-		(*cancel)(errEndpointDown)
+		(*cancel)(cause)
 	}
 }
 
-// isEndpointDown reports whether the error of an exchange proves that the
-// endpoint is down: its address refuses connections, or its machine acknowledged
-// no retransmission within the TCP user timeout. A dial timeout is no proof,
-// because a single lost packet can cause it.
-func isEndpointDown(err error) bool {
-	return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ETIMEDOUT)
+// endpointDownCause returns the cause with which the attempts at an endpoint are
+// cancelled if the error of an exchange proves that it is down: its address refuses
+// connections, or its machine acknowledged no retransmission within the TCP user
+// timeout. Otherwise it returns nil. A dial timeout is no proof, because a single lost
+// packet can cause it.
+func endpointDownCause(err error) error {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return errEndpointRefuses
+	case errors.Is(err, syscall.ETIMEDOUT):
+		return errEndpointSilent
+	default:
+		return nil
+	}
 }
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -193,9 +193,13 @@
 // crashed while it ran the request: the endpoint ended the connection before it had sent
 // a complete response, whether in the head or in the body, and nothing listens at its
 // address any more. An endpoint that only breaks off its responses goes on listening.
+// Another request may have found the latter first.
 func crashed(ctx context.Context, err error, address savorystep.Address) bool {
 	var exchangeErr *http1.ExchangeError
-	return errors.As(err, &exchangeErr) && exchangeErr.Stage == http1.StageSent && exchangeErr.ClosedByEndpoint && refusesConnections(ctx, address)
+	if !errors.As(err, &exchangeErr) || exchangeErr.Stage != http1.StageSent {
+		return false
+	}
+	return errors.Is(err, errEndpointRefuses) || exchangeErr.ClosedByEndpoint && refusesConnections(ctx, address)
 }
 
 // refusesConnections reports whether nothing listens at an address.
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -178,6 +178,13 @@
 	return r.table.Excluded(now)
 }
 
+// isStopping reports whether an endpoint stops as planned, or may.
+func (r *Router) isStopping(e savorystep.Endpoint) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.IsStopping(e)
+}
+
 // CountLeaving returns the number of endpoints that have said that they leave.
 func (r *Router) CountLeaving() int {
 	r.mu.Lock()
