Save the crashes of requests in the store

Callers saw: a request that crashes endpoints, refused by all gateways, was forwarded again after all gateways had been killed, and took down three more endpoints, and three more after the next kill.

Cause: what an instance knew of crashes ended with it. Its facts are dropped 10 s after it was lost, no instance hands on those of another one, and nothing was kept in the platform's store.

Change: from the second crash in a row on, the instance that saw it saves the streak in one row of the store, under the condition that the row has not changed; on a conflict it merges. Each instance reads the row once when it starts, and again only to write. One row bounds what is kept (32 KiB, the oldest go), needs nobody to remove rows, and costs one call per start and two per crash that counts. A first crash is not saved: it hits all requests in flight there, whichever is to blame. After the store came back from a copy the instances save again what they know, spread over 3 s. Crashes that an instance of an older build reports are saved by those that hear of them. A start does not wait for the row: a store that is away must not keep instances from serving.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -48,6 +48,8 @@
 	proxy        *ingress.Proxy
 	pool         *http1.Pool
 	catalogRelay *peer.CatalogRelay
+	quarantine   *ingress.Quarantine
+	keeper       *ingress.QuarantineKeeper
 	router       *ingress.Router
 	watcher      *ingress.Watcher
 	clock        savorystep.Clock
@@ -68,6 +70,8 @@
 	proxy *ingress.Proxy,
 	pool *http1.Pool,
 	catalogRelay *peer.CatalogRelay,
+	quarantine *ingress.Quarantine,
+	keeper *ingress.QuarantineKeeper,
 	router *ingress.Router,
 	watcher *ingress.Watcher,
 	clock savorystep.Clock,
@@ -76,7 +80,8 @@
 ) *gateway {
 	g := &gateway{
 		settings: settings, self: self, client: client, directory: directory, exchange: exchange,
-		proxy: proxy, pool: pool, catalogRelay: catalogRelay, router: router, watcher: watcher,
+		proxy: proxy, pool: pool, catalogRelay: catalogRelay, quarantine: quarantine, keeper: keeper,
+		router: router, watcher: watcher,
 		clock: clock, logWriter: stdout.New(os.Stdout), options: options, registry: registry,
 	}
 	g.registerMetrics()
@@ -90,7 +95,7 @@
 	var group errgroup.Group
 	stopLogWriter := g.startLogWriter()
 	defer stopLogWriter()
-	for _, runner := range []savorystep.Runner{g.exchange, g.watcher} {
+	for _, runner := range []savorystep.Runner{g.exchange, g.watcher, g.keeper} {
 		done := runner.Start(backgroundCtx)
 		group.Go(func() error { return ignoreCanceled(<-done) })
 	}
--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -13,6 +13,7 @@
 	"savorystep/ingress"
 	"savorystep/peer"
 	"savorystep/platform"
+	"savorystep/store"
 )
 
 // buildGateway creates a gateway and all its components.
@@ -27,6 +28,8 @@
 		newGatewayDirectory,
 		newGatewayExchange,
 		newGatewayProxy,
+		newGatewayQuarantine,
+		newGatewayQuarantineKeeper,
 		newGatewayPool,
 		newGatewayRegistry,
 		newGatewayRelay,
@@ -122,8 +125,16 @@
 	return registry
 }
 
-func newGatewayProxy(settings platform.Settings, clock savorystep.Clock, exchange *peer.Exchange, pool *http1.Pool, registry *prometheus.Registry, router *ingress.Router) *ingress.Proxy {
+func newGatewayQuarantine(exchange *peer.Exchange) *ingress.Quarantine {
+	return ingress.NewQuarantine(exchange)
+}
+
+func newGatewayQuarantineKeeper(client *platform.Client, clock savorystep.Clock, quarantine *ingress.Quarantine) *ingress.QuarantineKeeper {
+	return ingress.NewQuarantineKeeper(ingress.QuarantineKeeperConfig{Clock: clock, CrashLog: store.NewCrashLog(client), Quarantine: quarantine, StoreEra: client.Era})
+}
+
+func newGatewayProxy(settings platform.Settings, clock savorystep.Clock, exchange *peer.Exchange, pool *http1.Pool, quarantine *ingress.Quarantine, registry *prometheus.Registry, router *ingress.Router) *ingress.Proxy {
 	return ingress.NewProxy(ingress.ProxyConfig{
-		Clock: clock, MemoryLimitBytes: settings.MemoryLimitBytes, HeaderNames: platform.HeaderNames(), Leavings: ingress.NewLeavings(exchange, router), Notices: platform.NoticeDecoder{}, Place: settings.Place, Quarantine: ingress.NewQuarantine(exchange), RateLimits: ingress.NewRateLimits(exchange, router), Registerer: registry, Transport: pool, Router: router,
+		Clock: clock, MemoryLimitBytes: settings.MemoryLimitBytes, HeaderNames: platform.HeaderNames(), Leavings: ingress.NewLeavings(exchange, router), Notices: platform.NoticeDecoder{}, Place: settings.Place, Quarantine: quarantine, RateLimits: ingress.NewRateLimits(exchange, router), Registerer: registry, Transport: pool, Router: router,
 	})
 }
--- a/cmd/gatewaymetrics.go
+++ b/cmd/gatewaymetrics.go
@@ -19,6 +19,7 @@
 		{name: "savorystep_gateway_members", help: "Instances known, this one included.", value: func() float64 {
 			return float64(len(g.exchange.Members(g.clock.Now())))
 		}},
+		{name: "savorystep_gateway_quarantined_requests", help: "Requests that are not forwarded because they crashed endpoints.", value: func() float64 { return float64(len(g.quarantine.Quarantined(g.clock.Now()))) }},
 		{name: "savorystep_gateway_ready", help: "1 if callers may be sent here, else 0.", value: func() float64 { return boolGauge(g.isReady()) }},
 		{name: "savorystep_gateway_requests", help: "Requests in flight.", value: func() float64 { return float64(g.proxy.InFlight()) }},
 		{name: "savorystep_gateway_revision", help: "Revision of the routing in force.", value: func() float64 {
--- a/cmd/gatewaystatus.go
+++ b/cmd/gatewaystatus.go
@@ -27,6 +27,16 @@
 	Revision savorystep.Revision   `json:"revision"`
 	// Excluded are the endpoints that get no requests from this gateway now.
 	Excluded []excludedEndpoint `json:"excluded"`
+	// Quarantined are the requests that this gateway does not forward.
+	Quarantined []quarantinedRequest `json:"quarantined"`
+}
+
+// A quarantinedRequest is a request that is not forwarded because it crashed endpoints.
+type quarantinedRequest struct {
+	Fingerprint  string `json:"fingerprint"`
+	Request      string `json:"request"`
+	Crashes      int    `json:"crashes"`
+	EndsInMillis int64  `json:"endsInMillis"`
 }
 
 // An excludedEndpoint is an endpoint that gets no requests, with the reason.
@@ -41,7 +51,7 @@
 
 // status returns the status of the gateway at a time.
 func (g *gateway) status(now time.Time) gatewayStatus {
-	status := gatewayStatus{Instance: g.self.ID, Ready: g.isReady(), Excluded: []excludedEndpoint{}}
+	status := gatewayStatus{Instance: g.self.ID, Ready: g.isReady(), Excluded: []excludedEndpoint{}, Quarantined: []quarantinedRequest{}}
 	if routing := g.router.Routing(); routing != nil {
 		status.Revision = routing.Revision
 	}
@@ -53,6 +63,9 @@
 		}
 		status.Excluded = append(status.Excluded, excluded)
 	}
+	for _, r := range g.quarantine.Quarantined(now) {
+		status.Quarantined = append(status.Quarantined, quarantinedRequest{Fingerprint: r.Fingerprint.String(), Request: r.Request, Crashes: r.Streak, EndsInMillis: r.Until.Sub(now).Milliseconds()})
+	}
 	return status
 }
 
@@ -61,6 +74,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("/", promhttp.HandlerFor(g.registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET "+gatewayStatusPath, g.serveStatus)
+	mux.HandleFunc("DELETE "+gatewayCrashesPath+"{fingerprint}", g.serveClear)
 	return mux
 }
 
@@ -108,4 +122,11 @@
 		}
 		printf(w, "%s\t%s\t%s\t%s\t%s\n", e.Service, e.ID, e.Zone, e.Reason, ends)
 	}
+	if len(status.Quarantined) == 0 {
+		return
+	}
+	printf(w, "%s\n", "\nQUARANTINED REQUEST\tFINGERPRINT\tCRASHES\tENDS IN")
+	for _, r := range status.Quarantined {
+		printf(w, "%s\t%s\t%d\t%d ms\n", r.Request, r.Fingerprint, r.Crashes, r.EndsInMillis)
+	}
 }
--- a/cmd/gatewaystatus_test.go
+++ b/cmd/gatewaystatus_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -9,6 +10,7 @@
 
 	"savorystep"
 	"savorystep/endpoint"
+	"savorystep/ingress"
 	"savorystep/platform"
 )
 
@@ -55,3 +57,56 @@
 		}
 	}
 }
+
+// TestClearCommand guards against a quarantine that operators don't find, or can't end.
+func TestClearCommand(t *testing.T) {
+	settings, err := platform.ParseSettings([]byte(validGatewaySettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g, err := buildGateway(settings, gatewayOptions{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	log := crashLogOf{{Fingerprint: 0xc296, Streak: 3, LastCrashMillis: time.Now().UnixMilli(), Request: "GET h/poison"}}
+	keeper := ingress.NewQuarantineKeeper(ingress.QuarantineKeeperConfig{Clock: g.clock, CrashLog: log, Quarantine: g.quarantine, StoreEra: g.client.Era})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := keeper.Start(ctx)
+	for len(g.quarantine.Quarantined(g.clock.Now())) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	cancel()
+	<-done
+	server := httptest.NewServer(g.metricsHandler())
+	defer server.Close()
+	address := strings.TrimPrefix(server.URL, "http://")
+	runCommand := func(args ...string) string {
+		t.Helper()
+		var out bytes.Buffer
+		root := newRootCmd()
+		root.SetOut(&out)
+		root.SetErr(&out)
+		root.SetArgs(args)
+		if err := root.ExecuteContext(t.Context()); err != nil {
+			t.Errorf("%v: %v", args, err)
+		}
+		return out.String()
+	}
+	if out := runCommand("status", "--gateway", address); !strings.Contains(out, "GET h/poison") || !strings.Contains(out, "c296") {
+		t.Errorf("the status lacks the quarantined request:\n%s", out)
+	}
+	if out := runCommand("clear", "c296", "--gateway", address); !strings.Contains(out, "c296 is forwarded again") {
+		t.Errorf("output %q of the command", out)
+	}
+	if left := g.quarantine.Quarantined(g.clock.Now()); len(left) != 0 {
+		t.Errorf("%+v still quarantined", left)
+	}
+}
+
+// A crashLogOf is a crash log that does not change.
+type crashLogOf []savorystep.RequestCrashes
+
+func (l crashLogOf) Edit(_ context.Context, edit func([]savorystep.RequestCrashes) ([]savorystep.RequestCrashes, bool)) error {
+	edit(l)
+	return nil
+}
--- a/cmd/operatorcmds.go
+++ b/cmd/operatorcmds.go
@@ -13,6 +13,7 @@
 	cmds := []*cobra.Command{
 		newApplyCmd(),
 		newCheckCmd(),
+		newClearCmd(),
 		newCorrectCmd(),
 		newDiffCmd(),
 		newDrainCmd(),
--- a/factbodies.go
+++ b/factbodies.go
@@ -43,6 +43,8 @@
 	// the crash before it was known. Crashes at the same time, as in the failure of a
 	// zone, count once. 0 means that the instance does not tell.
 	Streak int `cbor:"3,keyasint,omitempty"`
+	// Request describes the request for operators.
+	Request string `cbor:"4,keyasint,omitempty"`
 }
 
 // An UnknownFact is the number of requests of callers for an unknown name.
--- a/ingress/crashrecord.go
+++ b/ingress/crashrecord.go
@@ -13,6 +13,8 @@
 	// streak is the number of crashes in a row, see savorystep.CrashFact.
 	streak                int
 	firstCrash, lastCrash time.Time
+	// request describes the request for operators, empty if that is not known.
+	request string
 	// isPublished is true if this instance has published a crash of the request.
 	isPublished bool
 }
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -84,7 +84,7 @@
 		}
 		streak, isQuarantined := f.config.Quarantine.check(now, pr.fingerprint)
 		if isQuarantined {
-			pr.addStep(fmt.Sprintf("quarantined as fingerprint=%s, %d endpoints in a row died with it", factSubject(pr.fingerprint), streak))
+			pr.addStep(fmt.Sprintf("quarantined as fingerprint=%s, %d endpoints in a row died with it", pr.fingerprint.String(), streak))
 			break
 		}
 		pr.crashStreak = streak
@@ -202,7 +202,7 @@
 	case result.outcome == endpoint.OutcomeAnswered:
 		f.config.Quarantine.recordAnswer(endedAt, pr.fingerprint)
 	case !f.config.Router.isStopping(choice.Endpoint) && crashed(ctx, err, choice.Endpoint.Address):
-		f.config.Quarantine.recordCrash(endedAt, pr.fingerprint, pr.crashStreak, choice.Endpoint)
+		f.config.Quarantine.recordCrash(endedAt, pr, choice.Endpoint)
 	}
 	pr.addStep(fmt.Sprintf("%s: %s in %v", describeChoice(choice), describeResult(result, err), endedAt.Sub(now).Round(time.Millisecond)))
 	return result
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -1,11 +1,12 @@
 package ingress
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"net"
-	"strconv"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -31,6 +32,13 @@
 	// quarantineDuration is how long a request stays quarantined after the last
 	// crash.
 	quarantineDuration = 10 * time.Minute
+	// savedStreak is the number of crashes in a row from which they are saved in the crash
+	// log. A first crash is mostly that of an endpoint which no request is to blame for,
+	// and hits all requests in flight there.
+	savedStreak = 2
+	// clearedRetention is how long crashes that the crash log has from before they were
+	// cleared are ignored. Their removal from the log takes seconds at most.
+	clearedRetention = time.Minute
 	// crashCheckTimeout bounds the check whether an endpoint that closed a
 	// connection still accepts new ones.
 	crashCheckTimeout = 500 * time.Millisecond
@@ -47,12 +55,23 @@
 
 	mu      sync.Mutex
 	records map[savorystep.Fingerprint]*crashRecord
+	// unsaved are the requests whose crashes this instance has to save in the crash log,
+	// or to remove from it if they have no record, with the number of the last change.
+	unsaved     map[savorystep.Fingerprint]uint64
+	changeCount uint64
+	// clearedAt holds when the crashes of requests were cleared, for clearedRetention.
+	clearedAt map[savorystep.Fingerprint]time.Time
+	// saveSignal has a value if unsaved is not empty.
+	saveSignal chan struct{}
 }
 
 // NewQuarantine returns an empty quarantine that exchanges crashes with other
 // instances through facts.
 func NewQuarantine(facts savorystep.Facts) *Quarantine {
-	q := &Quarantine{facts: facts, answered: upstream.NewRecentlyAnswered(), records: make(map[savorystep.Fingerprint]*crashRecord)}
+	q := &Quarantine{
+		facts: facts, answered: upstream.NewRecentlyAnswered(), records: make(map[savorystep.Fingerprint]*crashRecord),
+		unsaved: make(map[savorystep.Fingerprint]uint64), clearedAt: make(map[savorystep.Fingerprint]time.Time), saveSignal: make(chan struct{}, 1),
+	}
 	facts.Subscribe(savorystep.FactCrash, q.applyFact)
 	return q
 }
@@ -71,15 +90,14 @@
 // applyFact applies a crash fact, by which another instance reports or clears the
 // crashes of a request.
 func (q *Quarantine) applyFact(fact savorystep.ReceivedFact) {
-	number, err := strconv.ParseUint(fact.Subject, 16, 64)
+	key, err := savorystep.ParseFingerprint(fact.Subject)
 	var body savorystep.CrashFact
 	if err != nil || cbor.Unmarshal(fact.Body, &body) != nil {
 		log.Warningf("can't decode crash fact of instance %s with subject %q", fact.Instance, fact.Subject)
 		return
 	}
-	key := savorystep.Fingerprint(number)
 	if body.Cleared {
-		q.applyCleared(key)
+		q.applyCleared(fact.ReceivedAt, key)
 		return
 	}
 	q.mu.Lock()
@@ -88,25 +106,49 @@
 	for _, id := range body.Endpoints {
 		record.addCrash(fact.ReceivedAt, id)
 	}
-	if body.Streak == 0 {
+	isOldBuild := body.Streak == 0
+	if isOldBuild {
 		body.Streak = len(record.endpoints)
 	}
 	record.streak = max(record.streak, body.Streak)
+	if record.request == "" {
+		record.request = body.Request
+	}
+	if isOldBuild && record.streak >= savedStreak {
+		// The instance that saw the crash does not save it.
+		q.markUnsaved(key)
+	}
 }
 
 // applyCleared drops the crashes of a request that another instance cleared. What this
 // instance published of them is cleared, too: an instance that starts later gets the
 // facts of all instances, in any order.
-func (q *Quarantine) applyCleared(key savorystep.Fingerprint) {
+func (q *Quarantine) applyCleared(now time.Time, key savorystep.Fingerprint) {
 	q.mu.Lock()
-	record := q.records[key]
-	delete(q.records, key)
+	record := q.dropRecord(now, key)
 	q.mu.Unlock()
 	if record != nil && record.isPublished {
-		q.facts.Publish(savorystep.FactCrash, factSubject(key), savorystep.CrashFact{Cleared: true})
+		q.facts.Publish(savorystep.FactCrash, key.String(), savorystep.CrashFact{Cleared: true})
 	}
 }
 
+// dropRecord removes the record of a request and returns it, nil if there is none. The
+// caller must hold q.mu.
+func (q *Quarantine) dropRecord(now time.Time, key savorystep.Fingerprint) *crashRecord {
+	record := q.records[key]
+	if record == nil {
+		return nil
+	}
+	delete(q.records, key)
+	for other, at := range q.clearedAt {
+		if now.Sub(at) >= clearedRetention {
+			delete(q.clearedAt, other)
+		}
+	}
+	q.clearedAt[key] = now
+	return record
+}
+
 // recordOf returns the record of a request, which it adds if there is none or if that
 // has expired. The caller must hold q.mu.
 func (q *Quarantine) recordOf(now time.Time, key savorystep.Fingerprint) *crashRecord {
@@ -159,34 +201,73 @@
 func (q *Quarantine) recordAnswer(now time.Time, key savorystep.Fingerprint) {
 	q.answered.Add(key, now)
 	q.mu.Lock()
-	_, ok := q.records[key]
-	delete(q.records, key)
+	record := q.dropRecord(now, key)
+	if record != nil && record.streak >= savedStreak {
+		q.markUnsaved(key)
+	}
 	q.mu.Unlock()
-	if ok {
-		q.facts.Publish(savorystep.FactCrash, factSubject(key), savorystep.CrashFact{Cleared: true})
+	if record != nil {
+		q.facts.Publish(savorystep.FactCrash, key.String(), savorystep.CrashFact{Cleared: true})
 	}
 }
 
-// factSubject returns the subject of crash facts about a request.
-func factSubject(key savorystep.Fingerprint) string {
-	return strconv.FormatUint(uint64(key), 16)
+// Clear drops the crashes of a request here, at the other instances and in the crash
+// log, which ends its quarantine.
+func (q *Quarantine) Clear(now time.Time, key savorystep.Fingerprint) {
+	q.mu.Lock()
+	q.dropRecord(now, key)
+	q.clearedAt[key] = now
+	q.markUnsaved(key)
+	q.mu.Unlock()
+	log.Infof("crashes of request fingerprint=%s are cleared by an operator", key.String())
+	q.facts.Publish(savorystep.FactCrash, key.String(), savorystep.CrashFact{Cleared: true})
+}
+
+// A QuarantinedRequest is a request that is not forwarded.
+type QuarantinedRequest struct {
+	Fingerprint savorystep.Fingerprint
+	// Request describes the request, empty if that is not known.
+	Request string
+	// Streak is the number of endpoints that crashed in a row.
+	Streak int
+	// Until is when the quarantine ends.
+	Until time.Time
+}
+
+// Quarantined returns the requests that are not forwarded, by fingerprint.
+func (q *Quarantine) Quarantined(now time.Time) []QuarantinedRequest {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var list []QuarantinedRequest
+	for key, record := range q.records {
+		if !record.isExpired(now) && record.exceeds(q.limit(now, key)) {
+			list = append(list, QuarantinedRequest{Fingerprint: key, Request: record.request, Streak: record.streak, Until: record.lastCrash.Add(quarantineDuration)})
+		}
+	}
+	slices.SortFunc(list, func(a, b QuarantinedRequest) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return list
 }
 
 // recordCrash records the crash of an endpoint that ran a request, and publishes it.
-// knownStreak is what check returned before the request was sent to the endpoint. The id
-// of the crash includes the start time of the endpoint, so that each incarnation counts
-// once.
-func (q *Quarantine) recordCrash(now time.Time, key savorystep.Fingerprint, knownStreak int, crashed savorystep.Endpoint) {
+// The request's crashStreak is what check returned before it was sent to the endpoint.
+// The id of the crash includes the start time of the endpoint, so that each incarnation
+// counts once.
+func (q *Quarantine) recordCrash(now time.Time, pr *proxiedRequest, crashed savorystep.Endpoint) {
+	key := pr.fingerprint
 	id := savorystep.EndpointID(fmt.Sprintf("%s@%d", crashed.ID, crashed.StartedAtMillis))
 	q.mu.Lock()
 	record := q.recordOf(now, key)
 	record.addCrash(now, id)
-	record.streak, record.isPublished = max(record.streak, knownStreak+1), true
-	fact := savorystep.CrashFact{Endpoints: record.endpointIDs(), Streak: record.streak}
+	record.streak, record.isPublished = max(record.streak, pr.crashStreak+1), true
+	record.request = describeRequest(&pr.Request)
+	if record.streak >= savedStreak {
+		q.markUnsaved(key)
+	}
+	fact := savorystep.CrashFact{Endpoints: record.endpointIDs(), Streak: record.streak, Request: record.request}
 	isQuarantined := record.exceeds(q.limit(now, key))
 	q.mu.Unlock()
-	log.Warningf("endpoint %s crashed while it ran request fingerprint=%s, which crashed %d endpoints, %d in a row, quarantined %t", id, factSubject(key), len(fact.Endpoints), fact.Streak, isQuarantined)
-	q.facts.Publish(savorystep.FactCrash, factSubject(key), fact)
+	log.Warningf("endpoint %s crashed while it ran request fingerprint=%s (%s), which crashed %d endpoints, %d in a row, quarantined %t", id, key.String(), fact.Request, len(fact.Endpoints), fact.Streak, isQuarantined)
+	q.facts.Publish(savorystep.FactCrash, key.String(), fact)
 }
 
 // crashed reports whether an exchange that ended with an error shows that its endpoint
--- /dev/null
+++ b/store/crashlog_test.go
@@ -0,0 +1,94 @@
+package store_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+
+	"savorystep"
+	"savorystep/standin"
+	"savorystep/store"
+)
+
+// addCrash adds the crash of a request to a log.
+func addCrash(ctx context.Context, log *store.CrashLog, crashes savorystep.RequestCrashes) error {
+	return log.Edit(ctx, func(known []savorystep.RequestCrashes) ([]savorystep.RequestCrashes, bool) {
+		return append(known, crashes), true
+	})
+}
+
+// readCrashes returns the crashes in a log.
+func readCrashes(t *testing.T, log *store.CrashLog) []savorystep.RequestCrashes {
+	t.Helper()
+	var list []savorystep.RequestCrashes
+	if err := log.Edit(t.Context(), func(known []savorystep.RequestCrashes) ([]savorystep.RequestCrashes, bool) {
+		list = known
+		return nil, false
+	}); err != nil {
+		t.Fatal(err)
+	}
+	return list
+}
+
+// TestCrashLogKeepsAllWrites guards against a crash that is lost because several
+// instances write the row at the same time.
+func TestCrashLogKeepsAllWrites(t *testing.T) {
+	_, client := startStandin(t, standin.PlatformFaults{})
+	var group sync.WaitGroup
+	for i := range 12 {
+		group.Go(func() {
+			crashes := savorystep.RequestCrashes{Fingerprint: savorystep.Fingerprint(i), Streak: 3}
+			// The platform refuses calls beyond its rate.
+			for addCrash(t.Context(), store.NewCrashLog(client), crashes) != nil && t.Context().Err() == nil {
+			}
+		})
+	}
+	group.Wait()
+	if got := len(readCrashes(t, store.NewCrashLog(client))); got != 12 {
+		t.Errorf("%d requests in the log, want 12", got)
+	}
+}
+
+// TestCrashLogRowIsBounded guards against a row that the platform rejects because it has
+// grown too large, after which nothing would be saved any more. The newest crashes stay.
+func TestCrashLogRowIsBounded(t *testing.T) {
+	_, client := startStandin(t, standin.PlatformFaults{})
+	log := store.NewCrashLog(client)
+	if err := log.Edit(t.Context(), func([]savorystep.RequestCrashes) ([]savorystep.RequestCrashes, bool) {
+		var list []savorystep.RequestCrashes
+		for i := range 5000 {
+			list = append(list, savorystep.RequestCrashes{Fingerprint: savorystep.Fingerprint(i), Streak: 3, LastCrashMillis: int64(i), Request: strings.Repeat("r", 120)})
+		}
+		return list, true
+	}); err != nil {
+		t.Fatal(err)
+	}
+	list := readCrashes(t, log)
+	if len(list) < 100 || len(list) == 5000 || list[0].Fingerprint != 4999 {
+		t.Errorf("%d requests in the log, the first one %+v, want at least 100, the newest first", len(list), list[0])
+	}
+	row, err := client.Get(t.Context(), "crashes")
+	if err != nil || len(row.Value) > 32<<10 {
+		t.Errorf("row of %d bytes, error %v, want at most 32 KiB", len(row.Value), err)
+	}
+}
+
+// TestCrashLogOddRow guards against an instance that ends, or saves nothing any more,
+// because another writer left a row that can't be decoded.
+func TestCrashLogOddRow(t *testing.T) {
+	for _, value := range []string{"{}", "\x9f", strings.Repeat("\x81", 20_000), "\x9b\xff\xff\xff\xff\xff\xff\xff\xff", "\x81\xa1\x01\x20", "\x81\xa1\x02\x1b\xff\xff\xff\xff\xff\xff\xff\xff"} {
+		_, client := startStandin(t, standin.PlatformFaults{})
+		if _, err := client.Commit(t.Context(), savorystep.Txn{Writes: []savorystep.Write{{Key: "crashes", Value: []byte(value)}}}); err != nil {
+			t.Fatal(err)
+		}
+		log := store.NewCrashLog(client)
+		if err := addCrash(t.Context(), log, savorystep.RequestCrashes{Fingerprint: 1, Streak: 3}); err != nil {
+			t.Errorf("after row %.20q: %v", value, err)
+		}
+		if got := fmt.Sprint(readCrashes(t, log)); got != "[{1 3 0 }]" {
+			t.Errorf("after row %.20q: crashes %s, want those of request 1 only", value, got)
+		}
+	}
+}
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"strconv"
 	"sync"
 	"time"
 
@@ -68,16 +67,16 @@
 	if fact.Instance == q.config.Self {
 		return
 	}
-	key, err := strconv.ParseUint(fact.Subject, 16, 64)
+	key, err := savorystep.ParseFingerprint(fact.Subject)
 	var body savorystep.CrashFact
 	if err != nil || cbor.Unmarshal(fact.Body, &body) != nil {
 		return
 	}
 	if body.Cleared {
-		q.crashes.clear(savorystep.Fingerprint(key))
+		q.crashes.clear(key)
 		return
 	}
-	q.crashes.addFromPeer(savorystep.Fingerprint(key), body.Endpoints, fact.ReceivedAt)
+	q.crashes.addFromPeer(key, body.Endpoints, fact.ReceivedAt)
 }
 
 // Forward forwards a request unless its fingerprint is quarantined. A request
@@ -194,13 +193,8 @@
 	if !q.crashes.clearBefore(key, a.lastAttemptStart()) {
 		return
 	}
-	q.config.Facts.Publish(savorystep.FactCrash, factSubject(key), savorystep.CrashFact{Cleared: true})
-	log.Infof("request with fingerprint %s got a response, its recorded crashes are cleared", factSubject(key))
-}
-
-// factSubject returns the subject of facts about a fingerprint.
-func factSubject(key savorystep.Fingerprint) string {
-	return strconv.FormatUint(uint64(key), 16)
+	q.config.Facts.Publish(savorystep.FactCrash, key.String(), savorystep.CrashFact{Cleared: true})
+	log.Infof("request with fingerprint %s got a response, its recorded crashes are cleared", key.String())
 }
 
 // onEndpointCrashed records a crash and broadcasts it to the peers, for
@@ -216,7 +210,7 @@
 	ownCrashes := q.crashes.addOwn(key, endpoint, q.config.Clock.Now())
 	ctx, cancel := context.WithTimeout(context.Background(), q.config.BroadcastTimeout)
 	defer cancel()
-	subject := factSubject(key)
+	subject := key.String()
 	acked, missing := q.config.Facts.Broadcast(ctx, savorystep.FactCrash, subject, savorystep.CrashFact{Endpoints: ownCrashes})
 	log.Warningf("endpoint %s crashed while it ran request %s", endpoint, a.request.ID)
 	if q.config.Recorder != nil {
