--- a/cmd/gatewaystatus_test.go
+++ b/cmd/gatewaystatus_test.go
@@ -76,7 +76,9 @@
 		time.Sleep(time.Millisecond)
 	}
 	cancel()
-	<-done
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
 	server := httptest.NewServer(g.metricsHandler())
 	defer server.Close()
 	address := strings.TrimPrefix(server.URL, "http://")
--- a/ingress/quarantinekeeper_test.go
+++ b/ingress/quarantinekeeper_test.go
@@ -93,7 +93,9 @@
 	done := keeper.Start(ctx)
 	t.Cleanup(func() {
 		cancel()
-		<-done
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
 	})
 	return instance
 }
