Keep a gateway within its memory limit while endpoints send without end

The platform kills it, and the requests of all callers there end with it.

Cause: each response is bounded, and all together by a budget of a quarter of the limit. But the Go runtime let the heap grow to twice what is in use before it collected garbage, and knew nothing of the limit.

Change: the runtime gets a soft limit of 0.7 of the process's limit, above which it collects garbage more often.

Not changed: a body without a length is copied once when it is complete and counts once, so the budget of responses may be exceeded twofold for a moment.

--- a/cmd/gatewaycmd.go
+++ b/cmd/gatewaycmd.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"runtime/debug"
 	"text/tabwriter"
 
 	"github.com/spf13/cobra"
@@ -37,6 +38,7 @@
 	if options.CheckOnly {
 		return printGatewaySettings(out, settings)
 	}
+	limitRuntimeMemory(settings.MemoryLimitBytes)
 	g, err := buildGateway(settings, options)
 	if err != nil {
 		return err
@@ -44,6 +46,19 @@
 	return g.Run(ctx)
 }
 
+// runtimeMemoryShare is the share of the memory limit that the Go runtime may use before
+// it collects garbage more often. The bodies that are held use up to half of the limit,
+// and what the runtime doesn't count, such as bytes in sockets, has to fit the rest.
+const runtimeMemoryShare = 0.7
+
+// limitRuntimeMemory sets the soft limit of the Go runtime for a process that is killed
+// above a memory limit. By default, the heap grows to twice the size of what is in use.
+func limitRuntimeMemory(limitBytes int64) {
+	if limitBytes > 0 {
+		debug.SetMemoryLimit(int64(runtimeMemoryShare * float64(limitBytes)))
+	}
+}
+
 // printGatewaySettings prints a table of the settings in force, defaults included.
 func printGatewaySettings(out io.Writer, s platform.Settings) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
