Leave out odd entries of endpoints and follow the others

Callers saw (an operators' report, shown here by tests): one odd entry among those of the endpoints could stop all changes of endpoints, or name an endpoint that nobody may use.

Cause: 'serve' decoded the whole list at once, so that one entry with a number past its type, another type or deep nesting failed the list, each time it was read.

Lists of instances are rejected as before: an instance that can't be read may have ended or not.

--- a/store/clientregistry.go
+++ b/store/clientregistry.go
@@ -8,14 +8,23 @@
 	"savorystep"
 )
 
-// Endpoints lists the endpoints of all upstream services.
+// Endpoints lists the endpoints of all upstream services. An entry that can't be read
+// names no endpoint to use and is left out.
 func (c *Client) Endpoints(ctx context.Context) ([]savorystep.Endpoint, error) {
-	return listMembers[savorystep.Endpoint](ctx, c, "/endpoints", checkEndpoint)
+	body, err := c.readList(ctx, "/endpoints")
+	if err != nil {
+		return nil, err
+	}
+	return decodeEndpoints(body)
 }
 
 // Instances lists the instances of savorystep.
 func (c *Client) Instances(ctx context.Context) ([]savorystep.Instance, error) {
-	return listMembers[savorystep.Instance](ctx, c, "/instances", checkInstance)
+	body, err := c.readList(ctx, "/instances")
+	if err != nil {
+		return nil, err
+	}
+	return decodeInstances(body)
 }
 
 // Register registers this instance with the platform, as live or as leaving,
@@ -39,8 +48,8 @@
 	return c.registrar.registrationLost
 }
 
-// listMembers reads and decodes a list of members.
-func listMembers[T any](ctx context.Context, c *Client, path string, check func(T) error) ([]T, error) {
+// readList reads the JSON form of a list of members.
+func (c *Client) readList(ctx context.Context, path string) ([]byte, error) {
 	result, err := c.read(ctx, path)
 	if err != nil {
 		return nil, err
@@ -48,26 +57,50 @@
 	if result.status != http.StatusOK {
 		return nil, statusError(result)
 	}
-	return decodeList(result.body, check)
+	return result.body, nil
+}
+
+// decodeEndpoints decodes a list of endpoints.
+func decodeEndpoints(body []byte) ([]savorystep.Endpoint, error) {
+	entries, err := splitList(body)
+	if err != nil {
+		return nil, err
+	}
+	endpoints := make([]savorystep.Endpoint, 0, len(entries))
+	for _, entry := range entries {
+		var e savorystep.Endpoint
+		err := json.Unmarshal(entry, &e)
+		if err == nil {
+			err = checkEndpoint(e)
+		}
+		if err != nil {
+			log.Warningf("leave out entry %.100q of the endpoints: %v", entry, err)
+			continue
+		}
+		endpoints = append(endpoints, e)
+	}
+	return endpoints, nil
 }
 
-// decodeList decodes a list and checks each member.
-func decodeList[T any](body []byte, check func(T) error) ([]T, error) {
-	var members []T
-	if err := json.Unmarshal(body, &members); err != nil {
+// decodeInstances decodes a list of instances. One that can't be read might have ended or
+// not, so the list as a whole is rejected.
+func decodeInstances(body []byte) ([]savorystep.Instance, error) {
+	var instances []savorystep.Instance
+	if err := json.Unmarshal(body, &instances); err != nil {
 		return nil, malformedError("list", "%v", err)
 	}
-	for _, member := range members {
-		if err := check(member); err != nil {
+	for _, instance := range instances {
+		if err := checkInstance(instance); err != nil {
 			return nil, err
 		}
 	}
-	return members, nil
+	return instances, nil
 }
 
+// checkEndpoint rejects an endpoint that can't be used.
 func checkEndpoint(e savorystep.Endpoint) error {
-	if e.Service == "" || e.Slots < 0 || e.MaxConnections < 0 {
-		return malformedError("list", "endpoint %q has no service or negative sizes", e.ID)
+	if e.Service == "" || e.Slots < 0 || e.Slots > savorystep.MaxEndpointSlots || e.MaxConnections < 0 {
+		return malformedError("list", "endpoint %.40q has no service, or sizes that are negative or too large", e.ID)
 	}
 	return checkMember(string(e.ID), e.State)
 }
