Do not cut an upload whose endpoint works before it reads on

Callers saw: uploads answered 502 while their endpoint was at work on them, whenever it didn't read for 0.65 s, with or without a planned stop of the gateway.

Cause: TCP_USER_TIMEOUT, 650 ms, is meant to tell a machine that is down from one that takes long to respond. The kernel also applies it to a peer whose receive window is full, although the peer acknowledges each probe.

Change: while a body above 4 KiB is sent, the time-out is 30 s, which the caller's deadline precedes; a connection that is kept gets its 650 ms back.

The price: an upload to a machine that loses power at that moment ends at the caller's deadline and not after 0.65 s. It could not be sent again anyway. Other requests still find such a machine after 0.65 s.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -25,6 +25,11 @@
 	// is read. It fits the smallest send buffers, so that the write cannot block
 	// on an endpoint that responds without reading the body.
 	maxInlineBodyBytes = 4 << 10
+	// uploadTCPUserTimeout replaces Config.TCPUserTimeout while a large body is sent. The
+	// kernel also applies it to a peer that acknowledges its probes but has a full receive
+	// window, as an endpoint does that works on a part of the body before it reads on. It
+	// is as long as the longest deadline of callers, which ends the exchange before.
+	uploadTCPUserTimeout = 30 * time.Second
 )
 
 // A conn is a connection to an endpoint. It carries one request at a time.
@@ -85,6 +90,21 @@
 	_ = c.Close()
 }
 
+// setTCPUserTimeout sets how long sent bytes may remain unacknowledged.
+func (c *conn) setTCPUserTimeout(timeout time.Duration) {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return
+	}
+	raw, err := tcp.SyscallConn()
+	if err == nil {
+		err = setTCPUserTimeout(raw, timeout)
+	}
+	if err != nil {
+		log.Debugf("set TCP_USER_TIMEOUT of the connection to %s to %v: %v", c.RemoteAddr(), timeout, err)
+	}
+}
+
 // exchange sends a request and reads its response. It returns true if the
 // connection can carry another request.
 func (c *conn) exchange(ctx context.Context, request *Request, config *Config) (*Response, bool, error) {
@@ -101,6 +121,7 @@
 		if n, err := c.Write(head); err != nil {
 			return nil, false, c.newExchangeError(ctx, stageAfterWrite(n), isNew, err)
 		}
+		c.setTCPUserTimeout(uploadTCPUserTimeout)
 		bodyWritten = make(chan error, 1)
 		go func() {
 			_, err := c.Write(request.Body)
@@ -120,6 +141,9 @@
 		return nil, false, c.finishExchangeError(ctx, isNew, err)
 	}
 	c.isReused = true
+	if bodyWritten != nil && persistent {
+		c.setTCPUserTimeout(config.TCPUserTimeout)
+	}
 	return response, persistent && stop(), nil
 }
 
--- a/http1/pool.go
+++ b/http1/pool.go
@@ -52,9 +52,14 @@
 
 // setTCPUserTimeout sets TCP_USER_TIMEOUT on a socket before it connects.
 func (p *Pool) setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setTCPUserTimeout(raw, p.config.TCPUserTimeout)
+}
+
+// setTCPUserTimeout sets TCP_USER_TIMEOUT on a socket.
+func setTCPUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var err error
 	controlErr := raw.Control(func(fd uintptr) {
-		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(p.config.TCPUserTimeout.Milliseconds())) //nolint:gosec // Descriptors are small.
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds())) //nolint:gosec // Descriptors are small.
 	})
 	if controlErr != nil {
 		return controlErr
