Reject a head that is completed by the status line of another response

Callers saw: a renewal that ran and was answered 200 came back as 503 with the 200's signature. The caller may send it again, and the member pays twice.

Cause: an endpoint's second copy of an earlier refusal, broken off within a header line, is completed by the next response: its status line becomes a part of that value, and its attempt id and signature those of the head with the copy's status. Such a head was rejected only if the copy got as far as its own attempt id or Not-Executed.

Change: a head with a second status line, in the reason or in a header, is no response. It counts as a broken one, so a request that may run once gets 502.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -9,6 +9,8 @@
 	"net"
 	"net/http"
 	"os"
+	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -290,12 +292,35 @@
 		if err != nil {
 			return nil, err
 		}
+		if hasSecondStatusLine(head) {
+			return nil, savorystep.NewError(savorystep.KindUpstreamFailed, "head of the answer has a second status line, the first one is %.60q", head.Status)
+		}
 		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
 			return head, nil
 		}
 	}
 }
 
+// statusLineStart matches the start of a status line.
+var statusLineStart = regexp.MustCompile(`HTTP/[0-9]\.[0-9] [0-9]{3}`)
+
+// hasSecondStatusLine reports whether a head is made up of those of two responses: the
+// first one ended within a line, and the status line of the second one completed it.
+func hasSecondStatusLine(head *http.Response) bool {
+	isStatusLine := func(text string) bool {
+		return strings.Contains(text, "HTTP/") && statusLineStart.MatchString(text)
+	}
+	if isStatusLine(head.Status) {
+		return true
+	}
+	for _, values := range head.Header {
+		if slices.ContainsFunc(values, isStatusLine) {
+			return true
+		}
+	}
+	return false
+}
+
 // keepAliveTimeout returns how long a connection may stay idle by the timeout
 // that the endpoint states in its Keep-Alive header, zero if it states none.
 func keepAliveTimeout(header http.Header) time.Duration {
--- a/http1/response_test.go
+++ b/http1/response_test.go
@@ -35,6 +35,9 @@
 		return splitResults(t, wire)
 	case "cut":
 		return cutResults(t, wire)
+	case "prefixes":
+		earlier, own, _ := strings.Cut(d.Input, "\n")
+		return prefixResults(t, unquoteLines(t, earlier), unquoteLines(t, own))
 	default:
 		t.Fatalf("unknown command %q", d.Cmd)
 		return ""
@@ -79,6 +82,19 @@
 	return text.String()
 }
 
+// prefixResults returns the results of the exchanges that succeed when a part of an earlier
+// response comes before the own one.
+func prefixResults(t *testing.T, earlier, own string) string {
+	t.Helper()
+	var text strings.Builder
+	for n := range len(earlier) + 1 {
+		if result := exchangeScripted(t, strings.NewReader(earlier[:n]+own)); !strings.HasPrefix(result, "failed") {
+			fmt.Fprintf(&text, "%d bytes: %s\n", n, result)
+		}
+	}
+	return text.String()
+}
+
 // exchangeScripted returns the result of an exchange as text.
 func exchangeScripted(t *testing.T, reader io.Reader) string {
 	t.Helper()
