Take an endpoint that can't be reached for no crash in serve

Cause: any failure of the dial that checks the endpoint counted, also its own time-out. The gateway asks for a refused connection.

Change: one function for both, upstream.RefusesConnections.

Before, with any failure counted: TestRefusesConnections fails for a listener whose queue is full. After: it passes, as do the tests of both quarantines.

--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -5,10 +5,8 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -39,9 +37,6 @@
 	// clearedRetention is how long crashes that the crash log has from before they were
 	// cleared are ignored. Their removal from the log takes seconds at most.
 	clearedRetention = time.Minute
-	// crashCheckTimeout bounds the check whether an endpoint that closed a
-	// connection still accepts new ones.
-	crashCheckTimeout = 500 * time.Millisecond
 	// maxCrashRecords bounds the number of requests with crashes that are kept.
 	maxCrashRecords = 10_000
 )
@@ -280,16 +275,5 @@
 	if !errors.As(err, &exchangeErr) || exchangeErr.Stage != http1.StageSent {
 		return false
 	}
-	return errors.Is(err, errEndpointRefuses) || exchangeErr.ClosedByEndpoint && refusesConnections(ctx, address)
-}
-
-// refusesConnections reports whether nothing listens at an address.
-func refusesConnections(ctx context.Context, address savorystep.Address) bool {
-	dialer := net.Dialer{Timeout: crashCheckTimeout}
-	c, err := dialer.DialContext(ctx, "tcp", string(address))
-	if err == nil {
-		_ = c.Close()
-		return false
-	}
-	return errors.Is(err, syscall.ECONNREFUSED)
+	return errors.Is(err, errEndpointRefuses) || exchangeErr.ClosedByEndpoint && upstream.RefusesConnections(ctx, address)
 }
--- a/ingress/quarantinekeeper.go
+++ b/ingress/quarantinekeeper.go
@@ -93,7 +93,7 @@
 // sync applies the saved crashes and saves those that are not.
 func (k *QuarantineKeeper) sync(ctx context.Context) error {
 	q := k.config.Quarantine
-	changes := q.unsavedChanges()
+	var changes map[savorystep.Fingerprint]uint64
 	err := k.config.CrashLog.Edit(ctx, func(saved []savorystep.RequestCrashes) ([]savorystep.RequestCrashes, bool) {
 		changes = q.unsavedChanges()
 		return q.edit(k.config.Clock.Now(), saved)
--- a/upstream/attemptfailure.go
+++ b/upstream/attemptfailure.go
@@ -95,17 +95,12 @@
 
 // confirmCrash reports whether an endpoint crashed while it ran a request, and
 // calls onEndpointCrashed if so. A closed connection alone is no crash: the
-// endpoint must also refuse a new connection.
+// endpoint must also refuse a new connection. One that can't be reached may run.
 func (p *Pool) confirmCrash(a *attempt, cause error) bool {
 	if a.connSilent.Load() || !closedByEndpoint(cause) {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
-	defer cancel()
-	var dialer net.Dialer
-	probe, err := dialer.DialContext(ctx, "tcp", string(a.lease.info.Address))
-	if err == nil {
-		_ = probe.Close()
+	if !RefusesConnections(context.Background(), a.lease.info.Address) {
 		return false
 	}
 	if a.options.onEndpointCrashed != nil {
@@ -114,6 +109,18 @@
 	return true
 }
 
+// RefusesConnections reports whether nothing listens at an address. It returns false if
+// the address can't be reached within crashCheckTimeout: what listens there may run.
+func RefusesConnections(ctx context.Context, address savorystep.Address) bool {
+	dialer := net.Dialer{Timeout: crashCheckTimeout}
+	probe, err := dialer.DialContext(ctx, "tcp", string(address))
+	if err == nil {
+		_ = probe.Close()
+		return false
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // closedByEndpoint reports whether the endpoint closed the connection.
 func closedByEndpoint(err error) bool {
 	// After the first byte, net/http dials only to replace a connection that
