Read no crash log when the system starts for the first time

Callers saw: nothing. The platform prices each call of the store, and each instance made one more at its start.

Cause: the crash log was read at every start, though it is empty at the first one of the system.

Change: an instance that the settings say starts with the whole system for the first time reads the log only when it has crashes to save.

Before, TestNoReadAtFirstStart does not compile, since the setting is new. After, it passes.

--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -129,8 +129,8 @@
 	return ingress.NewQuarantine(exchange)
 }
 
-func newGatewayQuarantineKeeper(client *platform.Client, clock savorystep.Clock, quarantine *ingress.Quarantine) *ingress.QuarantineKeeper {
-	return ingress.NewQuarantineKeeper(ingress.QuarantineKeeperConfig{Clock: clock, CrashLog: store.NewCrashLog(client), Quarantine: quarantine, StoreEra: client.Era})
+func newGatewayQuarantineKeeper(settings platform.Settings, client *platform.Client, clock savorystep.Clock, quarantine *ingress.Quarantine) *ingress.QuarantineKeeper {
+	return ingress.NewQuarantineKeeper(ingress.QuarantineKeeperConfig{Clock: clock, CrashLog: store.NewCrashLog(client), Quarantine: quarantine, StoreEra: client.Era, FirstStart: settings.FirstStart})
 }
 
 func newGatewayProxy(settings platform.Settings, clock savorystep.Clock, exchange *peer.Exchange, pool *http1.Pool, quarantine *ingress.Quarantine, registry *prometheus.Registry, router *ingress.Router) *ingress.Proxy {
--- a/ingress/quarantinekeeper.go
+++ b/ingress/quarantinekeeper.go
@@ -26,10 +26,12 @@
 	Quarantine *Quarantine
 	// StoreEra returns the era of the store that has the crash log.
 	StoreEra func() savorystep.StoreEra
+	// FirstStart is true if the system starts for the first time, so that the log is empty.
+	FirstStart bool
 }
 
 // A QuarantineKeeper saves the crashes of a Quarantine in a crash log, and applies those
-// of the log at its start, so that a quarantine outlives all instances. Until the log was
+// of the log at each start but the system's first, so that a quarantine outlives all instances. Until the log was
 // read once, requests are forwarded as if it had no crashes: a store that is away must
 // not keep an instance from serving.
 type QuarantineKeeper struct {
@@ -57,6 +59,9 @@
 func (k *QuarantineKeeper) run(ctx context.Context) {
 	dep := dependency{name: "crash log"}
 	era := k.config.StoreEra()
+	if k.config.FirstStart {
+		era = k.awaitChange(ctx, era)
+	}
 	for ctx.Err() == nil {
 		err := k.sync(ctx)
 		dep.record(k.config.Clock.Now(), err)
--- a/ingress/quarantinekeeper_test.go
+++ b/ingress/quarantinekeeper_test.go
@@ -262,3 +262,28 @@
 	}
 	log.mu.Unlock()
 }
+
+// TestNoReadAtFirstStart guards against a call of the store by each instance when the
+// system starts for the first time, and against crashes that are not saved after that.
+func TestNoReadAtFirstStart(t *testing.T) {
+	log, quarantine := &memoryCrashLog{}, ingress.NewQuarantine(&fakeFacts{})
+	keeper := ingress.NewQuarantineKeeper(ingress.QuarantineKeeperConfig{
+		Clock: savorystep.SystemClock{}, CrashLog: log, Quarantine: quarantine, FirstStart: true,
+		StoreEra: func() savorystep.StoreEra { return 0 },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := keeper.Start(ctx)
+	time.Sleep(50 * time.Millisecond)
+	log.mu.Lock()
+	reads := log.reads
+	log.mu.Unlock()
+	if reads != 0 {
+		t.Errorf("%d reads, want none", reads)
+	}
+	quarantine.Clear(time.Now(), 1)
+	await(t, "read after a change", func() bool { log.mu.Lock(); defer log.mu.Unlock(); return log.reads > 0 })
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
