Probe a quarantined request that endpoints answered before they crashed

Callers saw: a request that many callers send, and that is not to blame, stayed refused by all gateways for ten minutes after the endpoints on which it ran had failed one after the other, although endpoints ran it again.

Cause: a quarantined request is never sent, so that no answer can clear it. A higher limit for requests that were answered lately only moved the gap from three crashes to five.

Change: the limit is three for all. Whether a request was answered before its crashes is kept with them, shared and saved. Such a request is sent once each 2 to 2.5 s although it is quarantined, by the instance that claims it in the crash log, under the condition that nobody else has. An answer clears its crashes everywhere. After three probes that ended with a crash there are no more: the platform allows three late deliveries. A request that no endpoint has answered is not probed, and without the store none is.

The log and the status now name the crashes: attempt and address at the instance that saw one, the last endpoints at the others, at those that start later, in the step of each refused request and in 'savorystep status'.

--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -25,6 +25,7 @@
 		func() savorystep.Clock { return savorystep.SystemClock{} },
 		newGateway,
 		newGatewayClient,
+		newGatewayCrashLog,
 		newGatewayDirectory,
 		newGatewayExchange,
 		newGatewayProxy,
@@ -125,12 +126,16 @@
 	return registry
 }
 
-func newGatewayQuarantine(exchange *peer.Exchange) *ingress.Quarantine {
-	return ingress.NewQuarantine(exchange)
+func newGatewayCrashLog(client *platform.Client) savorystep.CrashLog {
+	return store.NewCrashLog(client)
 }
 
-func newGatewayQuarantineKeeper(settings platform.Settings, client *platform.Client, clock savorystep.Clock, quarantine *ingress.Quarantine) *ingress.QuarantineKeeper {
-	return ingress.NewQuarantineKeeper(ingress.QuarantineKeeperConfig{Clock: clock, CrashLog: store.NewCrashLog(client), Quarantine: quarantine, StoreEra: client.Era, FirstStart: settings.FirstStart})
+func newGatewayQuarantine(crashLog savorystep.CrashLog, exchange *peer.Exchange) *ingress.Quarantine {
+	return ingress.NewQuarantine(exchange, crashLog)
+}
+
+func newGatewayQuarantineKeeper(settings platform.Settings, client *platform.Client, crashLog savorystep.CrashLog, clock savorystep.Clock, quarantine *ingress.Quarantine) *ingress.QuarantineKeeper {
+	return ingress.NewQuarantineKeeper(ingress.QuarantineKeeperConfig{Clock: clock, CrashLog: crashLog, Quarantine: quarantine, StoreEra: client.Era, FirstStart: settings.FirstStart})
 }
 
 func newGatewayProxy(settings platform.Settings, clock savorystep.Clock, exchange *peer.Exchange, pool *http1.Pool, quarantine *ingress.Quarantine, registry *prometheus.Registry, router *ingress.Router) *ingress.Proxy {
--- a/cmd/gatewaystatus.go
+++ b/cmd/gatewaystatus.go
@@ -33,10 +33,14 @@
 
 // A quarantinedRequest is a request that is not forwarded because it crashed endpoints.
 type quarantinedRequest struct {
-	Fingerprint  string `json:"fingerprint"`
-	Request      string `json:"request"`
-	Crashes      int    `json:"crashes"`
-	EndsInMillis int64  `json:"endsInMillis"`
+	Fingerprint string `json:"fingerprint"`
+	Request     string `json:"request"`
+	Crashes     int    `json:"crashes"`
+	// Endpoints are those that crashed last, each with its start in Unix milliseconds.
+	Endpoints []savorystep.EndpointID `json:"endpoints"`
+	// LastCrashMillis is the time since the last crash.
+	LastCrashMillis int64 `json:"lastCrashMillis"`
+	EndsInMillis    int64 `json:"endsInMillis"`
 }
 
 // An excludedEndpoint is an endpoint that gets no requests, with the reason.
@@ -64,7 +68,7 @@
 		status.Excluded = append(status.Excluded, excluded)
 	}
 	for _, r := range g.quarantine.Quarantined(now) {
-		status.Quarantined = append(status.Quarantined, quarantinedRequest{Fingerprint: r.Fingerprint.String(), Request: r.Request, Crashes: r.Streak, EndsInMillis: r.Until.Sub(now).Milliseconds()})
+		status.Quarantined = append(status.Quarantined, quarantinedRequest{Fingerprint: r.Fingerprint.String(), Request: r.Request, Crashes: r.Streak, Endpoints: r.Endpoints, LastCrashMillis: now.Sub(r.LastCrash).Milliseconds(), EndsInMillis: r.Until.Sub(now).Milliseconds()})
 	}
 	return status
 }
@@ -125,8 +129,8 @@
 	if len(status.Quarantined) == 0 {
 		return
 	}
-	printf(w, "%s\n", "\nQUARANTINED REQUEST\tFINGERPRINT\tCRASHES\tENDS IN")
+	printf(w, "%s\n", "\nQUARANTINED REQUEST\tFINGERPRINT\tCRASHES\tLAST ENDPOINTS\tLAST CRASH\tENDS IN")
 	for _, r := range status.Quarantined {
-		printf(w, "%s\t%s\t%d\t%d ms\n", r.Request, r.Fingerprint, r.Crashes, r.EndsInMillis)
+		printf(w, "%s\t%s\t%d\t%v\t%d ms ago\t%d ms\n", r.Request, r.Fingerprint, r.Crashes, r.Endpoints, r.LastCrashMillis, r.EndsInMillis)
 	}
 }
--- a/crashlog.go
+++ b/crashlog.go
@@ -12,6 +12,13 @@
 	LastCrashMillis int64 `cbor:"3,keyasint"`
 	// Request describes the request for operators.
 	Request string `cbor:"4,keyasint,omitempty"`
+	// WasAnswered is true if an endpoint answered the request before the crashes.
+	WasAnswered bool `cbor:"5,keyasint,omitempty"`
+	// ProbedAtMillis is when an instance last claimed to send the request although it is
+	// quarantined, in Unix milliseconds. The claim keeps the others from sending it.
+	ProbedAtMillis int64 `cbor:"6,keyasint,omitempty"`
+	// Endpoints are the incarnations that crashed last.
+	Endpoints []EndpointID `cbor:"7,keyasint,omitempty"`
 }
 
 // A CrashLog keeps the crashes of endpoints that ran a request beyond the end of all
--- a/factbodies.go
+++ b/factbodies.go
@@ -45,6 +45,11 @@
 	Streak int `cbor:"3,keyasint,omitempty"`
 	// Request describes the request for operators.
 	Request string `cbor:"4,keyasint,omitempty"`
+	// WasAnswered is true if an endpoint answered the request in the minutes before the
+	// crashes.
+	WasAnswered bool `cbor:"5,keyasint,omitempty"`
+	// Probes is the number of probes of the request by the instance, see CrashLog.
+	Probes int `cbor:"6,keyasint,omitempty"`
 }
 
 // An UnknownFact is the number of requests of callers for an unknown name.
--- a/ingress/connecting_test.go
+++ b/ingress/connecting_test.go
@@ -58,7 +58,7 @@
 	}
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
 		Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{},
-		Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
+		Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
 	})
 	firstDone := make(chan struct{})
 	go func() {
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -82,12 +82,11 @@
 			pr.addStep("the instance stops before the deadline")
 			break
 		}
-		streak, isQuarantined := f.config.Quarantine.check(now, pr.fingerprint)
-		if isQuarantined {
-			pr.addStep(fmt.Sprintf("quarantined as fingerprint=%s, %d endpoints in a row died with it", pr.fingerprint.String(), streak))
+		if !f.passesQuarantine(ctx, now, pr) {
 			break
 		}
-		pr.crashStreak = streak
+		// The claim of a probe takes a call of the store.
+		now = f.config.Clock.Now()
 		if pr.deliveries > 0 && !f.config.Router.mayRetry(now, pr.service) {
 			pr.addStep("no repeat left in the budget")
 			break
@@ -111,6 +110,22 @@
 	return f.failureResponse(pr)
 }
 
+// passesQuarantine reports whether a request may be forwarded. If it is quarantined but
+// may be probed, it is forwarded as the probe if this instance gets the claim.
+func (f *Forwarder) passesQuarantine(ctx context.Context, now time.Time, pr *proxiedRequest) bool {
+	verdict := f.config.Quarantine.check(now, pr.fingerprint)
+	isProbe := pr.isProbe && pr.deliveries == 0
+	if verdict.isQuarantined && !isProbe {
+		if !verdict.mayProbe || !f.config.Quarantine.claimProbe(ctx, now, pr.fingerprint) {
+			pr.addStep(verdict.reason)
+			return false
+		}
+		pr.isProbe = true
+	}
+	pr.crashStreak = verdict.streak
+	return true
+}
+
 // query returns the query that selects the endpoint of the next attempt.
 func (f *Forwarder) query(now time.Time, pr *proxiedRequest) endpoint.Query {
 	return endpoint.Query{
--- a/ingress/herdcrash_test.go
+++ b/ingress/herdcrash_test.go
@@ -53,7 +53,7 @@
 // endpoints in zone z1 and two in zone z2, and their routers.
 func newHerdProxies(t *testing.T, transport ingress.Transport) ([]*ingress.Proxy, []*ingress.Router) {
 	t.Helper()
-	facts := &fakeFacts{}
+	facts, log := &fakeFacts{}, &memoryCrashLog{}
 	var proxies []*ingress.Proxy
 	var routers []*ingress.Router
 	for range 2 {
@@ -77,7 +77,7 @@
 		watcher.ApplyList(time.Now(), changes)
 		routers = append(routers, router)
 		proxies = append(proxies, ingress.NewProxy(ingress.ProxyConfig{
-			Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(facts), RateLimits: ingress.NewRateLimits(facts, router),
+			Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(facts, log), RateLimits: ingress.NewRateLimits(facts, router),
 			Place: savorystep.Place{Region: "r", Zone: "z1"}, Transport: transport, Router: router,
 		}))
 	}
--- a/ingress/leaving_test.go
+++ b/ingress/leaving_test.go
@@ -91,7 +91,7 @@
 		transports = append(transports, transport)
 		proxies = append(proxies, ingress.NewProxy(ingress.ProxyConfig{
 			Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{},
-			Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
+			Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
 		}))
 	}
 	sendSafe(t, proxies[0], "object")
--- a/ingress/pipelined_test.go
+++ b/ingress/pipelined_test.go
@@ -31,7 +31,7 @@
 	transport.onExchange = func() { time.Sleep(15 * time.Millisecond) }
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
 		Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: decoder,
-		Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
+		Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
 	})
 	_, address := startServer(t, proxy)
 	c, reader := dial(t, address)
--- a/ingress/proxiedrequest.go
+++ b/ingress/proxiedrequest.go
@@ -20,6 +20,8 @@
 	// crashStreak is the number of crashes in a row that were known when the last attempt
 	// was sent.
 	crashStreak int
+	// isProbe is true if the request is sent once although it is quarantined.
+	isProbe bool
 	// receivedAt is when the request's header had been read.
 	receivedAt time.Time
 	// deadline is the caller's deadline or the end of the route's timeout, whichever
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -20,10 +20,16 @@
 const (
 	// quarantineStreak is the number of crashes in a row that quarantine a request.
 	quarantineStreak = 3
-	// answeredQuarantineStreak is the same for a request that an endpoint answered in the
-	// last minutes, according to this instance. It keeps two of the three deliveries that
-	// the platform allows later than 4 s after the third crash.
-	answeredQuarantineStreak = 5
+	// maxProbedStreak is the number of crashes in a row after which a quarantined request
+	// is not probed any more. The platform allows three deliveries later than 4 s after
+	// the third crash, and each probe that ends with a crash is one.
+	maxProbedStreak = quarantineStreak + 3
+	// probeInterval is the time from a crash or a probe to the next probe. It covers the
+	// service time of a request, so that probes follow each other.
+	probeInterval = 2 * time.Second
+	// maxProbeJitter spreads the probes of several instances, so that most of them hear of
+	// the first one and make no call.
+	maxProbeJitter = 500 * time.Millisecond
 	// togetherWindow is the time within which crashes may have one cause, such as the
 	// failure of a zone.
 	togetherWindow = 4 * time.Second
@@ -46,6 +52,7 @@
 // other instances. It is safe for concurrent use.
 type Quarantine struct {
 	facts    savorystep.Facts
+	crashLog savorystep.CrashLog
 	answered *upstream.RecentlyAnswered
 
 	mu      sync.Mutex
@@ -60,11 +67,11 @@
 	saveSignal chan struct{}
 }
 
-// NewQuarantine returns an empty quarantine that exchanges crashes with other
-// instances through facts.
-func NewQuarantine(facts savorystep.Facts) *Quarantine {
+// NewQuarantine returns an empty quarantine that exchanges crashes with other instances
+// through facts, and claims probes in a crash log.
+func NewQuarantine(facts savorystep.Facts, crashLog savorystep.CrashLog) *Quarantine {
 	q := &Quarantine{
-		facts: facts, answered: upstream.NewRecentlyAnswered(), records: make(map[savorystep.Fingerprint]*crashRecord),
+		facts: facts, crashLog: crashLog, answered: upstream.NewRecentlyAnswered(), records: make(map[savorystep.Fingerprint]*crashRecord),
 		unsaved: make(map[savorystep.Fingerprint]uint64), clearedAt: make(map[savorystep.Fingerprint]time.Time), saveSignal: make(chan struct{}, 1),
 	}
 	facts.Subscribe(savorystep.FactCrash, q.applyFact)
@@ -98,6 +105,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	record := q.recordOf(fact.ReceivedAt, key)
+	wasQuarantined := record.isQuarantined()
 	for _, id := range body.Endpoints {
 		record.addCrash(fact.ReceivedAt, id)
 	}
@@ -106,9 +114,16 @@
 		body.Streak = len(record.endpoints)
 	}
 	record.streak = max(record.streak, body.Streak)
+	record.wasAnswered = record.wasAnswered || body.WasAnswered
+	if body.Probes > 0 {
+		record.probedAt = fact.ReceivedAt
+	}
 	if record.request == "" {
 		record.request = body.Request
 	}
+	if !wasQuarantined && record.isQuarantined() {
+		log.Warningf("request fingerprint=%s (%s) is quarantined: endpoints %v crashed while they ran it, %d in a row, according to instance %s", key, record.request, record.lastEndpoints(), record.streak, fact.Instance)
+	}
 	if isOldBuild && record.streak >= savedStreak {
 		// The instance that saw the crash does not save it.
 		q.markUnsaved(key)
@@ -153,6 +168,7 @@
 			q.evict(now)
 		}
 		record = newCrashRecord(now)
+		record.wasAnswered = q.answered.Has(key, now)
 		q.records[key] = record
 	}
 	return record
@@ -170,24 +186,32 @@
 	}
 }
 
-// check returns the number of crashes in a row of a request that are known, and whether
-// it must not be forwarded.
-func (q *Quarantine) check(now time.Time, key savorystep.Fingerprint) (streak int, isQuarantined bool) {
+// A quarantineVerdict says whether a request may be forwarded.
+type quarantineVerdict struct {
+	// streak is the number of crashes in a row that are known.
+	streak        int
+	isQuarantined bool
+	// mayProbe is true if a quarantined request may be sent once claimProbe allows it.
+	mayProbe bool
+	// reason names the last crashes of a quarantined request.
+	reason string
+}
+
+// check returns whether a request may be forwarded.
+func (q *Quarantine) check(now time.Time, key savorystep.Fingerprint) quarantineVerdict {
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	record := q.records[key]
-	if record == nil || record.isExpired(now) {
-		return 0, false
+	switch {
+	case record == nil || record.isExpired(now):
+		return quarantineVerdict{}
+	case !record.isQuarantined():
+		return quarantineVerdict{streak: record.streak}
 	}
-	return record.streak, record.exceeds(q.limit(now, key))
-}
-
-// limit returns the number of crashes in a row that quarantine a request.
-func (q *Quarantine) limit(now time.Time, key savorystep.Fingerprint) int {
-	if q.answered.Has(key, now) {
-		return answeredQuarantineStreak
+	return quarantineVerdict{
+		streak: record.streak, isQuarantined: true, mayProbe: q.crashLog != nil && record.mayProbe(now),
+		reason: fmt.Sprintf("quarantined as fingerprint=%s, %d crashes in a row, the last %v ago, of %v", key, record.streak, now.Sub(record.lastCrash).Round(time.Second), record.lastEndpoints()),
 	}
-	return quarantineStreak
 }
 
 // recordAnswer records that an endpoint has answered a request, and drops its crashes
@@ -223,8 +247,11 @@
 	Fingerprint savorystep.Fingerprint
 	// Request describes the request, empty if that is not known.
 	Request string
-	// Streak is the number of endpoints that crashed in a row.
-	Streak int
+	// Streak is the number of endpoints that crashed in a row, Endpoints the last of them.
+	Streak    int
+	Endpoints []savorystep.EndpointID
+	// LastCrash is when the last one crashed.
+	LastCrash time.Time
 	// Until is when the quarantine ends.
 	Until time.Time
 }
@@ -235,8 +262,8 @@
 	defer q.mu.Unlock()
 	var list []QuarantinedRequest
 	for key, record := range q.records {
-		if !record.isExpired(now) && record.exceeds(q.limit(now, key)) {
-			list = append(list, QuarantinedRequest{Fingerprint: key, Request: record.request, Streak: record.streak, Until: record.lastCrash.Add(quarantineDuration)})
+		if !record.isExpired(now) && record.isQuarantined() {
+			list = append(list, QuarantinedRequest{Fingerprint: key, Request: record.request, Streak: record.streak, Endpoints: record.lastEndpoints(), LastCrash: record.lastCrash, Until: record.lastCrash.Add(quarantineDuration)})
 		}
 	}
 	slices.SortFunc(list, func(a, b QuarantinedRequest) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
@@ -245,23 +272,22 @@
 
 // recordCrash records the crash of an endpoint that ran a request, and publishes it.
 // The request's crashStreak is what check returned before it was sent to the endpoint.
-// The id of the crash includes the start time of the endpoint, so that each incarnation
-// counts once.
+// The id of the crash includes the start time of the endpoint.
 func (q *Quarantine) recordCrash(now time.Time, pr *proxiedRequest, crashed savorystep.Endpoint) {
 	key := pr.fingerprint
 	id := savorystep.EndpointID(fmt.Sprintf("%s@%d", crashed.ID, crashed.StartedAtMillis))
 	q.mu.Lock()
 	record := q.recordOf(now, key)
 	record.addCrash(now, id)
+	record.lastCrash = now
 	record.streak, record.isPublished = max(record.streak, pr.crashStreak+1), true
 	record.request = describeRequest(&pr.Request)
 	if record.streak >= savedStreak {
 		q.markUnsaved(key)
 	}
-	fact := savorystep.CrashFact{Endpoints: record.endpointIDs(), Streak: record.streak, Request: record.request}
-	isQuarantined := record.exceeds(q.limit(now, key))
+	fact, isQuarantined := record.toFact(), record.isQuarantined()
 	q.mu.Unlock()
-	log.Warningf("endpoint %s crashed while it ran request fingerprint=%s (%s), which crashed %d endpoints, %d in a row, quarantined %t", id, key.String(), fact.Request, len(fact.Endpoints), fact.Streak, isQuarantined)
+	log.Warningf("endpoint %s at %s crashed while it ran attempt %s of request fingerprint=%s (%s), which crashed %d endpoints, %d in a row, quarantined %t", id, crashed.Address, pr.AttemptID, key, fact.Request, len(fact.Endpoints), fact.Streak, isQuarantined)
 	q.facts.Publish(savorystep.FactCrash, key.String(), fact)
 }
 
--- a/ingress/quarantinekeeper_test.go
+++ b/ingress/quarantinekeeper_test.go
@@ -80,7 +80,7 @@
 			})
 		}
 	})
-	instance := &keptInstance{quarantine: ingress.NewQuarantine(facts)}
+	instance := &keptInstance{quarantine: ingress.NewQuarantine(facts, log)}
 	instance.proxy = ingress.NewProxy(ingress.ProxyConfig{
 		Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: instance.quarantine, RateLimits: ingress.NewRateLimits(facts, router),
 		Transport: transport, Router: router,
@@ -181,6 +181,7 @@
 				test.after(log)
 			}
 			await(t, "known to the next instance", func() bool { return next.countQuarantined() == 1 })
+			checkNamesCrashes(t, next)
 			if status := sendRequest(t, next.proxy, "/once/poison"); status != http.StatusServiceUnavailable {
 				t.Errorf("status %d, want 503", status)
 			}
@@ -191,6 +192,16 @@
 	}
 }
 
+// checkNamesCrashes fails the test unless an instance that saw none of the crashes names
+// the request and the endpoints that crashed, of which one may have crashed twice.
+func checkNamesCrashes(t *testing.T, instance *keptInstance) {
+	t.Helper()
+	list := instance.quarantine.Quarantined(time.Now())
+	if len(list) != 1 || len(list[0].Endpoints) < 2 || list[0].Request != "GET h/once/poison" || list[0].LastCrash.IsZero() {
+		t.Errorf("quarantined %+v, want the request with its endpoints and the time of the last crash", list)
+	}
+}
+
 // isSaved reports whether the log has three crashes in a row of a request.
 func isSaved(log *memoryCrashLog) bool {
 	crashes := log.all()
@@ -205,9 +216,7 @@
 	first, second := startKeptInstance(t, log, transport, facts), startKeptInstance(t, log, transport, facts)
 	quarantinePoison(t, first)
 	await(t, "saved", func() bool { return isSaved(log) })
-	if second.countQuarantined() != 1 {
-		t.Error("the other instance does not know the quarantine")
-	}
+	checkNamesCrashes(t, second)
 	transport.isHarmless.Store(true)
 	second.quarantine.Clear(time.Now(), first.quarantine.Quarantined(time.Now())[0].Fingerprint)
 	await(t, "removed from the log", func() bool { return len(log.all()) == 0 })
@@ -266,7 +275,7 @@
 // TestNoReadAtFirstStart guards against a call of the store by each instance when the
 // system starts for the first time, and against crashes that are not saved after that.
 func TestNoReadAtFirstStart(t *testing.T) {
-	log, quarantine := &memoryCrashLog{}, ingress.NewQuarantine(&fakeFacts{})
+	log, quarantine := &memoryCrashLog{}, ingress.NewQuarantine(&fakeFacts{}, nil)
 	keeper := ingress.NewQuarantineKeeper(ingress.QuarantineKeeperConfig{
 		Clock: savorystep.SystemClock{}, CrashLog: log, Quarantine: quarantine, FirstStart: true,
 		StoreEra: func() savorystep.StoreEra { return 0 },
--- a/ingress/retryafter_test.go
+++ b/ingress/retryafter_test.go
@@ -28,7 +28,7 @@
 	clock := &shiftedClock{}
 	return ingress.NewProxy(ingress.ProxyConfig{
 		Clock: clock, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{},
-		Quarantine: ingress.NewQuarantine(&fakeFacts{}), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
+		Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
 	}), transport, clock
 }
 
--- a/ingress/savedcrashes.go
+++ b/ingress/savedcrashes.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"savorystep"
@@ -78,21 +79,26 @@
 
 // applySaved applies crashes that the log has. The caller must hold q.mu.
 func (q *Quarantine) applySaved(now time.Time, crashes savorystep.RequestCrashes) {
-	lastCrash := savedTime(now, crashes)
+	lastCrash := savedTime(now, crashes.LastCrashMillis)
 	if clearedAt, ok := q.clearedAt[crashes.Fingerprint]; ok && !lastCrash.After(clearedAt) {
 		return
 	}
 	if known := q.records[crashes.Fingerprint]; known == nil || known.isExpired(now) {
-		log.Warningf("request fingerprint=%s (%s) crashed %d endpoints in a row, the last one %v ago, according to the crash log", crashes.Fingerprint.String(), crashes.Request, crashes.Streak, now.Sub(lastCrash).Round(time.Second))
+		log.Warningf("request fingerprint=%s (%s) crashed %d endpoints in a row, the last one %v ago, of %v, according to the crash log", crashes.Fingerprint, crashes.Request, crashes.Streak, now.Sub(lastCrash).Round(time.Second), crashes.Endpoints)
 	}
 	record := q.recordOf(now, crashes.Fingerprint)
 	if len(record.endpoints) == 0 {
 		record.firstCrash, record.lastCrash = lastCrash, lastCrash
+		record.endpoints = slices.Clone(crashes.Endpoints)
 	}
 	record.streak = max(record.streak, crashes.Streak)
 	if lastCrash.After(record.lastCrash) {
 		record.lastCrash = lastCrash
 	}
+	record.wasAnswered = record.wasAnswered || crashes.WasAnswered
+	if probedAt := savedTime(now, crashes.ProbedAtMillis); probedAt.After(record.probedAt) {
+		record.probedAt = probedAt
+	}
 	if record.request == "" {
 		record.request = crashes.Request
 	}
@@ -118,18 +124,25 @@
 	}
 }
 
-// savedTime returns the time of the last crash by this instance's clock. A time in the
-// future is that of a clock ahead of this one.
-func savedTime(now time.Time, crashes savorystep.RequestCrashes) time.Time {
-	return now.Add(-max(0, now.Sub(time.UnixMilli(crashes.LastCrashMillis))))
+// savedTime returns a saved time by this instance's clock. A time in the future is that of
+// a clock ahead of this one.
+func savedTime(now time.Time, millis int64) time.Time {
+	return now.Add(-max(0, now.Sub(time.UnixMilli(millis))))
 }
 
 // isSavedExpired reports whether saved crashes no longer count.
 func isSavedExpired(now time.Time, crashes savorystep.RequestCrashes) bool {
-	return now.Sub(savedTime(now, crashes)) >= quarantineDuration
+	return now.Sub(savedTime(now, crashes.LastCrashMillis)) >= quarantineDuration
 }
 
 // toSaved returns the record as the crash log keeps it.
 func (r *crashRecord) toSaved(key savorystep.Fingerprint) savorystep.RequestCrashes {
-	return savorystep.RequestCrashes{Fingerprint: key, Streak: r.streak, LastCrashMillis: r.lastCrash.UnixMilli(), Request: r.request}
+	saved := savorystep.RequestCrashes{
+		Fingerprint: key, Streak: r.streak, LastCrashMillis: r.lastCrash.UnixMilli(), Request: r.request,
+		WasAnswered: r.wasAnswered, Endpoints: r.lastEndpoints(),
+	}
+	if !r.probedAt.IsZero() {
+		saved.ProbedAtMillis = r.probedAt.UnixMilli()
+	}
+	return saved
 }
