Do not publish crashes that were cleared while a probe was claimed

Callers saw (by the test): a request that another instance had just seen answered was quarantined again at all others.

Cause: a claim takes a call of the store. If the crashes were cleared meanwhile, the instance published its record of before the call, and the saved claim put them back into the crash log.

Change: a record that was dropped meanwhile is not published, and the request is simply sent. An instance that had probed removes what it may have saved when another one clears the crashes.

Comments of edit and encodeCrashRow say what a reader had to ask for; edit also saves that a request was answered before.

--- a/ingress/probe.go
+++ b/ingress/probe.go
@@ -35,6 +35,12 @@
 		return false
 	}
 	q.mu.Lock()
+	if q.records[key] != record {
+		// Another instance has cleared the crashes meanwhile. Publishing them would
+		// quarantine the request again.
+		q.mu.Unlock()
+		return true
+	}
 	record.probes++
 	record.isPublished = true
 	fact := record.toFact()
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -136,6 +136,11 @@
 func (q *Quarantine) applyCleared(now time.Time, key savorystep.Fingerprint) {
 	q.mu.Lock()
 	record := q.dropRecord(now, key)
+	if record != nil && record.probes > 0 {
+		// The claim of a probe may have been saved after the other instance removed the
+		// crashes from the crash log.
+		q.markUnsaved(key)
+	}
 	q.mu.Unlock()
 	if record != nil && record.isPublished {
 		q.facts.Publish(savorystep.FactCrash, key.String(), savorystep.CrashFact{Cleared: true})
--- a/ingress/quarantinekeeper_test.go
+++ b/ingress/quarantinekeeper_test.go
@@ -296,3 +296,55 @@
 		t.Error(err)
 	}
 }
+
+// A hookedCrashLog calls a function once after an edit.
+type hookedCrashLog struct {
+	*memoryCrashLog
+	afterEdit func()
+}
+
+func (l *hookedCrashLog) Edit(ctx context.Context, edit func([]savorystep.RequestCrashes) ([]savorystep.RequestCrashes, bool)) error {
+	err := l.memoryCrashLog.Edit(ctx, edit)
+	if hook := l.afterEdit; hook != nil {
+		l.afterEdit = nil
+		hook()
+	}
+	return err
+}
+
+// A memberFacts delivers the facts of one instance to the other one, as the exchange
+// between instances does, and not to itself.
+type memberFacts struct {
+	fakeFacts
+
+	other *memberFacts
+}
+
+func (f *memberFacts) Publish(kind savorystep.FactKind, subject string, body any) {
+	f.other.fakeFacts.Publish(kind, subject, body)
+}
+
+// TestClearedDuringClaim guards against a request that is quarantined again because
+// another instance saw it answered while this one claimed a probe, and this one then
+// published the crashes of before.
+func TestClearedDuringClaim(t *testing.T) {
+	transport, log := &inTurnTransport{}, &hookedCrashLog{memoryCrashLog: &memoryCrashLog{}}
+	ofFirst, ofSecond := &memberFacts{}, &memberFacts{}
+	ofFirst.other, ofSecond.other = ofSecond, ofFirst
+	first, second := startKeptInstance(t, log, transport, ofFirst), startKeptInstance(t, &memoryCrashLog{}, transport, ofSecond)
+	send := func() int { return sendRequest(t, first.proxy, "/once/busy") }
+	if status := send(); status != http.StatusOK {
+		t.Fatalf("status %d before the failures, want 200", status)
+	}
+	transport.failNext(3)
+	await(t, "quarantined", func() bool { send(); return first.countQuarantined() == 1 })
+	await(t, "saved", func() bool { return len(log.all()) == 1 && log.all()[0].Streak == 3 })
+	key := first.quarantine.Quarantined(time.Now())[0].Fingerprint
+	log.mu.Lock()
+	log.afterEdit = func() { second.quarantine.Clear(time.Now(), key) }
+	log.mu.Unlock()
+	await(t, "sent after the claim", func() bool { time.Sleep(20 * time.Millisecond); return send() == http.StatusOK })
+	if first.countQuarantined()+second.countQuarantined() != 0 {
+		t.Error("the request is quarantined after it was cleared and answered")
+	}
+}
--- a/ingress/savedcrashes.go
+++ b/ingress/savedcrashes.go
@@ -41,7 +41,9 @@
 }
 
 // edit applies the saved crashes and returns them with the changes of this instance. It
-// returns false if there are none.
+// returns false if there are none: the crash log is not written only because entries have
+// expired, which the next change removes. What this instance has no change for is kept as
+// it was saved, so that it doesn't restore what another one has removed.
 func (q *Quarantine) edit(now time.Time, saved []savorystep.RequestCrashes) ([]savorystep.RequestCrashes, bool) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -65,7 +67,7 @@
 		}
 		q.applySaved(now, crashes)
 		merged := record.toSaved(crashes.Fingerprint)
-		isChanged = isChanged || merged.Streak > crashes.Streak || merged.LastCrashMillis > crashes.LastCrashMillis
+		isChanged = isChanged || merged.Streak > crashes.Streak || merged.LastCrashMillis > crashes.LastCrashMillis || merged.WasAnswered != crashes.WasAnswered
 		edited = append(edited, merged)
 	}
 	for key := range q.unsaved {
--- a/store/crashlog.go
+++ b/store/crashlog.go
@@ -81,7 +81,8 @@
 	return crashes
 }
 
-// encodeCrashRow encodes crashes, newest first, and as many of them as the row can hold.
+// encodeCrashRow encodes crashes, newest first. As long as the row is too large, it drops
+// the oldest quarter.
 func encodeCrashRow(crashes []savorystep.RequestCrashes) ([]byte, error) {
 	slices.SortFunc(crashes, func(a, b savorystep.RequestCrashes) int {
 		return cmp.Compare(b.LastCrashMillis, a.LastCrashMillis)
