Record a change as applied before it is in force, and without an answer

Operators saw (by the tests): an instance whose commit was answered late had a timeline in which a change was in force before it was applied; if the answer was lost, the change was never applied there.

By reading: the event was recorded when the commit returned, and a poll may install the change before. Not fake time or load is at fault; a table that answers after 10 s shows it each time. A commit without an answer is found again by its ID, where no event was recorded at all.

Change: an instance remembers the changes that it has sent to the table, and records "applied" when such a change comes into force, by whatever way.

Before: TestLogEventsOfUnansweredCommit fails in both cases, [force apply] and [force].

--- a/store/fakes_test.go
+++ b/store/fakes_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"sync"
+	"time"
 
 	"savorystep"
 	"savorystep/standin"
@@ -88,6 +89,23 @@
 	return t.Table.Commit(ctx, txn)
 }
 
+// A slowCommitTable answers a commit some time after it took effect, with an error if one
+// is set.
+type slowCommitTable struct {
+	savorystep.Table
+	delay time.Duration
+	err   error
+}
+
+func (t *slowCommitTable) Commit(ctx context.Context, txn savorystep.Txn) (savorystep.CommitResult, error) {
+	commit, err := t.Table.Commit(ctx, txn)
+	savorystep.Sleep(ctx, t.delay)
+	if t.err != nil {
+		return savorystep.CommitResult{}, t.err
+	}
+	return commit, err
+}
+
 // A replaceableTable is a table whose reads go to the table that was set last.
 type replaceableTable struct {
 	savorystep.Table
--- a/store/log.go
+++ b/store/log.go
@@ -18,6 +18,8 @@
 type Log struct {
 	config LogConfig
 	state  *logState
+	// proposals are recorded as applied when they come into force.
+	proposals *proposals
 	// ready stays true once the readiness rule was fulfilled.
 	ready atomic.Bool
 	// peerReport buffers the greatest revision that a peer reported.
@@ -49,6 +51,7 @@
 	l := &Log{
 		config:       config,
 		state:        newLogState(),
+		proposals:    newProposals(),
 		peerReport:   make(chan revisionReport, 1),
 		pushRequests: make(chan savorystep.Revision, 1),
 		pollRequests: make(chan struct{}, 1),
@@ -115,6 +118,7 @@
 func (l *Log) install(changes []savorystep.Change, source string) {
 	changes = l.state.install(changes)
 	for _, change := range changes {
+		l.recordApplied(change)
 		l.recordEvent(savorystep.EventForce, change.Service, "revision %d is in force, from %s", change.Revision, source)
 	}
 	if len(changes) == 0 {
--- a/store/log_test.go
+++ b/store/log_test.go
@@ -451,6 +451,32 @@
 	})
 }
 
+// TestLogEventsOfUnansweredCommit guards against a change whose answer from the table is
+// late or lost, and that is missing from the event timeline as applied, or in force there
+// before it was applied.
+func TestLogEventsOfUnansweredCommit(t *testing.T) {
+	for name, answer := range map[string]error{
+		"late answer": nil,
+		"lost answer": savorystep.NewError(savorystep.KindPlatformDown, "lost"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				node := newLogNetwork().node("writer")
+				table := &slowCommitTable{Table: standin.NewTable(), delay: 10 * time.Second, err: answer}
+				mustApply(t, startLog(t, table, node), change("1", "stock", 0))
+				synctest.Wait()
+				var kinds []savorystep.EventKind
+				for _, event := range node.events {
+					kinds = append(kinds, event.Kind)
+				}
+				if want := []savorystep.EventKind{savorystep.EventApply, savorystep.EventForce}; !reflect.DeepEqual(kinds, want) {
+					t.Errorf("events %v, want %v", kinds, want)
+				}
+			})
+		})
+	}
+}
+
 // TestLogHistory guards against changes that are missing from the history once
 // they are no longer in memory.
 func TestLogHistory(t *testing.T) {
--- a/store/logapply.go
+++ b/store/logapply.go
@@ -19,6 +19,7 @@
 	if change.Time.IsZero() {
 		change.Time = l.config.Clock.Now().UTC()
 	}
+	defer l.proposals.remove(change.ID)
 	for failures := 0; ; {
 		revision, decided, err := l.tryApply(ctx, change)
 		if decided {
@@ -119,11 +120,11 @@
 		return 0, true, err
 	}
 	change.Revision = head + 1
+	l.proposals.add(change.ID)
 	commit, err := l.config.Table.Commit(ctx, proposalTxn(rows, change))
 	if err != nil || commit.Version == 0 {
 		return 0, false, err
 	}
-	l.recordEvent(savorystep.EventApply, change.Service, "%s applied revision %d", change.Author, change.Revision)
 	l.install([]savorystep.Change{change}, "this instance")
 	return change.Revision, true, nil
 }
@@ -171,6 +172,13 @@
 	}
 }
 
+// recordApplied records that a change was applied if this instance proposed it.
+func (l *Log) recordApplied(change savorystep.Change) {
+	if l.proposals.remove(change.ID) {
+		l.recordEvent(savorystep.EventApply, change.Service, "%s applied revision %d", change.Author, change.Revision)
+	}
+}
+
 // recordEvent records an event for the timeline.
 func (l *Log) recordEvent(kind savorystep.EventKind, service savorystep.Service, format string, args ...any) {
 	if l.config.EventRecorder == nil {
