End the held requests of a stand-in upstream that crashes

TestCrashAfterLateFactCounts, which was listed as known red, hung until the test binary's time-out. Not the product, but the stand-in of the tests.

Cause: a POST is not interrupted once it runs, so that one held by the fault Hold was still held after Crash; the entry had guessed that the server did not read from the connection. The stand-in's end waits for its requests if the test's end is seen before the end of the listener.

Change: a crash ends the wait of held requests.

--- a/standin/upstream.go
+++ b/standin/upstream.go
@@ -29,6 +29,8 @@
 	conns    map[*upstreamConn]bool
 	listener net.Listener
 	crashed  bool
+	// crashSignal is closed in a crash.
+	crashSignal chan struct{}
 	// drainingSince is when the fault Drain was last set.
 	drainingSince time.Time
 	faults        UpstreamFaults
@@ -46,10 +48,11 @@
 func NewUpstream(config UpstreamConfig) *Upstream {
 	config = config.withDefaults()
 	u := &Upstream{
-		config:    config,
-		busySlots: make(chan struct{}, config.Slots),
-		conns:     make(map[*upstreamConn]bool),
-		random:    rand.New(rand.NewPCG(config.Seed, 1)),
+		config:      config,
+		busySlots:   make(chan struct{}, config.Slots),
+		conns:       make(map[*upstreamConn]bool),
+		crashSignal: make(chan struct{}),
+		random:      rand.New(rand.NewPCG(config.Seed, 1)),
 		stats: UpstreamStats{
 			RunsByRequest: make(map[savorystep.RequestID]int),
 			RunsByKey:     make(map[savorystep.IdempotencyKey]int),
@@ -154,7 +157,7 @@
 }
 
 // Crash ends the process with the function Exit of the configuration. Without it,
-// Crash closes the listener and resets all connections.
+// Crash closes the listener, resets all connections and ends the wait of held requests.
 func (u *Upstream) Crash() {
 	if u.config.Exit != nil {
 		u.config.Exit()
@@ -162,7 +165,10 @@
 	}
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.crashed = true
+	if !u.crashed {
+		u.crashed = true
+		close(u.crashSignal)
+	}
 	if u.listener != nil {
 		_ = u.listener.Close()
 	}
@@ -202,7 +208,7 @@
 }
 
 // waitWhileHeld waits while the fault Hold is set. It returns the error of ctx if
-// ctx ends before.
+// ctx ends before, and ErrCrashed after a crash.
 func (u *Upstream) waitWhileHeld(ctx context.Context) error {
 	u.mu.Lock()
 	released := u.released
@@ -213,6 +219,8 @@
 	select {
 	case <-released:
 		return nil
+	case <-u.crashSignal:
+		return ErrCrashed
 	case <-ctx.Done():
 		return ctx.Err()
 	}
