Notice a crash after the caller has left in serve

Callers saw (by the test): a request that may not be interrupted and that crashes its upstream only after its caller has left was never counted, and each try crashed another upstream.

Cause: an attempt whose caller had left ended as one out of time before its connection was looked at.

Change: the crash is checked first. An attempt that the pool itself cancelled has no crash, as before.

--- a/upstream/attemptfailure.go
+++ b/upstream/attemptfailure.go
@@ -54,11 +54,12 @@
 
 // endSentFailed ends an attempt that was sent and has no response, and returns its error.
 func (p *Pool) endSentFailed(callerCtx context.Context, a *attempt, failure *AttemptError, heldFor time.Duration) error {
-	if callerCtx.Err() != nil && !a.connSilent.Load() {
+	// An endpoint may crash after the caller of a request that is not cancelled has left.
+	failure.EndpointCrashed = p.confirmCrash(a, failure.Err)
+	if callerCtx.Err() != nil && !a.connSilent.Load() && !failure.EndpointCrashed {
 		p.endAttempt(a, heldFor, p.timeoutVerdict(a))
 		return savorystep.WrapError(savorystep.KindDeadlineExceeded, failure, "no response before the deadline or the caller's cancellation")
 	}
-	failure.EndpointCrashed = p.confirmCrash(a, failure.Err)
 	if a.connSilent.Load() {
 		failure.Err = errConnSilent
 	}
--- a/upstream/uploadcrash_test.go
+++ b/upstream/uploadcrash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -9,7 +10,10 @@
 	"runtime"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"savorystep"
+	"savorystep/standin"
 	"savorystep/upstream"
 )
 
@@ -98,3 +102,55 @@
 		t.Errorf("%d of %d crashes not noticed, want none, of at least %d", missed, sent, servers/4)
 	}
 }
+
+// TestCrashAfterCallerLeft guards against a request that crashes upstreams only after its
+// callers have left, and is sent to all of them.
+func TestCrashAfterCallerLeft(t *testing.T) {
+	tb := newTestbed(t)
+	for i := range 4 {
+		u := tb.addUpstream(savorystep.EndpointID(fmt.Sprint("u", i)), "natal", standin.UpstreamConfig{})
+		u.SetFaults(standin.UpstreamFaults{Hold: true})
+	}
+	instance := newInstance(tb, "instance-1", true)
+	observer := tb.factBus.join("observer")
+	for i := range 2 {
+		ctx, leave := context.WithCancel(t.Context())
+		result := make(chan error, 1)
+		go func() {
+			_, err := instance.Forward(ctx, post(savorystep.RequestID(fmt.Sprint("r", i)), "/poison"))
+			result <- err
+		}()
+		var busy *standin.Upstream
+		tb.eventually("the request runs", func() bool {
+			for _, u := range tb.upstreams {
+				if u.Load().Busy > 0 {
+					busy = u
+				}
+			}
+			return busy != nil
+		})
+		leave()
+		wantError(t, <-result, savorystep.KindDeadlineExceeded)
+		busy.Crash()
+		tb.eventually("the crash is known", func() bool { return crashesOf(t, observer, 7) == i+1 })
+		tb.eventually("the upstream has ended", func() bool { return busy.Load().Busy == 0 })
+	}
+	_, err := instance.Forward(t.Context(), post("last", "/poison"))
+	wantError(t, err, savorystep.KindQuarantined)
+}
+
+// crashesOf returns the number of crashes with a fingerprint that the last fact has.
+func crashesOf(t *testing.T, facts savorystep.Facts, key savorystep.Fingerprint) int {
+	t.Helper()
+	crashes := 0
+	for _, fact := range facts.Facts(savorystep.FactCrash) {
+		var body savorystep.CrashFact
+		if err := cbor.Unmarshal(fact.Body, &body); err != nil {
+			t.Fatal(err)
+		}
+		if fact.Subject == key.String() {
+			crashes = len(body.Endpoints)
+		}
+	}
+	return crashes
+}
