Save the quarantine of serve in the store

Callers saw (by the test): a request that crashes its upstreams was quarantined by 'serve', and crashed upstreams again after all entries were killed and new ones had started.

Cause: crashes were kept in memory and by the peers only.

Change: a CrashKeeper saves the crashes that quarantine a fingerprint in the row that the gateway has for the same purpose, and applies them at its start. What is cleared is removed. When the store has come back from a copy, all are saved again. Without the store, requests are forwarded as before.

Before: TestProofQuarantineOutlivesEntries fails (without the keeper no crash is saved within 60 s).

--- a/cmd/container.go
+++ b/cmd/container.go
@@ -33,6 +33,8 @@
 		newInstance,
 		newIdempotencyStore,
 		newEndpointListCache,
+		newQuarantine,
+		newCrashKeeper,
 		newConfigLog,
 		newMetricsRegistry,
 		newOperatorHandler,
@@ -206,24 +208,45 @@
 	return pool
 }
 
-// newForwarder returns the chain of forwarders: idempotency keys, quarantine,
-// retries, pool. The quarantine wraps the retrier, which runs the check of the
-// quarantine before every attempt.
-func newForwarder(
+// newQuarantine returns the quarantine. It wraps the retrier, which runs its check before
+// every attempt.
+func newQuarantine(
 	config instanceConfig,
 	self savorystep.Instance,
 	exchange *peer.Exchange,
-	idempotencyStore *store.IdempotencyStore,
 	pool *upstream.Pool,
 	events *peer.EventRing,
-) *upstream.KeyedForwarder {
+) *upstream.Quarantine {
 	retrier := upstream.NewRetrier(pool, upstream.RetrierConfig{Recorder: events})
-	quarantine := upstream.NewQuarantine(retrier, upstream.QuarantineConfig{
+	return upstream.NewQuarantine(retrier, upstream.QuarantineConfig{
 		Clock:    config.Clock,
 		Facts:    exchange,
 		Recorder: events,
 		Self:     self.ID,
 	})
+}
+
+// newCrashKeeper returns the keeper that saves the crashes of the quarantine in the
+// platform's table.
+func newCrashKeeper(config instanceConfig, platformClient *store.Client, quarantine *upstream.Quarantine) *upstream.CrashKeeper {
+	return upstream.NewCrashKeeper(upstream.CrashKeeperConfig{
+		Clock:      config.Clock,
+		CrashLog:   store.NewCrashLog(platformClient),
+		Quarantine: quarantine,
+		StoreEra: func() savorystep.StoreEra {
+			era, _ := platformClient.Era()
+			return era
+		},
+	})
+}
+
+// newForwarder returns the chain of forwarders: idempotency keys, quarantine,
+// retries, pool.
+func newForwarder(
+	config instanceConfig,
+	idempotencyStore *store.IdempotencyStore,
+	quarantine *upstream.Quarantine,
+) *upstream.KeyedForwarder {
 	return upstream.NewKeyedForwarder(quarantine, upstream.KeyedForwarderConfig{Clock: config.Clock, Store: idempotencyStore})
 }
 
--- a/cmd/instance.go
+++ b/cmd/instance.go
@@ -40,6 +40,7 @@
 	self             savorystep.Instance
 	budgets          *store.Budgets
 	callerServer     *caller.Server
+	crashKeeper      *upstream.CrashKeeper
 	platformClient   *store.Client
 	exchange         *peer.Exchange
 	forwarder        *upstream.KeyedForwarder
@@ -60,6 +61,7 @@
 	self savorystep.Instance,
 	budgets *store.Budgets,
 	callerServer *caller.Server,
+	crashKeeper *upstream.CrashKeeper,
 	platformClient *store.Client,
 	exchange *peer.Exchange,
 	forwarder *upstream.KeyedForwarder,
@@ -77,6 +79,7 @@
 		self:             self,
 		budgets:          budgets,
 		callerServer:     callerServer,
+		crashKeeper:      crashKeeper,
 		platformClient:   platformClient,
 		exchange:         exchange,
 		forwarder:        forwarder,
@@ -137,7 +140,7 @@
 
 // startRunners starts the background work of the components.
 func (i *instance) startRunners(ctx context.Context, group *errgroup.Group) {
-	for _, runner := range []savorystep.Runner{i.exchange, i.configLog, i.budgets, i.idempotencyStore, i.pool, i.unknownNames, i} {
+	for _, runner := range []savorystep.Runner{i.exchange, i.configLog, i.crashKeeper, i.budgets, i.idempotencyStore, i.pool, i.unknownNames, i} {
 		done := runner.Start(ctx)
 		group.Go(func() error { return ignoreCanceled(<-done) })
 	}
--- a/cmd/proofcrash_test.go
+++ b/cmd/proofcrash_test.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
 	"savorystep"
 	"savorystep/standin"
+	"savorystep/store"
 )
 
 // sendCrashingRequests sends a request that crashes each upstream that runs it,
@@ -36,6 +38,40 @@
 // otherRequestWorkers is how many other requests are in flight at once.
 const otherRequestWorkers = 4
 
+// TestProofQuarantineOutlivesEntries guards against a request that crashes upstreams again
+// after all entries were killed and new ones started.
+func TestProofQuarantineOutlivesEntries(t *testing.T) {
+	t.Parallel()
+	const entries = 2
+	p := startProofSystem(t, proofConfig{Entries: entries, EndpointsPerService: 9, Services: []savorystep.Service{"status"}})
+	p.applyAndWait(p.equalSharesRecord("status", proofRegions...))
+	p.awaitPeers(entries)
+	if crashed := sendCrashingRequests(p, entries, 5); crashed != 2 {
+		t.Fatalf("%d upstreams crashed, want 2", crashed)
+	}
+	client := store.NewClient(store.ClientConfig{Address: p.platformAddress})
+	defer client.Close()
+	p.await("the crashes are saved", func() bool {
+		row, err := client.Get(t.Context(), "crashes")
+		return err == nil && row.Version != 0
+	})
+	for _, entry := range p.entries {
+		entry.signal(syscall.SIGKILL)
+	}
+	for i := range entries {
+		p.startEntry(proofRegions[i])
+		p.awaitReady(entries + i)
+		p.callerAddresses[i] = p.settings[entries+i].CallerAddress
+	}
+	if crashed := sendCrashingRequests(p, entries, 5); crashed > 2 {
+		t.Errorf("%d upstreams crashed after all entries were replaced, want the 2 of before", crashed)
+	}
+	request := proofRequest{method: http.MethodPut, path: "/poison", service: "status", origin: "recife", id: "poison", body: "poison", timeout: 10 * time.Second}
+	if response := sendTo(t.Context(), p.callerAddress(0), request); response.kind != savorystep.KindQuarantined {
+		t.Errorf("response %+v of a new entry, want one of kind %v", response, savorystep.KindQuarantined)
+	}
+}
+
 // startOtherRequests starts a load of requests that crash no upstream. newPath
 // returns the path of each.
 func startOtherRequests(p *proofSystem, newPath func(worker, n int) string) *proofLoad {
--- a/upstream/crashtable.go
+++ b/upstream/crashtable.go
@@ -1,6 +1,8 @@
 package upstream
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -98,6 +100,28 @@
 	return record
 }
 
+// fingerprints returns the fingerprints with a crash.
+func (t *crashTable) fingerprints() []savorystep.Fingerprint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.records))
+}
+
+// toSaved returns the crashes of a fingerprint as the crash log keeps them, or false if
+// there are none.
+func (t *crashTable) toSaved(key savorystep.Fingerprint, now time.Time) (savorystep.RequestCrashes, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := t.countLocked(key, now)
+	if count == 0 {
+		return savorystep.RequestCrashes{}, false
+	}
+	return savorystep.RequestCrashes{
+		Fingerprint: key, Streak: count, LastCrashMillis: t.lastCrash(key).UnixMilli(),
+		Endpoints: slices.Sorted(maps.Keys(t.records[key].reportedAt)),
+	}, true
+}
+
 // clear deletes the crashes of a fingerprint.
 func (t *crashTable) clear(key savorystep.Fingerprint) {
 	t.mu.Lock()
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -45,6 +46,10 @@
 	crashes  *crashTable
 	locks    *fingerprintLocks
 	answered *RecentlyAnswered
+	// unsaved are saved by a CrashKeeper, if there is one.
+	unsaved *unsavedCrashes
+	// isLogApplied is set once the crashes of the log are applied.
+	isLogApplied atomic.Bool
 }
 
 // NewQuarantine returns a quarantine around another forwarder, which must pass
@@ -54,7 +59,7 @@
 		config.Clock = savorystep.SystemClock{}
 	}
 	setDefault(&config.BroadcastTimeout, 200*time.Millisecond)
-	q := &Quarantine{next: next, config: config, crashes: newCrashTable(), locks: newFingerprintLocks(), answered: NewRecentlyAnswered()}
+	q := &Quarantine{next: next, config: config, crashes: newCrashTable(), locks: newFingerprintLocks(), answered: NewRecentlyAnswered(), unsaved: newUnsavedCrashes()}
 	config.Facts.Subscribe(savorystep.FactCrash, q.handleCrashes)
 	for _, fact := range config.Facts.Facts(savorystep.FactCrash) {
 		q.handleCrashes(fact)
@@ -74,9 +79,11 @@
 	}
 	if body.Cleared {
 		q.crashes.clear(key)
+		q.unsaved.mark(key)
 		return
 	}
 	q.crashes.addFromPeer(key, body.Endpoints, fact.ReceivedAt)
+	q.markUnsaved(key)
 }
 
 // Forward forwards a request unless its fingerprint is quarantined. A request
@@ -193,6 +200,7 @@
 	if !q.crashes.clearBefore(key, a.lastAttemptStart()) {
 		return
 	}
+	q.unsaved.mark(key)
 	q.config.Facts.Publish(savorystep.FactCrash, key.String(), savorystep.CrashFact{Cleared: true})
 	log.Infof("request with fingerprint %s got a response, its recorded crashes are cleared", key.String())
 }
@@ -208,6 +216,7 @@
 		return
 	}
 	ownCrashes := q.crashes.addOwn(key, endpoint, q.config.Clock.Now())
+	q.markUnsaved(key)
 	ctx, cancel := context.WithTimeout(context.Background(), q.config.BroadcastTimeout)
 	defer cancel()
 	subject := key.String()
