Keep the older peer of TestLogNeverReverts from following the newer one

Callers saw nothing; the test failed without a fault.

Cause: the test starts an instance with an empty table of its own beside one that has three changes in force, and applies a change to it. If its follower asked the peer before the change was applied, it had the three changes in force above a table without any, and refused the change until the minute was over ("the head of the table is below the revision in force"), as it must.

Change: the two instances see each other only after the change is applied. The checks are the same.

--- a/store/log_test.go
+++ b/store/log_test.go
@@ -415,8 +415,12 @@
 		for i := range 3 {
 			mustApply(t, l, change(strconv.Itoa(i), "stock", savorystep.Revision(i)))
 		}
+		// The older instance must not take the three changes from its peer, or its table
+		// would be below its revision.
+		net.setPartitioned(true)
 		older := startLog(t, standin.NewTable(), net.node("b"))
 		mustApply(t, older, change("x", "stock", 0))
+		net.setPartitioned(false)
 		moved.replace(standin.NewTable()) // The platform has lost its data.
 		time.Sleep(10 * time.Second)
 		if view := l.View(); view.Revision != 3 || view.RecordRevisions["stock"] != 3 {
