Send a request for changes again if its connection ends

Callers saw: an instance that fetched missing changes of the configuration from a peer failed with NoUpstream although the peer was a member and reachable, and stayed behind until its next round.

Cause: two instances that connect to each other at once keep one of the two connections and close the other. The request was queued on the one that closed. The same holds for a connection that loses its data and is replaced. A closed link was also handed out as long as its goroutines had not ended.

Change: the request goes to the next connection, on at most three, with the wait between connections of the overlay. It only reads, so it may be sent again. An open link that a peer has opened meanwhile is used if the own connection was refused.

--- a/peer/changes.go
+++ b/peer/changes.go
@@ -2,17 +2,44 @@
 
 import (
 	"context"
+	"errors"
+	"time"
 
 	"savorystep"
 )
 
-// maxChanges limits the changes in one frame.
-const maxChanges = 256
+const (
+	// maxChanges limits the changes in one frame.
+	maxChanges = 256
+	// maxChangesAttempts limits the links on which a request for changes is sent.
+	maxChangesAttempts = 3
+)
+
+// errLinkEnded means that a link to a member ended or was not kept, as when two
+// instances connect to each other at once.
+var errLinkEnded = errors.New("connection ended")
 
 // ChangesFrom fetches the changes after a revision from one instance, at most
-// limit of them. The error has kind KindNotFound if the instance is not a
-// member, otherwise KindNoUpstream or KindDeadlineExceeded.
+// limit of them. It sends the request again if its link ends. The error has kind
+// KindNotFound if the instance is not a member, otherwise KindNoUpstream or
+// KindDeadlineExceeded.
 func (e *Exchange) ChangesFrom(ctx context.Context, id savorystep.InstanceID, after savorystep.Revision, limit int) ([]savorystep.Change, error) {
+	for attempt := 1; ; attempt++ {
+		changes, err := e.requestChanges(ctx, id, after, limit)
+		if !errors.Is(err, errLinkEnded) || attempt == maxChangesAttempts {
+			return changes, err
+		}
+		select {
+		case <-time.After(backoff(attempt - 1)):
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
+// requestChanges sends one request for changes. The error wraps errLinkEnded if
+// another link may yield them.
+func (e *Exchange) requestChanges(ctx context.Context, id savorystep.InstanceID, after savorystep.Revision, limit int) ([]savorystep.Change, error) {
 	l, err := e.ensureLink(ctx, id)
 	if err != nil {
 		return nil, err
@@ -34,7 +61,7 @@
 	case changes := <-response:
 		return changes, nil
 	case <-l.closed:
-		return nil, savorystep.NewError(savorystep.KindNoUpstream, "fetch changes after revision %d: connection to instance %s ended", after, id)
+		return nil, savorystep.WrapError(savorystep.KindNoUpstream, errLinkEnded, "fetch changes after revision %d from instance %s", after, id)
 	case <-ctx.Done():
 		return nil, savorystep.WrapError(savorystep.KindDeadlineExceeded, ctx.Err(), "fetch changes after revision %d from instance %s", after, id)
 	}
@@ -42,24 +69,34 @@
 
 // ensureLink returns the link to an instance. If there is none, it opens one.
 func (e *Exchange) ensureLink(ctx context.Context, id savorystep.InstanceID) (*link, error) {
-	e.mu.Lock()
-	l, m := e.links[id], e.store.members[id]
-	e.mu.Unlock()
+	l, m := e.openLink(id)
 	if l != nil {
 		return l, nil
 	}
 	if m == nil {
 		return nil, savorystep.NewError(savorystep.KindNotFound, "instance %s is not a member", id)
 	}
-	if err := e.connect(ctx, id, m.status.Instance.PeerAddress); err != nil {
+	err := e.connect(ctx, id, m.status.Instance.PeerAddress)
+	// The peer may have refused the connection because its own one is kept.
+	if l, _ = e.openLink(id); l != nil {
+		return l, nil
+	}
+	if err != nil {
 		return nil, savorystep.WrapError(savorystep.KindNoUpstream, err, "connect to instance %s", id)
 	}
+	return nil, savorystep.WrapError(savorystep.KindNoUpstream, errLinkEnded, "new connection to instance %s was not kept", id)
+}
+
+// openLink returns the link to an instance, nil if there is none that is open, and
+// its member, nil if it is none.
+func (e *Exchange) openLink(id savorystep.InstanceID) (*link, *member) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if l = e.links[id]; l == nil {
-		return nil, savorystep.NewError(savorystep.KindNoUpstream, "new connection to instance %s was not kept", id)
+	m := e.store.members[id]
+	if l := e.links[id]; l != nil && !l.isClosed {
+		return l, m
 	}
-	return l, nil
+	return nil, m
 }
 
 // serveChanges answers a peer's request for changes from the change source.
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -116,6 +116,22 @@
 	}
 }
 
+// TestChangesFromReplacedConnection guards against a request that fails because its
+// connection was replaced, while the instance is a member and reachable.
+func TestChangesFromReplacedConnection(t *testing.T) {
+	f := newFleet(t, 2, func(c *peer.Config) { c.Fanout = 1 })
+	f.waitForFullMembership(t)
+	source, reader := f.nodes[0], f.nodes[1]
+	source.SetChangeSource(changeList{{Revision: 1, ID: "a", Service: "status"}})
+	eventually(t, "connection to silence between the nodes", func() bool {
+		return f.network.silence(source.Self().PeerAddress, reader.Self().PeerAddress) > 0
+	})
+	changes, err := reader.ChangesFrom(t.Context(), source.Self().ID, 0, 10)
+	if err != nil || len(changes) != 1 {
+		t.Errorf("ChangesFrom = %v, %v, want 1 change", changes, err)
+	}
+}
+
 var _ savorystep.ChangeSource = changeList(nil)
 
 // TestExchangeReplacesFailedConnection guards against a connection that loses
