Keep failover out of the demo's check of a shift's cap

Operators saw, on a busy machine: "FAILED: shift moved 85 requests, 6 concurrently with a cap of 4" from `savorystep demo`, and TestDemo failed with it.

Cause: the check counts all requests of the region that run in the other one. Its load was open: when endpoints answer late, requests pile up until the region is full, and what finds no room there fails over. A shift's cap bounds what the shift moves, not failover, which has its own ramp.

Change: at most 16 requests of the check are in flight, of 24 slots or more in the region, so it is never full. The conditions are the same.

--- a/cmd/demo.go
+++ b/cmd/demo.go
@@ -146,8 +146,10 @@
 }
 
 // checkShift shifts half of the traffic of a region under a cap and checks at the
-// upstreams that the cap is kept.
+// upstreams that the cap is kept. So few requests are in flight that the region is never
+// full, however slow the machine: the cap doesn't bound what fails over.
 func (d *demo) checkShift(ctx context.Context) error {
+	const inFlight = 16
 	shape := d.config.Shape
 	slotCap := savorystep.Slots(4)
 	growthPerSecond := 50
@@ -162,7 +164,7 @@
 		return err
 	}
 	d.probe.reset()
-	result := d.sendLoad(ctx, "shift", "status", shape.DrainedRegion, 300, 3*time.Second)
+	result := d.sendLoad(ctx, "shift", "status", shape.DrainedRegion, 300, 3*time.Second, inFlight)
 	flow := d.probe.flow(siteFlow{service: "status", from: shape.DrainedRegion, to: shape.TargetRegion})
 	if flow.maxRunning > int(slotCap) || flow.total == 0 || result.WrongResponses > 0 {
 		return fmt.Errorf("shift moved %d requests, %d concurrently with a cap of %d, %d wrong responses", flow.total, flow.maxRunning, slotCap, result.WrongResponses)
@@ -179,7 +181,7 @@
 	growthPerSecond := 100
 	var result *entry.LoadResult
 	var wg sync.WaitGroup
-	wg.Go(func() { result = d.sendLoad(ctx, "drain", "stock", shape.DrainedRegion, 200, 4*time.Second) })
+	wg.Go(func() { result = d.sendLoad(ctx, "drain", "stock", shape.DrainedRegion, 200, 4*time.Second, 2000) })
 	time.Sleep(500 * time.Millisecond)
 	requestedAt := time.Now()
 	outcomes, err := d.newOperatorClient().Drain(ctx, operator.DrainRequest{
@@ -239,7 +241,7 @@
 }
 
 // sendLoad sends requests to a service from 32 clients in a region, for the given
-// duration, and returns their result.
+// duration and at most inFlight at once, and returns their result.
 func (d *demo) sendLoad(
 	ctx context.Context,
 	idPrefix string,
@@ -247,8 +249,10 @@
 	from savorystep.Region,
 	requestsPerSecond float64,
 	duration time.Duration,
+	inFlight int,
 ) *entry.LoadResult {
 	const clients = 32
+	slots := make(chan struct{}, inFlight)
 	targets := make([]entry.LoadTarget, 0, clients)
 	streams := make([]entry.Stream, 0, clients)
 	for i := range clients {
@@ -256,7 +260,7 @@
 		defer client.Close()
 		stream := entry.Stream{RequestsPerSecond: requestsPerSecond / clients, MeanExecutionTime: 10 * time.Millisecond, LogStdDev: 0.5}
 		streams = append(streams, stream)
-		targets = append(targets, entry.LoadTarget{Stream: stream, Sender: client, Name: savorystep.Name(service), Region: from})
+		targets = append(targets, entry.LoadTarget{Stream: stream, Sender: limitedSender{Sender: client, slots: slots}, Name: savorystep.Name(service), Region: from})
 	}
 	return entry.NewLoadGenerator(entry.LoadGeneratorConfig{
 		Arrivals:        entry.NewArrivals(1, duration, streams),
