Give saved crashes one meaning of time for gateways and serve

Nothing that callers see. Both quarantines had their own functions for the time of saved crashes and for their end, which differed by one comparison: crashes expired in 'serve' one instant later than in gateways. They are methods of RequestCrashes now. Two comments say what marking a fingerprint does, one line was broken.

--- a/crashlog.go
+++ b/crashlog.go
@@ -1,6 +1,9 @@
 package savorystep
 
-import "context"
+import (
+	"context"
+	"time"
+)
 
 // RequestCrashes are the crashes of endpoints that ran a request, as a CrashLog keeps
 // them.
@@ -21,6 +24,27 @@
 	Endpoints []EndpointID `cbor:"7,keyasint,omitempty"`
 }
 
+// LastCrash returns the time of the last crash by the clock of now.
+func (c RequestCrashes) LastCrash(now time.Time) time.Time {
+	return pastTime(now, c.LastCrashMillis)
+}
+
+// ProbedAt returns when an instance last claimed to send the request by the clock of now.
+func (c RequestCrashes) ProbedAt(now time.Time) time.Time {
+	return pastTime(now, c.ProbedAtMillis)
+}
+
+// IsExpired reports whether the last crash is at least lifetime ago.
+func (c RequestCrashes) IsExpired(now time.Time, lifetime time.Duration) bool {
+	return now.Sub(c.LastCrash(now)) >= lifetime
+}
+
+// pastTime returns a time in Unix milliseconds, with the monotonic clock of now. A time in
+// the future is that of a clock ahead of this one, and counts as now.
+func pastTime(now time.Time, millis int64) time.Time {
+	return now.Add(-max(0, now.Sub(time.UnixMilli(millis))))
+}
+
 // A CrashLog keeps the crashes of endpoints that ran a request beyond the end of all
 // instances.
 type CrashLog interface {
--- a/ingress/probe.go
+++ b/ingress/probe.go
@@ -65,7 +65,7 @@
 			edited = append(edited, crashes)
 			continue
 		}
-		if now.Sub(savedTime(now, crashes.ProbedAtMillis)) < probeInterval {
+		if now.Sub(crashes.ProbedAt(now)) < probeInterval {
 			return nil, false
 		}
 		q.applySaved(now, crashes)
--- a/ingress/quarantinekeeper.go
+++ b/ingress/quarantinekeeper.go
@@ -31,9 +31,9 @@
 }
 
 // A QuarantineKeeper saves the crashes of a Quarantine in a crash log, and applies those
-// of the log at each start but the system's first, so that a quarantine outlives all instances. Until the log was
-// read once, requests are forwarded as if it had no crashes: a store that is away must
-// not keep an instance from serving.
+// of the log at each start but the system's first, so that a quarantine outlives all
+// instances. Until the log was read once, requests are forwarded as if it had no crashes:
+// a store that is away must not keep an instance from serving.
 type QuarantineKeeper struct {
 	config QuarantineKeeperConfig
 }
--- a/ingress/savedcrashes.go
+++ b/ingress/savedcrashes.go
@@ -51,7 +51,7 @@
 	known := make(map[savorystep.Fingerprint]bool, len(saved))
 	var edited []savorystep.RequestCrashes
 	for _, crashes := range saved {
-		if known[crashes.Fingerprint] || isSavedExpired(now, crashes) {
+		if known[crashes.Fingerprint] || crashes.IsExpired(now, quarantineDuration) {
 			continue
 		}
 		known[crashes.Fingerprint] = true
@@ -81,7 +81,7 @@
 
 // applySaved applies crashes that the log has. The caller must hold q.mu.
 func (q *Quarantine) applySaved(now time.Time, crashes savorystep.RequestCrashes) {
-	lastCrash := savedTime(now, crashes.LastCrashMillis)
+	lastCrash := crashes.LastCrash(now)
 	if clearedAt, ok := q.clearedAt[crashes.Fingerprint]; ok && !lastCrash.After(clearedAt) {
 		return
 	}
@@ -98,7 +98,7 @@
 		record.lastCrash = lastCrash
 	}
 	record.wasAnswered = record.wasAnswered || crashes.WasAnswered
-	if probedAt := savedTime(now, crashes.ProbedAtMillis); probedAt.After(record.probedAt) {
+	if probedAt := crashes.ProbedAt(now); probedAt.After(record.probedAt) {
 		record.probedAt = probedAt
 	}
 	if record.request == "" {
@@ -126,17 +126,6 @@
 	}
 }
 
-// savedTime returns a saved time by this instance's clock. A time in the future is that of
-// a clock ahead of this one.
-func savedTime(now time.Time, millis int64) time.Time {
-	return now.Add(-max(0, now.Sub(time.UnixMilli(millis))))
-}
-
-// isSavedExpired reports whether saved crashes no longer count.
-func isSavedExpired(now time.Time, crashes savorystep.RequestCrashes) bool {
-	return now.Sub(savedTime(now, crashes.LastCrashMillis)) >= quarantineDuration
-}
-
 // toSaved returns the record as the crash log keeps it.
 func (r *crashRecord) toSaved(key savorystep.Fingerprint) savorystep.RequestCrashes {
 	saved := savorystep.RequestCrashes{
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -79,7 +79,7 @@
 	}
 	if body.Cleared {
 		q.crashes.clear(key)
-		q.unsaved.mark(key)
+		q.unsaved.mark(key) // The keeper removes it from the crash log.
 		return
 	}
 	q.crashes.addFromPeer(key, body.Endpoints, fact.ReceivedAt)
@@ -200,7 +200,7 @@
 	if !q.crashes.clearBefore(key, a.lastAttemptStart()) {
 		return
 	}
-	q.unsaved.mark(key)
+	q.unsaved.mark(key) // The keeper removes it from the crash log.
 	q.config.Facts.Publish(savorystep.FactCrash, key.String(), savorystep.CrashFact{Cleared: true})
 	log.Infof("request with fingerprint %s got a response, its recorded crashes are cleared", key.String())
 }
--- a/upstream/savedcrashes.go
+++ b/upstream/savedcrashes.go
@@ -28,11 +28,11 @@
 	}
 	cleared := q.unsaved.list()
 	for _, crashes := range saved {
-		if _, isChanged := cleared[crashes.Fingerprint]; isChanged || isSavedExpired(now, crashes) {
+		if _, isChanged := cleared[crashes.Fingerprint]; isChanged || crashes.IsExpired(now, crashTTL) {
 			continue
 		}
 		log.Warningf("fingerprint %s is quarantined according to the crash log: endpoints %v", crashes.Fingerprint, crashes.Endpoints)
-		q.crashes.addFromPeer(crashes.Fingerprint, crashes.Endpoints, savedTime(now, crashes))
+		q.crashes.addFromPeer(crashes.Fingerprint, crashes.Endpoints, crashes.LastCrash(now))
 	}
 }
 
@@ -43,7 +43,7 @@
 	known := make(map[savorystep.Fingerprint]bool, len(saved))
 	var edited []savorystep.RequestCrashes
 	for _, crashes := range saved {
-		if known[crashes.Fingerprint] || isSavedExpired(now, crashes) {
+		if known[crashes.Fingerprint] || crashes.IsExpired(now, crashTTL) {
 			continue
 		}
 		known[crashes.Fingerprint] = true
@@ -68,17 +68,3 @@
 	}
 	return edited, isChanged
 }
-
-// savedTime returns the time of saved crashes by this instance's clock. A time in the
-// future is that of a clock ahead of this one.
-func savedTime(now time.Time, crashes savorystep.RequestCrashes) time.Time {
-	if at := time.UnixMilli(crashes.LastCrashMillis); at.Before(now) {
-		return at
-	}
-	return now
-}
-
-// isSavedExpired reports whether saved crashes no longer count.
-func isSavedExpired(now time.Time, crashes savorystep.RequestCrashes) bool {
-	return now.Sub(savedTime(now, crashes)) > crashTTL
-}
