Acknowledge a broadcast only once the subscribers know the fact

Callers saw: a request that crashes the endpoints that run it could reach a third one in 'serve', although the entry that saw the second crash had waited until all others acknowledged it.

Cause: an instance acknowledged a broadcast when it had merged the frame into its store. Its subscribers, such as the quarantine, get the fact from a queue, by another goroutine. On a busy machine an entry accepted and sent the request before that goroutine ran.

Change: acknowledgements go through the queue of the subscribers, behind the facts that came before them, also those that another peer sent first. No subscriber waits for a broadcast.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -45,7 +45,7 @@
 	localStatus           savorystep.StatusFact
 	statusPublishedAt     time.Time
 	subscribers           map[savorystep.FactKind][]func(savorystep.ReceivedFact)
-	notifications         []savorystep.ReceivedFact
+	notifications         []notification
 	ackWaiters            map[uint64]*ackWaiter
 	pendingChangeRequests map[uint64]chan []savorystep.Change
 	lastRequestID         uint64
--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -44,6 +45,29 @@
 	}
 }
 
+// TestBroadcastAwaitsSubscribers guards against a peer that acknowledges a fact before its
+// subscribers know it: what waits for the acknowledgement, such as a retry after a crash,
+// would find the peer acting as if there were no fact.
+func TestBroadcastAwaitsSubscribers(t *testing.T) {
+	f := newFleet(t, 2, func(c *peer.Config) { c.Fanout = 1 })
+	f.waitForFullMembership(t)
+	eventually(t, "the nodes are connected", func() bool {
+		acked, _ := f.nodes[0].Broadcast(t.Context(), savorystep.FactDraining, "endpoint-1", struct{}{})
+		return acked == 1
+	})
+	var isKnown atomic.Bool
+	f.nodes[1].Subscribe(savorystep.FactCrash, func(savorystep.ReceivedFact) {
+		time.Sleep(100 * time.Millisecond)
+		isKnown.Store(true)
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	acked, unacked := f.nodes[0].Broadcast(ctx, savorystep.FactCrash, "00ff", savorystep.CrashFact{Endpoints: []savorystep.EndpointID{"a"}})
+	if acked != 1 || unacked != 0 || !isKnown.Load() {
+		t.Errorf("Broadcast: %d acked and %d unacked, want 1 and 0; subscriber knows the fact: %v, want true", acked, unacked, isKnown.Load())
+	}
+}
+
 // TestExchangeUnknownKind guards against facts of a newer build that end a connection
 // to an older one or keep other facts from its peers.
 func TestExchangeUnknownKind(t *testing.T) {
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -165,41 +165,6 @@
 	e.subscribers[kind] = append(e.subscribers[kind], f)
 }
 
-// notify queues a fact for the subscribers.
-func (e *Exchange) notify(fact savorystep.ReceivedFact) {
-	if len(e.subscribers[fact.Kind]) == 0 {
-		return
-	}
-	e.notifications = append(e.notifications, fact)
-	select {
-	case e.notificationSignal <- struct{}{}:
-	default:
-	}
-}
-
-// runNotifications calls the subscribers with the queued facts.
-func (e *Exchange) runNotifications(ctx context.Context) error {
-	for {
-		select {
-		case <-e.notificationSignal:
-		case <-ctx.Done():
-			return nil
-		}
-		e.mu.Lock()
-		notifications := e.notifications
-		e.notifications = nil
-		e.mu.Unlock()
-		for _, fact := range notifications {
-			e.mu.Lock()
-			subscribers := e.subscribers[fact.Kind]
-			e.mu.Unlock()
-			for _, f := range subscribers {
-				f(fact)
-			}
-		}
-	}
-}
-
 // disseminate queues a new fact for peers. A local fact is queued on all links
 // of a full mesh or twice the forward count of them; a fact received from a
 // link is forwarded on some of the others.
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -33,8 +33,7 @@
 		e.mergeRevisions(l, f.Facts)
 		e.reconcile(l, f.Facts)
 		if f.Facts.AckID != 0 {
-			l.controlFrames = append(l.controlFrames, frame{Ack: &ackFrame{AckID: f.Facts.AckID}})
-			l.wakeWriter()
+			e.acknowledge(l, f.Facts.AckID)
 		}
 	case f.Ack != nil:
 		e.handleAck(l, f.Ack.AckID)
