Let TestExchangeReplacesFailedConnection wait for a connection to fail

Cause: two instances that start together connect to each other at once and replace one connection by the other. The test looked for the connection once, and in that moment there may be none.

Change: it looks until there is one. What it checks after that is unchanged.

--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -165,9 +165,9 @@
 	f := newFleet(t, 2, func(c *peer.Config) { c.Fanout = 1 })
 	f.waitForFullMembership(t)
 	a, b := f.nodes[0], f.nodes[1]
-	if f.network.silence(a.Self().PeerAddress, b.Self().PeerAddress) == 0 {
-		t.Fatal("no connection to silence between the nodes")
-	}
+	eventually(t, "connection to silence between the nodes", func() bool {
+		return f.network.silence(a.Self().PeerAddress, b.Self().PeerAddress) > 0
+	})
 	a.Publish(savorystep.FactDraining, "endpoint-1", nil)
 	eventually(t, "fact received over a new connection", func() bool {
 		return len(b.Facts(savorystep.FactDraining)) == 1
