Take a peer for a publisher also by facts that are known already

Callers saw: in a fleet of 'serve' too large for a full mesh, an entry whose connection to a broker was replaced no longer learnt how many requests the other entries had in flight at the endpoints of its group, until its own count there changed. Its limits went by old counts.

Cause: a broker sends a group's counts on the links whose peer publishes to the group, and knew that from the first new fact that came on the link. On a link that replaces another one the publisher sends its facts again, but the broker has them already, so nothing marked the new link.

Change: a publisher's own facts mark the link also if they are known.

--- a/peer/exchange_test.go
+++ b/peer/exchange_test.go
@@ -262,6 +262,45 @@
 	}
 }
 
+// TestScopedFactsAfterReplacedConnections guards against a publisher that no longer gets
+// the scoped facts of the others once its connections were replaced: the brokers know its
+// own facts already, and must still take it for a publisher.
+func TestScopedFactsAfterReplacedConnections(t *testing.T) {
+	f := newFleet(t, 16, func(c *peer.Config) {
+		c.MaxConnections = 12
+		c.SubjectGroup = groupOf
+	})
+	f.waitForFullMembership(t)
+	const subject = "service/endpoint-1"
+	publishers := f.nodes[2:6]
+	for _, n := range publishers {
+		n.Publish(savorystep.FactInFlight, subject, savorystep.InFlightFact{Count: 1})
+	}
+	knowAll := func() bool {
+		return !slices.ContainsFunc(publishers, func(n *node) bool { return len(n.Facts(savorystep.FactInFlight)) != len(publishers) })
+	}
+	eventually(t, "counts known to all publishers", knowAll)
+	cut, changed := publishers[0], publishers[1]
+	for _, n := range f.nodes {
+		f.network.silence(cut.Self().PeerAddress, n.Self().PeerAddress)
+	}
+	changed.Publish(savorystep.FactInFlight, subject, savorystep.InFlightFact{Count: 2})
+	published := sequenceOf(changed, changed.Self().ID)
+	eventually(t, "changed count known to the publisher with new connections", func() bool {
+		return sequenceOf(cut, changed.Self().ID) == published
+	})
+}
+
+// sequenceOf returns the sequence of the count that a node has of an instance.
+func sequenceOf(n *node, id savorystep.InstanceID) uint64 {
+	for _, fact := range n.Facts(savorystep.FactInFlight) {
+		if fact.Instance == id {
+			return fact.Sequence
+		}
+	}
+	return 0
+}
+
 // TestMaxConnections guards against more connections than the limit, and
 // against an instance that considers a peer lost because it refused a
 // connection.
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -240,6 +240,9 @@
 		entry := e.store.merge(now, fact, now.Add(-time.Duration(wireFacts[i].AgeSeconds)*time.Second))
 		if entry == nil {
 			e.stats.DuplicateFacts++
+			if isScoped(key.kind) && e.store.get(key) != nil {
+				e.markPublisher(from, key)
+			}
 			continue
 		}
 		e.stats.NewFacts++
--- a/peer/scope.go
+++ b/peer/scope.go
@@ -74,12 +74,7 @@
 		}
 		return
 	}
-	if entry.key.instance == from.peer.ID && !from.peerGroups[name] {
-		from.peerGroups[name] = true
-		if !e.isFullMesh() {
-			e.enqueueGroup(from, name, false)
-		}
-	}
+	e.markPublisher(from, entry.key)
 	if g.isFirstBroker && !e.isFullMesh() {
 		for _, l := range e.links {
 			if l != from && l.peerGroups[name] && l.peer.ID != entry.key.instance {
@@ -89,6 +84,20 @@
 	}
 }
 
+// markPublisher records that the peer of a link publishes to the group of a scoped fact
+// if the fact is its own, and queues the group's facts for it. The fact may be known
+// already, from another peer or from a link that this one replaced.
+func (e *Exchange) markPublisher(from *link, key factKey) {
+	name, _ := e.groupOf(key)
+	if key.instance != from.peer.ID || from.peerGroups[name] {
+		return
+	}
+	from.peerGroups[name] = true
+	if !e.isFullMesh() {
+		e.enqueueGroup(from, name, false)
+	}
+}
+
 // enqueueGroup queues the facts of a group on a link: the local ones, or all
 // but the peer's.
 func (e *Exchange) enqueueGroup(l *link, name string, localOnly bool) {
