Bound measured latencies so that the estimate fits a duration

The script finishes attempts that were never chosen, whose latency counts from the zero time: 292 years. The expected latency then exceeds what a time.Duration holds, and the conversion from float64 gives the greatest value on arm64 but the least one on x86-64. No attempt of the proxy has such a start, so callers saw nothing of it. A measurement counts as a minute at most now.

--- a/endpoint/latencyestimate.go
+++ b/endpoint/latencyestimate.go
@@ -14,6 +14,10 @@
 	// they do not have cached.
 	initialCached   = 200 * time.Millisecond
 	initialUncached = 600 * time.Millisecond
+	// maxMeasuredLatency bounds a measurement. No caller waits for so long, and products
+	// of the estimates still fit a time.Duration, whose overflow differs between
+	// processors.
+	maxMeasuredLatency = time.Minute
 )
 
 // A latencyEstimate estimates how long the endpoints of a service take for a
@@ -32,6 +36,7 @@
 // record adds a measurement.
 func (l *latencyEstimate) record(cached bool, latency time.Duration) {
 	l.isMeasured = true
+	latency = min(latency, maxMeasuredLatency)
 	estimate := &l.uncached
 	if cached {
 		estimate = &l.cached
