Log what an instance knew of an endpoint's restart and sent before

The log could not tell whether an instance that floods a restarted endpoint had seen it end (H1), had not heard of it (H2) or had counted its requests anew (H3): lines of successful requests are limited to 2 a second, and nothing was said when the list named a new incarnation. Each restart that is listed is logged now with the time for which it was suspected and the requests of the last 1.3 s, as warm and as cold, and counted by three metrics. No decision has changed.

--- a/cmd/gatewaymetrics.go
+++ b/cmd/gatewaymetrics.go
@@ -40,6 +40,9 @@
 	}{
 		{name: "savorystep_gateway_connections_total", help: "Connections opened to endpoints.", value: func() float64 { return float64(g.pool.OpenedConnections()) }},
 		{name: "savorystep_gateway_store_calls_total", help: "Calls to the platform's store.", value: func() float64 { return float64(g.client.CallCount()) }},
+		{name: "savorystep_gateway_endpoint_restarts_total", help: "Restarts of endpoints under their id that the endpoint list told.", value: func() float64 { return float64(g.router.RestartTotals().Restarts) }},
+		{name: "savorystep_gateway_suspected_restarts_total", help: "Those of the restarts that were suspected before they were listed.", value: func() float64 { return float64(g.router.RestartTotals().Suspected) }},
+		{name: "savorystep_gateway_warm_requests_before_restart_total", help: "Requests of this instance to endpoints that counted as warm, in the 1.3 s before their restart was listed.", value: func() float64 { return float64(g.router.RestartTotals().SentWarm) }},
 		{name: "savorystep_gateway_lines_left_out_total", help: "Log lines dropped because standard output was read too slowly.", value: func() float64 { return float64(g.logWriter.DroppedLines()) }},
 	}
 	for _, counter := range counters {
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -24,9 +24,7 @@
 		choice.IsRateLimited, choice.RateLimit = true, s.rateLimiter.statement.Rate
 		choice.RecentRequests = s.rateLimiter.requests.sum(now)
 	}
-	if t.isCold(now, s) {
-		s.coldRequestTimes = append(s.coldRequestTimes, now)
-	}
+	s.recent.add(now, t.isCold(now, s))
 	return choice, true
 }
 
--- a/endpoint/coldlimit.go
+++ b/endpoint/coldlimit.go
@@ -1,9 +1,6 @@
 package endpoint
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 const (
 	// coldWindow is the window in which an instance counts its requests to a cold
@@ -19,8 +16,8 @@
 // endpoint now. The limit applies to all instances together, so each uses its own
 // share of it.
 func (t *Table) hasColdRoom(now time.Time, s *endpointState) bool {
-	s.coldRequestTimes = slices.DeleteFunc(s.coldRequestTimes, func(at time.Time) bool { return now.Sub(at) >= coldWindow })
-	return len(s.coldRequestTimes) < t.coldShare(now, s)
+	_, sent := s.recent.count(now)
+	return sent < t.coldShare(now, s)
 }
 
 // coldShare returns the number of requests that this instance may send to a cold
@@ -33,11 +30,12 @@
 // coldRoomAt returns when a cold endpoint without room has room again or is no longer
 // cold, whichever is earlier.
 func (t *Table) coldRoomAt(now time.Time, s *endpointState) time.Time {
-	warmAt, share, recent := t.coldUntil(now, s), t.coldShare(now, s), len(s.coldRequestTimes)
-	if share == 0 || recent < share {
+	warmAt, share := t.coldUntil(now, s), t.coldShare(now, s)
+	sentTimes := s.recent.coldTimes(now)
+	if share == 0 || len(sentTimes) < share {
 		return warmAt
 	}
-	roomAt := s.coldRequestTimes[recent-share].Add(coldWindow)
+	roomAt := sentTimes[len(sentTimes)-share].Add(coldWindow)
 	if roomAt.After(warmAt) {
 		return warmAt
 	}
--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -43,6 +43,8 @@
 	// suspectSequence arrives.
 	suspectUntil    time.Time
 	suspectSequence uint64
+	// suspectSince is when that suspicion began.
+	suspectSince time.Time
 	// shedsInRow and failuresInRow count outcomes since the last success.
 	shedsInRow, failuresInRow int
 	backoffUntil              time.Time
@@ -54,8 +56,7 @@
 	cached      cachedObjects
 	slowness    slowness
 	rateLimiter rateLimiter
-	// coldRequestTimes are the times of recent requests while it was cold.
-	coldRequestTimes []time.Time
+	recent      recentRequests
 }
 
 // isNewerReport reports whether an entry has a newer report than the known one.
@@ -85,19 +86,35 @@
 // suspectCold makes the endpoint count as cold until the second report from now
 // on. The next report may have been sent before.
 func (s *endpointState) suspectCold(now time.Time) {
+	if !s.isSuspect(now) {
+		s.suspectSince = now
+	}
 	s.suspectUntil, s.suspectSequence = now.Add(coldSuspicionTimeout), s.ReportSequence+1
 }
 
+// isSuspect reports whether the endpoint is suspected to be cold.
+func (s *endpointState) isSuspect(now time.Time) bool {
+	return now.Before(s.suspectUntil) && s.ReportSequence <= s.suspectSequence
+}
+
+// suspicionStart returns when the suspicion began that the endpoint is cold, zero if it is
+// not suspected.
+func (s *endpointState) suspicionStart(now time.Time) time.Time {
+	if !s.isSuspect(now) {
+		return time.Time{}
+	}
+	return s.suspectSince
+}
+
 // isCold reports whether the endpoint is or may be cold.
 func (s *endpointState) isCold(now time.Time) bool {
-	return now.Before(s.warmAt) || (now.Before(s.suspectUntil) && s.ReportSequence <= s.suspectSequence)
+	return now.Before(s.warmAt) || s.isSuspect(now)
 }
 
 // coldUntil returns when a cold endpoint no longer counts as cold, unless it reports
 // something else before.
 func (s *endpointState) coldUntil(now time.Time) time.Time {
-	isSuspect := now.Before(s.suspectUntil) && s.ReportSequence <= s.suspectSequence
-	if isSuspect && s.suspectUntil.After(s.warmAt) {
+	if s.isSuspect(now) && s.suspectUntil.After(s.warmAt) {
 		return s.suspectUntil
 	}
 	return s.warmAt
--- /dev/null
+++ b/endpoint/recentrequests.go
@@ -0,0 +1,58 @@
+package endpoint
+
+import (
+	"slices"
+	"time"
+)
+
+// A recentRequest is a request of this instance to an endpoint.
+type recentRequest struct {
+	sentAt time.Time
+	// wasCold is true if the endpoint counted as cold.
+	wasCold bool
+}
+
+// recentRequests are the requests of this instance to an endpoint in the last
+// coldWindow, the oldest first.
+type recentRequests []recentRequest
+
+// add adds a request that is sent now.
+func (r *recentRequests) add(now time.Time, isCold bool) {
+	r.evict(now)
+	*r = append(*r, recentRequest{sentAt: now, wasCold: isCold})
+}
+
+// evict drops the requests before the last coldWindow.
+func (r *recentRequests) evict(now time.Time) {
+	first := 0
+	for first < len(*r) && now.Sub((*r)[first].sentAt) >= coldWindow {
+		first++
+	}
+	*r = slices.Delete(*r, 0, first)
+}
+
+// count returns the numbers of requests for which the endpoint counted as warm and as
+// cold.
+func (r *recentRequests) count(now time.Time) (warm, cold int) {
+	r.evict(now)
+	for _, request := range *r {
+		if request.wasCold {
+			cold++
+		} else {
+			warm++
+		}
+	}
+	return warm, cold
+}
+
+// coldTimes returns when the requests were sent for which the endpoint counted as cold.
+func (r *recentRequests) coldTimes(now time.Time) []time.Time {
+	r.evict(now)
+	var times []time.Time
+	for _, request := range *r {
+		if request.wasCold {
+			times = append(times, request.sentAt)
+		}
+	}
+	return times
+}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -33,6 +33,9 @@
 	// instance.
 	startedAt  time.Time
 	standstill standstill
+	// restarts are those that were not taken yet.
+	restarts      []Restart
+	restartTotals RestartTotals
 }
 
 // NewTable returns a table without endpoints.
@@ -67,29 +70,22 @@
 // report has overwritten the known entry, the endpoint is removed; an older report in
 // a restored store is that of the copy and changes nothing.
 func (t *Table) Put(now time.Time, entry savorystep.Endpoint) bool {
-	known := t.byID[entry.ID]
-	if known != nil {
-		if entry.WrittenVersion != 0 && entry.WrittenVersion <= known.WrittenVersion {
-			return false
-		}
-		if !known.isNewerReport(entry) {
-			t.putOldReport(now, known, entry)
-			return false
-		}
-		if known.Service == entry.Service {
-			known.update(now, entry)
-			t.updateLeaving(now, known)
-			return true
+	if known := t.byID[entry.ID]; known != nil {
+		if isDone, isUpdated := t.update(now, known, entry); isDone {
+			return isUpdated
 		}
 		t.Remove(now, entry.ID)
 	}
 	if t.startedAt.IsZero() {
 		t.startedAt = now
 	}
-	limiter, hold := t.rateLimiterOf(entry), t.holdOffOf(entry)
+	limiter, hold, tomb := t.rateLimiterOf(entry), t.holdOffOf(entry), t.tombstones[entry.ID]
 	if t.isStale(now, entry) {
 		return false
 	}
+	if tomb != nil && tomb.startedAtMillis != entry.StartedAtMillis {
+		t.recordRestart(now, entry, tomb.startedAtMillis, tomb.suspectSince, &tomb.recent)
+	}
 	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, holdOff: hold}
 	t.updateLeaving(now, s)
 	t.byID[entry.ID] = s
@@ -97,6 +93,26 @@
 	return true
 }
 
+// update updates a known endpoint if an entry is newer, and reports whether it did. It
+// returns false, false if the entry is that of another service, which is to be added anew.
+func (t *Table) update(now time.Time, known *endpointState, entry savorystep.Endpoint) (isDone, isUpdated bool) {
+	switch {
+	case entry.WrittenVersion != 0 && entry.WrittenVersion <= known.WrittenVersion:
+		return true, false
+	case !known.isNewerReport(entry):
+		t.putOldReport(now, known, entry)
+		return true, false
+	case known.Service != entry.Service:
+		return false, false
+	}
+	if entry.StartedAtMillis != known.StartedAtMillis {
+		t.recordRestart(now, entry, known.StartedAtMillis, known.suspicionStart(now), &known.recent)
+	}
+	known.update(now, entry)
+	t.updateLeaving(now, known)
+	return true, true
+}
+
 // putOldReport handles an entry with a report that is not newer than that of the known
 // entry. In a restored store it is the entry of the copy and changes nothing.
 // Otherwise the entry was written later, but by an older report: it may have been
@@ -137,7 +153,7 @@
 	}
 	delete(t.byID, id)
 	t.evictTombstones(now)
-	t.tombstones[id] = &tombstone{startedAtMillis: s.StartedAtMillis, reportSequence: s.ReportSequence, removedAt: now, rateLimiter: s.rateLimiter, holdOff: s.holdOff}
+	t.tombstones[id] = &tombstone{startedAtMillis: s.StartedAtMillis, reportSequence: s.ReportSequence, removedAt: now, rateLimiter: s.rateLimiter, holdOff: s.holdOff, recent: s.recent, suspectSince: s.suspicionStart(now)}
 	t.byService[s.Service] = slices.DeleteFunc(t.byService[s.Service], func(other *endpointState) bool { return other == s })
 	return true
 }
--- a/endpoint/tombstone.go
+++ b/endpoint/tombstone.go
@@ -36,6 +36,10 @@
 	// and be added again while what the endpoint stated stands.
 	rateLimiter rateLimiter
 	holdOff     holdOff
+	// recent are the requests before the removal, suspectSince is when the endpoint
+	// began to be suspected to be cold, zero if it was not.
+	recent       recentRequests
+	suspectSince time.Time
 }
 
 // recordRewrite records that the entry was written again by a report that is not
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -185,6 +185,13 @@
 	return r.table.IsStopping(e)
 }
 
+// RestartTotals returns sums over the restarts of endpoints that were listed.
+func (r *Router) RestartTotals() endpoint.RestartTotals {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.table.RestartTotals()
+}
+
 // CountLeaving returns the number of endpoints that have said that they leave.
 func (r *Router) CountLeaving() int {
 	r.mu.Lock()
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -249,6 +249,7 @@
 		}
 		w.removeExpired(now, t)
 		t.PutPending(now)
+		logRestarts(t.TakeRestarts())
 	})
 	w.config.Router.hasEndpoints.Store(true)
 }
