Reproduce the flood of restarted endpoints in the model

The model could not show it: an endpoint that went down left the endpoint list at once and came back in it with the same read, requests that it ran ended only when their work did, and requests that were sent before all instances had read that it is cold did not count where endpoints became cold without a restart. The new event 'crash' ends endpoints without notice: their requests break off at once, their entries stay for three report intervals, and requests count from the restart on. EventDown is unchanged.

--- a/simulation/endpoint.go
+++ b/simulation/endpoint.go
@@ -1,7 +1,10 @@
 package simulation
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"savorystep"
@@ -25,14 +28,17 @@
 	wastedWork time.Duration
 
 	// sheds counts the requests that found the queue full.
-	sheds   int
-	running int
+	sheds int
+	// running holds the attempts that occupy a slot.
+	running map[*attempt]bool
 	queue   []*attempt
 	// cached holds the keys of the cached objects, the least recently used first.
 	cached []uint64
 	// slowFactor multiplies the work of requests, 1 normally.
 	slowFactor float64
 	isDown     bool
+	// entryUntil is until when it stays in the endpoint list although it is down.
+	entryUntil time.Duration
 	warmAt     time.Duration
 	// coldKnownAt is when all instances have read that it is cold.
 	coldKnownAt time.Duration
@@ -69,7 +75,7 @@
 
 // load returns the load that the endpoint reports.
 func (e *simulatedEndpoint) load() endpoint.Load {
-	return endpoint.Load{Running: e.running, Queued: len(e.queue), Slots: int(e.Slots)}
+	return endpoint.Load{Running: len(e.running), Queued: len(e.queue), Slots: int(e.Slots)}
 }
 
 // stateRateLimit returns what the response with an outcome says about the rate limit.
@@ -115,7 +121,7 @@
 	case e.retryAfter > 0:
 		e.notices.addClosing(now, a.from, e.retryAfter)
 		a.finish(endpoint.OutcomeShed, e.load())
-	case e.running < int(e.Slots):
+	case len(e.running) < int(e.Slots):
 		e.run(a)
 	case float64(len(e.queue)) < e.scenario.QueuePerSlot*float64(e.Slots):
 		e.queue = append(e.queue, a)
@@ -142,7 +148,7 @@
 
 // run runs a request in a free slot.
 func (e *simulatedEndpoint) run(a *attempt) {
-	e.running++
+	e.running[a] = true
 	work := e.work(a.key)
 	outcome := endpoint.OutcomeAnswered
 	if left := a.deadline - e.scheduler.now; work > left {
@@ -153,7 +159,10 @@
 		outcome = endpoint.OutcomeFailed
 	}
 	e.scheduler.after(work, func() {
-		e.running--
+		if !e.running[a] {
+			return
+		}
+		delete(e.running, a)
 		if e.isDown {
 			outcome = endpoint.OutcomeBrokenResponse
 		}
@@ -166,7 +175,7 @@
 // runQueued runs queued requests in free slots. It drops those whose deadline has
 // passed.
 func (e *simulatedEndpoint) runQueued() {
-	for len(e.queue) > 0 && e.running < int(e.Slots) {
+	for len(e.queue) > 0 && len(e.running) < int(e.Slots) {
 		a := e.queue[0]
 		e.queue = e.queue[1:]
 		if e.scheduler.now >= a.deadline {
@@ -215,3 +224,23 @@
 		a.finish(endpoint.OutcomeBrokenResponse, endpoint.Load{})
 	}
 }
+
+// entryTTL is how long the endpoint list keeps the entry of an endpoint that reports no
+// more: three report intervals of 1.5 s.
+const entryTTL = 4500 * time.Millisecond
+
+// crash ends the endpoint without notice.
+func (e *simulatedEndpoint) crash() {
+	e.goDown()
+	e.entryUntil = e.scheduler.now + entryTTL
+	broken := slices.SortedFunc(maps.Keys(e.running), func(a, b *attempt) int { return cmp.Compare(a.sentAt, b.sentAt) })
+	clear(e.running)
+	for _, a := range broken {
+		a.finish(endpoint.OutcomeBrokenResponse, endpoint.Load{})
+	}
+}
+
+// isListed reports whether the endpoint list has an entry of it.
+func (e *simulatedEndpoint) isListed() bool {
+	return !e.isUnlisted && (!e.isDown || e.scheduler.now < e.entryUntil)
+}
--- a/simulation/event.go
+++ b/simulation/event.go
@@ -21,6 +21,10 @@
 	// EventClose makes endpoints reject requests for its duration and state for how long
 	// they want none: Factor seconds, to each instance.
 	EventClose EventKind = "close"
+	// EventCrash ends endpoints without notice: the requests that they run break off at
+	// once, and the endpoint list keeps their entries for entryTTL. They start again under
+	// their ids, cold.
+	EventCrash EventKind = "crash"
 	// EventDown stops endpoints, which are cold when they start again.
 	EventDown EventKind = "down"
 	// EventDrain makes endpoints leave. They stop for good when it ends.
@@ -53,7 +57,7 @@
 // EventKinds returns all kinds of events.
 func EventKinds() []EventKind {
 	return []EventKind{
-		EventBurst, EventClose, EventCold, EventPartition, EventDown, EventDrain, EventFail, EventFreeze, EventLeave, EventOutage, EventRateLimit, EventRestart, EventSlow, EventStop, EventUnlist,
+		EventBurst, EventClose, EventCold, EventCrash, EventPartition, EventDown, EventDrain, EventFail, EventFreeze, EventLeave, EventOutage, EventRateLimit, EventRestart, EventSlow, EventStop, EventUnlist,
 	}
 }
 
@@ -131,6 +135,8 @@
 	switch event.Kind {
 	case EventCold:
 		e.becomeCold(listPeriod)
+	case EventCrash:
+		e.crash()
 	case EventDown:
 		e.goDown()
 	case EventDrain:
@@ -179,8 +185,9 @@
 // endEndpointEvent ends an event for an endpoint that it affects.
 func (f *fleet) endEndpointEvent(kind EventKind, e *simulatedEndpoint) {
 	switch kind {
-	case EventDown:
+	case EventCrash, EventDown:
 		e.isDown = false
+		e.entryUntil = 0
 		e.StartedAtMillis++
 		e.ReportSequence = 0
 		e.becomeCold(0)
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -73,7 +73,7 @@
 				ID: savorystep.EndpointID(fmt.Sprint("endpoint-", i)), Service: service, Place: place(region),
 				State: savorystep.StateLive, Slots: f.scenario.Slots, Address: savorystep.Address(fmt.Sprint("address-", i)), StartedAtMillis: 1,
 			},
-			region: region, scenario: &f.scenario, scheduler: &f.scheduler, random: f.random, slowFactor: 1,
+			region: region, scenario: &f.scenario, scheduler: &f.scheduler, random: f.random, slowFactor: 1, running: make(map[*attempt]bool),
 		})
 	}
 	for i := range f.scenario.Instances {
@@ -115,10 +115,12 @@
 func (f *fleet) listEndpoints() []savorystep.Endpoint {
 	list := make([]savorystep.Endpoint, 0, len(f.endpoints))
 	for _, e := range f.endpoints {
-		if e.isDown || e.isUnlisted {
+		if !e.isListed() {
 			continue
 		}
-		e.ReportSequence++
+		if !e.isDown {
+			e.ReportSequence++
+		}
 		entry := e.Endpoint
 		entry.ColdRemaining = max(0, e.warmAt-f.scheduler.now)
 		list = append(list, entry)
--- /dev/null
+++ b/simulation/restart_test.go
@@ -0,0 +1,74 @@
+package simulation_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"savorystep/simulation"
+)
+
+// crashOf returns an event by which a share of the endpoints end without notice and
+// start again under their ids.
+func crashOf(start, duration time.Duration, share float64) simulation.Event {
+	return simulation.Event{Kind: simulation.EventCrash, Start: start, Duration: duration, Share: share}
+}
+
+// restartCases are series of events under which endpoints that start again under their
+// ids must get no more requests than they bear while they are cold.
+var restartCases = []struct {
+	name   string
+	events []simulation.Event
+}{
+	{name: "restarted within a second", events: []simulation.Event{
+		{Kind: simulation.EventBurst, Start: 5 * time.Second, Duration: 12 * time.Second, Factor: 2},
+		crashOf(6*time.Second, 600*time.Millisecond, 0.3), crashOf(11*time.Second, 1200*time.Millisecond, 0.3),
+	}},
+	{name: "down for four seconds", events: []simulation.Event{
+		{Kind: simulation.EventBurst, Start: 5 * time.Second, Duration: 12 * time.Second, Factor: 2},
+		crashOf(6*time.Second, 4*time.Second, 0.3),
+	}},
+	{name: "down until the entry has expired", events: []simulation.Event{
+		{Kind: simulation.EventBurst, Start: 5 * time.Second, Duration: 12 * time.Second, Factor: 2},
+		crashOf(6*time.Second, 5*time.Second, 0.5),
+	}},
+	{name: "restarted while the list is away", events: []simulation.Event{
+		crashOf(6*time.Second, 1200*time.Millisecond, 0.4),
+		{Kind: simulation.EventOutage, Start: 6500 * time.Millisecond, Duration: 8 * time.Second, Share: 1},
+		{Kind: simulation.EventBurst, Start: 7 * time.Second, Duration: 6 * time.Second, Factor: 2},
+	}},
+	{name: "down for four seconds while the list is away", events: []simulation.Event{
+		{Kind: simulation.EventOutage, Start: 5 * time.Second, Duration: 12 * time.Second, Share: 1},
+		crashOf(6*time.Second, 4*time.Second, 0.4),
+		{Kind: simulation.EventBurst, Start: 9 * time.Second, Duration: 7 * time.Second, Factor: 2},
+	}},
+	{name: "restarted while half of the instances are without the list", events: []simulation.Event{
+		{Kind: simulation.EventOutage, Start: 5 * time.Second, Duration: 10 * time.Second, Share: 0.5},
+		crashOf(6*time.Second, 1200*time.Millisecond, 0.4),
+		{Kind: simulation.EventBurst, Start: 6 * time.Second, Duration: 8 * time.Second, Factor: 2},
+	}},
+}
+
+// restartFleetSizes are the numbers of instances that send to restarted endpoints.
+var restartFleetSizes = []int{1, 8, 12, 83}
+
+// TestRestartedEndpointsAreCold guards against instances that take an endpoint for warm
+// which has started again under its id, because the endpoint list has not told them, and
+// together send it more requests in a second than it bears.
+func TestRestartedEndpointsAreCold(t *testing.T) {
+	for _, test := range restartCases {
+		for _, size := range restartFleetSizes {
+			t.Run(fmt.Sprintf("%s/%d instances", test.name, size), func(t *testing.T) {
+				t.Parallel()
+				for seed := range seedCount() {
+					scenario := siteScenario(seed)
+					scenario.Instances, scenario.Events = size, test.events
+					result := simulation.Run(scenario, simulation.DefaultPolicy())
+					if float64(result.MaxColdPerSecond) > result.ColdBound {
+						t.Errorf("seed %d: %d requests at a cold endpoint in a second, bound %.1f", seed, result.MaxColdPerSecond, result.ColdBound)
+					}
+				}
+			})
+		}
+	}
+}
