Count all recent requests to an endpoint for its cold limit

Callers saw restarted endpoints crash again under their requests (FAILBACK).

Requests count now whether the endpoint was known to be cold or not, and a tombstone keeps them for the next incarnation. Requests that were not sent after all, because no connection could be opened, don't count any more.

Tests: table/coldafterremoval and coldafterwarm failed before (a share sent again, and 12 instead of 9).

--- a/endpoint/coldlimit.go
+++ b/endpoint/coldlimit.go
@@ -14,10 +14,11 @@
 
 // hasColdRoom reports whether this instance may send a request to a cold
 // endpoint now. The limit applies to all instances together, so each uses its own
-// share of it.
+// share of it. Requests count whether the endpoint was known to be cold or not, since
+// some of them may have reached it after its restart.
 func (t *Table) hasColdRoom(now time.Time, s *endpointState) bool {
-	_, sent := s.recent.count(now)
-	return sent < t.coldShare(now, s)
+	s.recent.evict(now)
+	return len(s.recent) < t.coldShare(now, s)
 }
 
 // coldShare returns the number of requests that this instance may send to a cold
@@ -31,11 +32,11 @@
 // cold, whichever is earlier.
 func (t *Table) coldRoomAt(now time.Time, s *endpointState) time.Time {
 	warmAt, share := t.coldUntil(now, s), t.coldShare(now, s)
-	sentTimes := s.recent.coldTimes(now)
-	if share == 0 || len(sentTimes) < share {
+	s.recent.evict(now)
+	if share == 0 || len(s.recent) < share {
 		return warmAt
 	}
-	roomAt := sentTimes[len(sentTimes)-share].Add(coldWindow)
+	roomAt := s.recent[len(s.recent)-share].sentAt.Add(coldWindow)
 	if roomAt.After(warmAt) {
 		return warmAt
 	}
--- a/endpoint/recentrequests.go
+++ b/endpoint/recentrequests.go
@@ -22,6 +22,14 @@
 	*r = append(*r, recentRequest{sentAt: now, wasCold: isCold})
 }
 
+// remove drops a request that was not sent after all.
+func (r *recentRequests) remove(sentAt time.Time) {
+	i := slices.IndexFunc(*r, func(request recentRequest) bool { return request.sentAt.Equal(sentAt) })
+	if i >= 0 {
+		*r = slices.Delete(*r, i, i+1)
+	}
+}
+
 // evict drops the requests before the last coldWindow.
 func (r *recentRequests) evict(now time.Time) {
 	first := 0
@@ -44,15 +52,3 @@
 	}
 	return warm, cold
 }
-
-// coldTimes returns when the requests were sent for which the endpoint counted as cold.
-func (r *recentRequests) coldTimes(now time.Time) []time.Time {
-	r.evict(now)
-	var times []time.Time
-	for _, request := range *r {
-		if request.wasCold {
-			times = append(times, request.sentAt)
-		}
-	}
-	return times
-}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -86,7 +86,11 @@
 	if tomb != nil && tomb.startedAtMillis != entry.StartedAtMillis {
 		t.recordRestart(now, entry, tomb.startedAtMillis, tomb.suspectSince, &tomb.recent)
 	}
-	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, holdOff: hold}
+	var recent recentRequests
+	if tomb != nil {
+		recent = tomb.recent
+	}
+	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, holdOff: hold, recent: recent}
 	t.updateLeaving(now, s)
 	t.byID[entry.ID] = s
 	t.byService[entry.Service] = append(t.byService[entry.Service], s)
@@ -217,6 +221,9 @@
 	if s == nil {
 		return
 	}
+	if outcome == OutcomeConnectFailed || outcome == OutcomeWithdrawn {
+		s.recent.remove(choice.startedAt)
+	}
 	if s.StartedAtMillis != choice.Endpoint.StartedAtMillis {
 		// The response of an earlier incarnation says nothing about this one.
 		s.inFlight = max(0, s.inFlight-1)
--- a/endpoint/tombstone.go
+++ b/endpoint/tombstone.go
@@ -36,8 +36,9 @@
 	// and be added again while what the endpoint stated stands.
 	rateLimiter rateLimiter
 	holdOff     holdOff
-	// recent are the requests before the removal, suspectSince is when the endpoint
-	// began to be suspected to be cold, zero if it was not.
+	// recent are the requests before the removal. Like those after it, they count for the
+	// next incarnation, too. suspectSince is when the endpoint began to be suspected to be
+	// cold, zero if it was not.
 	recent       recentRequests
 	suspectSince time.Time
 }
