Count endpoints that have ended as cold at all instances

Cause: only a connection that could not be opened made an instance suspect that an endpoint had restarted, and only that instance, for 5 s. One that saw a request break off and found the address closed published a crash for the quarantine, and chose the endpoint again as warm (H1). All others went by the endpoint list, which is read each 0.8 s, and not at all while the store is away (H2). The suspicion ended after 5 s while the list could not be read, or by a late entry of the ended incarnation (H6).

A refused connection, or a check after a request broke off, proves that the incarnation has ended. The table keeps that by id and start, apart from the list. The endpoint counts as cold until a later start is listed; if it is still listed unchanged when the entry would have expired, it runs; while the list can't be read, it is warm a warm-up after it has answered, and after 30 s at the latest. The instance that finds it tells the others (FactEnded), at most once per second and endpoint.

Three tests of the quarantine relied on endpoints that get requests as before right after they crashed: two of their fixtures' endpoints had no address that refuses connections, and the route's timeout left only the endpoint with the cached object. Both are mended; what they check is unchanged.

--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -140,6 +140,6 @@
 
 func newGatewayProxy(settings platform.Settings, clock savorystep.Clock, exchange *peer.Exchange, pool *http1.Pool, quarantine *ingress.Quarantine, registry *prometheus.Registry, router *ingress.Router) *ingress.Proxy {
 	return ingress.NewProxy(ingress.ProxyConfig{
-		Clock: clock, MemoryLimitBytes: settings.MemoryLimitBytes, HeaderNames: platform.HeaderNames(), Leavings: ingress.NewLeavings(exchange, router), Notices: platform.NoticeDecoder{}, Place: settings.Place, Quarantine: quarantine, RateLimits: ingress.NewRateLimits(exchange, router), Registerer: registry, Transport: pool, Router: router,
+		Clock: clock, MemoryLimitBytes: settings.MemoryLimitBytes, HeaderNames: platform.HeaderNames(), Endings: ingress.NewEndings(exchange, router), Leavings: ingress.NewLeavings(exchange, router), Notices: platform.NoticeDecoder{}, Place: settings.Place, Quarantine: quarantine, RateLimits: ingress.NewRateLimits(exchange, router), Registerer: registry, Transport: pool, Router: router,
 	})
 }
--- /dev/null
+++ b/endpoint/ending.go
@@ -0,0 +1,162 @@
+package endpoint
+
+import (
+	"time"
+
+	"savorystep"
+)
+
+const (
+	// expiryTime is how long after the end of an endpoint its entry is read at most: three
+	// report intervals of 1.5 s, and the time until its removal is read.
+	expiryTime = 6 * time.Second
+	// maxEndingTime bounds how long an endpoint that has ended counts as cold while the
+	// endpoint list can't be read. Endpoints start again within some seconds, and warm up
+	// in 3 s.
+	maxEndingTime = 30 * time.Second
+	// endingReportInterval is the time between two reports of the same ending to the other
+	// instances. A second ending of an endpoint that is not listed in between is reported
+	// with the next one.
+	endingReportInterval = time.Second
+	// maxEndings bounds the number of endings that are remembered. The largest deployment
+	// in use has 777 endpoints.
+	maxEndings = 4096
+)
+
+// An ending records that an incarnation of an endpoint has ended: nothing listened at its
+// address any more. The endpoint list may still have it as before, also when the next one
+// runs already. It is kept apart from the list, from which the entry may be missing for a
+// time.
+type ending struct {
+	startedAtMillis int64
+	// since is when this instance learnt of it first, heardAt when last.
+	since, heardAt time.Time
+	// expiresAt is when the entry would have been removed from the endpoint list, had
+	// there been no report since heardAt.
+	expiresAt time.Time
+	// answeredAt is when an endpoint at that address first answered a request that was
+	// sent after heardAt, zero before.
+	answeredAt time.Time
+	// reportedAt is when this instance or another one last reported it.
+	reportedAt time.Time
+}
+
+// hear records that the incarnation was found to have ended.
+func (e *ending) hear(now time.Time) {
+	e.heardAt, e.expiresAt, e.answeredAt = now, now.Add(expiryTime), time.Time{}
+}
+
+// RecordEnded records that this instance found that nothing listens at the address of an
+// endpoint any more. It returns true if the other instances are to be told.
+func (t *Table) RecordEnded(now time.Time, e savorystep.Endpoint) bool {
+	isStopping := t.IsStopping(e)
+	known := t.hearEnding(now, e.ID, e.StartedAtMillis)
+	if known == nil || isStopping || now.Sub(known.reportedAt) < endingReportInterval {
+		return false
+	}
+	known.reportedAt = now
+	return true
+}
+
+// ApplyEnded records that another instance found that the incarnation of an endpoint that
+// started at startedAtMillis has ended. It returns false if that was known, or if that
+// incarnation is no longer the latest.
+func (t *Table) ApplyEnded(now time.Time, id savorystep.EndpointID, startedAtMillis int64) bool {
+	previous := t.endings[id]
+	known := t.hearEnding(now, id, startedAtMillis)
+	if known == nil {
+		return false
+	}
+	known.reportedAt = now
+	return known != previous
+}
+
+// hearEnding returns the ending of an incarnation after it was found to have ended, nil if
+// that incarnation is no longer the latest.
+func (t *Table) hearEnding(now time.Time, id savorystep.EndpointID, startedAtMillis int64) *ending {
+	s := t.byID[id]
+	if s != nil && s.StartedAtMillis > startedAtMillis {
+		return nil
+	}
+	known := t.endings[id]
+	switch {
+	case known != nil && known.startedAtMillis > startedAtMillis:
+		return nil
+	case known == nil || known.startedAtMillis < startedAtMillis:
+		t.evictEndings(now)
+		known = &ending{startedAtMillis: startedAtMillis, since: now}
+		t.endings[id] = known
+	}
+	known.hear(now)
+	if s != nil {
+		s.ending = known
+		s.forgetMeasurements()
+	}
+	return known
+}
+
+// updateEnding updates what is known of the end of an endpoint after its entry was put. A
+// later incarnation than the one that ended is listed with the time for which it is cold.
+func (t *Table) updateEnding(s *endpointState) {
+	known := t.endings[s.ID]
+	if known != nil && s.StartedAtMillis > known.startedAtMillis {
+		delete(t.endings, s.ID)
+		known = nil
+	}
+	s.ending = known
+}
+
+// evictEndings deletes the endings that are too old to count and, if there is no room for
+// one more, the oldest that is left.
+func (t *Table) evictEndings(now time.Time) {
+	var oldest savorystep.EndpointID
+	var oldestAt time.Time
+	for id, known := range t.endings {
+		switch {
+		case now.Sub(known.heardAt) >= maxEndingTime:
+			delete(t.endings, id)
+		case oldestAt.IsZero() || known.heardAt.Before(oldestAt):
+			oldest, oldestAt = id, known.heardAt
+		}
+	}
+	if len(t.endings) >= maxEndings {
+		delete(t.endings, oldest)
+	}
+}
+
+// endingUntil returns until when an endpoint counts as cold because its listed incarnation
+// has ended, the zero time if it has not. It ends earlier if a new incarnation is listed.
+// Whatever has answered was started before, so it is warm a warm-up later. Without an
+// answer, an endpoint that is still listed when its entry would have been removed has not
+// ended.
+func (t *Table) endingUntil(s *endpointState) time.Time {
+	switch e := s.ending; {
+	case e == nil:
+		return time.Time{}
+	case !e.answeredAt.IsZero():
+		return e.answeredAt.Add(t.specs[s.Service].Warmup)
+	case t.isListFailing:
+		return e.heardAt.Add(maxEndingTime)
+	default:
+		return e.expiresAt
+	}
+}
+
+// recordAnswer records that an endpoint answered a request that was sent at sentAt.
+func (s *endpointState) recordAnswer(now, sentAt time.Time) {
+	if e := s.ending; e != nil && e.answeredAt.IsZero() && sentAt.After(e.heardAt) {
+		e.answeredAt = now
+	}
+}
+
+// SetListFailing records whether the endpoint list can't be read at present. When it can
+// again, the time until entries of ended endpoints are removed begins anew: the store may
+// not have counted the silence of endpoints meanwhile.
+func (t *Table) SetListFailing(now time.Time, isFailing bool) {
+	if t.isListFailing && !isFailing {
+		for _, e := range t.endings {
+			e.expiresAt = now.Add(expiryTime)
+		}
+	}
+	t.isListFailing = isFailing
+}
--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -45,6 +45,8 @@
 	suspectSequence uint64
 	// suspectSince is when that suspicion began.
 	suspectSince time.Time
+	// ending is the end of this incarnation or of a later one, nil if none is known.
+	ending *ending
 	// shedsInRow and failuresInRow count outcomes since the last success.
 	shedsInRow, failuresInRow int
 	backoffUntil              time.Time
@@ -72,9 +74,9 @@
 func (s *endpointState) update(now time.Time, entry savorystep.Endpoint) {
 	isRestarted := entry.StartedAtMillis != s.StartedAtMillis || entry.Address != s.Address
 	if isRestarted {
-		s.foreignLoad, s.shedsInRow, s.failuresInRow, s.backoffUntil = foreignLoad{}, 0, 0, time.Time{}
+		s.forgetMeasurements()
+		s.shedsInRow, s.failuresInRow, s.backoffUntil = 0, 0, time.Time{}
 		s.suspectUntil = time.Time{}
-		s.cached, s.slowness = make(cachedObjects), slowness{}
 		s.rateLimiter, s.holdOff = newRateLimiter(), holdOff{}
 	}
 	if isRestarted || entry.ReportSequence != s.ReportSequence {
@@ -83,6 +85,11 @@
 	s.Endpoint = entry
 }
 
+// forgetMeasurements drops what was measured of an incarnation that has ended.
+func (s *endpointState) forgetMeasurements() {
+	s.foreignLoad, s.cached, s.slowness = foreignLoad{}, make(cachedObjects), slowness{}
+}
+
 // suspectCold makes the endpoint count as cold until the second report from now
 // on. The next report may have been sent before.
 func (s *endpointState) suspectCold(now time.Time) {
@@ -97,15 +104,6 @@
 	return now.Before(s.suspectUntil) && s.ReportSequence <= s.suspectSequence
 }
 
-// suspicionStart returns when the suspicion began that the endpoint is cold, zero if it is
-// not suspected.
-func (s *endpointState) suspicionStart(now time.Time) time.Time {
-	if !s.isSuspect(now) {
-		return time.Time{}
-	}
-	return s.suspectSince
-}
-
 // isCold reports whether the endpoint is or may be cold.
 func (s *endpointState) isCold(now time.Time) bool {
 	return now.Before(s.warmAt) || s.isSuspect(now)
--- a/endpoint/restart.go
+++ b/endpoint/restart.go
@@ -38,6 +38,19 @@
 	t.restarts = append(t.restarts, restart)
 }
 
+// suspicionStart returns when this instance began to suspect that an endpoint has
+// restarted, zero if it does not.
+func (t *Table) suspicionStart(now time.Time, s *endpointState) time.Time {
+	switch {
+	case now.Before(t.endingUntil(s)):
+		return s.ending.since
+	case s.isSuspect(now):
+		return s.suspectSince
+	default:
+		return time.Time{}
+	}
+}
+
 // TakeRestarts returns the restarts since the last call.
 func (t *Table) TakeRestarts() []Restart {
 	restarts := t.restarts
--- a/endpoint/standstill.go
+++ b/endpoint/standstill.go
@@ -54,13 +54,16 @@
 
 // isCold reports whether an endpoint is or may be cold.
 func (t *Table) isCold(now time.Time, s *endpointState) bool {
-	return s.isCold(now) || t.standstill.isUnread(now)
+	return s.isCold(now) || now.Before(t.endingUntil(s)) || t.standstill.isUnread(now)
 }
 
 // coldUntil returns when a cold endpoint no longer counts as cold, unless it or the
 // endpoint list says something else before.
 func (t *Table) coldUntil(now time.Time, s *endpointState) time.Time {
 	until := s.coldUntil(now)
+	if endingUntil := t.endingUntil(s); endingUntil.After(until) {
+		until = endingUntil
+	}
 	if readAt := t.standstill.unreadSince.Add(maxUnread); t.standstill.isUnread(now) && readAt.After(until) {
 		return readAt
 	}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -29,6 +29,9 @@
 	instancesVersion int
 	tombstones       map[savorystep.EndpointID]*tombstone
 	leavings         map[savorystep.EndpointID]leaving
+	endings          map[savorystep.EndpointID]*ending
+	// isListFailing is true while the endpoint list can't be read.
+	isListFailing bool
 	// startedAt is when the first endpoint was put. It counts as the start of this
 	// instance.
 	startedAt  time.Time
@@ -52,6 +55,7 @@
 		instanceSeenAt:   make(map[savorystep.InstanceID]time.Time),
 		tombstones:       make(map[savorystep.EndpointID]*tombstone),
 		leavings:         make(map[savorystep.EndpointID]leaving),
+		endings:          make(map[savorystep.EndpointID]*ending),
 	}
 }
 
@@ -92,6 +96,7 @@
 	}
 	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, holdOff: hold, recent: recent}
 	t.updateLeaving(now, s)
+	t.updateEnding(s)
 	t.byID[entry.ID] = s
 	t.byService[entry.Service] = append(t.byService[entry.Service], s)
 	return true
@@ -110,10 +115,11 @@
 		return false, false
 	}
 	if entry.StartedAtMillis != known.StartedAtMillis {
-		t.recordRestart(now, entry, known.StartedAtMillis, known.suspicionStart(now), &known.recent)
+		t.recordRestart(now, entry, known.StartedAtMillis, t.suspicionStart(now, known), &known.recent)
 	}
 	known.update(now, entry)
 	t.updateLeaving(now, known)
+	t.updateEnding(known)
 	return true, true
 }
 
@@ -157,7 +163,7 @@
 	}
 	delete(t.byID, id)
 	t.evictTombstones(now)
-	t.tombstones[id] = &tombstone{startedAtMillis: s.StartedAtMillis, reportSequence: s.ReportSequence, removedAt: now, rateLimiter: s.rateLimiter, holdOff: s.holdOff, recent: s.recent, suspectSince: s.suspicionStart(now)}
+	t.tombstones[id] = &tombstone{startedAtMillis: s.StartedAtMillis, reportSequence: s.ReportSequence, removedAt: now, rateLimiter: s.rateLimiter, holdOff: s.holdOff, recent: s.recent, suspectSince: t.suspicionStart(now, s)}
 	t.byService[s.Service] = slices.DeleteFunc(t.byService[s.Service], func(other *endpointState) bool { return other == s })
 	return true
 }
@@ -242,6 +248,7 @@
 			t.latency(s.Service).record(choice.cached, took)
 		}
 		s.cached.add(now, choice.affinityKey)
+		s.recordAnswer(now, choice.startedAt)
 		s.slowness.record(now, took, choice.ExpectedLatency)
 	case OutcomeTimedOut:
 		s.slowness.record(now, took, choice.ExpectedLatency)
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -78,6 +78,16 @@
 		return s.reject(t, d)
 	case "peer-leaving":
 		return formatNews(s.table.ApplyLeaving(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))))
+	case "ended":
+		id, started := savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))
+		if s.table.RecordEnded(s.now, savorystep.Endpoint{ID: id, StartedAtMillis: started}) {
+			return "to be reported\n"
+		}
+		return "not to be reported\n"
+	case "peer-ended":
+		return formatNews(s.table.ApplyEnded(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))))
+	case "list":
+		s.table.SetListFailing(s.now, intArg(t, d, "failing") != 0)
 	case "retry":
 		return s.retry(t, d)
 	case "tick":
--- a/factbodies.go
+++ b/factbodies.go
@@ -76,3 +76,13 @@
 	// endpoint is not leaving.
 	StartedAtMillis int64 `cbor:"1,keyasint"`
 }
+
+// An EndedFact says that an instance found that nothing listens at the address of an
+// endpoint any more. The endpoint may start again under its id.
+type EndedFact struct {
+	// StartedAtMillis is the start of the incarnation in Unix milliseconds, as it is
+	// listed.
+	StartedAtMillis int64 `cbor:"1,keyasint"`
+	// Number counts the reports of the instance, so that a repeated one is sent again.
+	Number uint64 `cbor:"2,keyasint"`
+}
--- a/factkind.go
+++ b/factkind.go
@@ -15,4 +15,5 @@
 	FactUnknown                       // Subject: unknown name. Body: UnknownFact.
 	FactRateLimit                     // Subject: endpoint. Body: RateLimitFact.
 	FactLeaving                       // Subject: endpoint. Body: LeavingFact.
+	FactEnded                         // Subject: endpoint. Body: EndedFact.
 )
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -18,6 +18,8 @@
 	MemoryLimitBytes int64
 	HeaderNames      savorystep.HeaderNames
 	Place            savorystep.Place
+	// Endings shares which endpoints have ended without notice with the other instances.
+	Endings *Endings
 	// Leavings shares which endpoints leave with the other instances.
 	Leavings *Leavings
 	// Notices decodes what responses of endpoints say about further requests.
--- a/ingress/connecting_test.go
+++ b/ingress/connecting_test.go
@@ -57,7 +57,7 @@
 		started:       make(chan struct{}), connecting: make(chan struct{}), connected: make(chan struct{}), skipsCheck: skipsCheck,
 	}
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
-		Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{},
+		Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{},
 		Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
 	})
 	firstDone := make(chan struct{})
--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -92,7 +92,7 @@
 	})
 	facts := &fakeFacts{}
 	return ingress.NewProxy(ingress.ProxyConfig{
-		Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(facts, nil), RateLimits: ingress.NewRateLimits(facts, router),
+		Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(facts, router), Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(facts, nil), RateLimits: ingress.NewRateLimits(facts, router),
 		Transport: http1.NewPool(http1.Config{HeaderNames: names}), Router: router,
 	})
 }
--- /dev/null
+++ b/ingress/endings.go
@@ -0,0 +1,56 @@
+package ingress
+
+import (
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"savorystep"
+	"savorystep/endpoint"
+)
+
+// Endings shares which endpoints have ended without notice with the other instances, so
+// that all of them count the endpoint as cold when it starts again, before the endpoint
+// list says so.
+type Endings struct {
+	facts  savorystep.Facts
+	router *Router
+	// reports counts the reports of this instance.
+	reports atomic.Uint64
+}
+
+// NewEndings returns endings that are exchanged with other instances through facts and
+// apply to the endpoints of a router.
+func NewEndings(facts savorystep.Facts, router *Router) *Endings {
+	e := &Endings{facts: facts, router: router}
+	facts.Subscribe(savorystep.FactEnded, e.applyFact)
+	return e
+}
+
+// record records that nothing listens at the address of an endpoint any more. It logs and
+// publishes that if the other instances are to be told.
+func (e *Endings) record(now time.Time, ended savorystep.Endpoint, evidence string) {
+	var isDue bool
+	e.router.WithTable(func(t *endpoint.Table) { isDue = t.RecordEnded(now, ended) })
+	if !isDue {
+		return
+	}
+	log.Infof("endpoint %s, started at %d, has ended: nothing listens at %s, %s", ended.ID, ended.StartedAtMillis, ended.Address, evidence)
+	e.facts.Publish(savorystep.FactEnded, string(ended.ID), savorystep.EndedFact{StartedAtMillis: ended.StartedAtMillis, Number: e.reports.Add(1)})
+}
+
+// applyFact applies what another instance found.
+func (e *Endings) applyFact(fact savorystep.ReceivedFact) {
+	var body savorystep.EndedFact
+	if err := cbor.Unmarshal(fact.Body, &body); err != nil {
+		log.Warningf("can't use ended fact of instance %s about endpoint %s: %v", fact.Instance, fact.Subject, err)
+		return
+	}
+	id := savorystep.EndpointID(fact.Subject)
+	var isNew bool
+	e.router.WithTable(func(t *endpoint.Table) { isNew = t.ApplyEnded(fact.ReceivedAt, id, body.StartedAtMillis) })
+	if isNew {
+		log.Infof("endpoint %s, started at %d, has ended according to instance %s", id, body.StartedAtMillis, fact.Instance)
+	}
+}
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -169,7 +169,7 @@
 	watcher := ingress.NewWatcher(ingress.WatcherConfig{Router: router, Clock: savorystep.SystemClock{}, RegionByZone: map[savorystep.Zone]savorystep.Region{"z": "r"}})
 	watcher.ApplyList(time.Now(), changes)
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
-		Clock: savorystep.SystemClock{}, MemoryLimitBytes: memoryLimit, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
+		Clock: savorystep.SystemClock{}, MemoryLimitBytes: memoryLimit, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
 	})
 	return proxy, transport, router
 }
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"golang.org/x/time/rate"
@@ -216,7 +217,10 @@
 	switch {
 	case result.outcome == endpoint.OutcomeAnswered:
 		f.config.Quarantine.recordAnswer(endedAt, pr.fingerprint)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		f.config.Endings.record(endedAt, choice.Endpoint, "a connection was refused")
 	case !f.config.Router.isStopping(choice.Endpoint) && crashed(ctx, err, choice.Endpoint.Address):
+		f.config.Endings.record(f.config.Clock.Now(), choice.Endpoint, "a request broke off")
 		f.config.Quarantine.recordCrash(endedAt, pr, choice.Endpoint)
 	}
 	pr.addStep(fmt.Sprintf("%s: %s in %v", describeChoice(choice), describeResult(result, err), endedAt.Sub(now).Round(time.Millisecond)))
--- a/ingress/herdcrash_test.go
+++ b/ingress/herdcrash_test.go
@@ -77,7 +77,7 @@
 		watcher.ApplyList(time.Now(), changes)
 		routers = append(routers, router)
 		proxies = append(proxies, ingress.NewProxy(ingress.ProxyConfig{
-			Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(facts, log), RateLimits: ingress.NewRateLimits(facts, router),
+			Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(facts, router), Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(facts, log), RateLimits: ingress.NewRateLimits(facts, router),
 			Place: savorystep.Place{Region: "r", Zone: "z1"}, Transport: transport, Router: router,
 		}))
 	}
--- a/ingress/homechange_test.go
+++ b/ingress/homechange_test.go
@@ -92,7 +92,7 @@
 				transport.before, transport.breaksOff, body.before = moveHome, true, func() {}
 			}
 			proxy := ingress.NewProxy(ingress.ProxyConfig{
-				Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Place: savorystep.Place{Region: "north", Zone: "n"}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
+				Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Place: savorystep.Place{Region: "north", Zone: "n"}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
 			})
 			recorder := httptest.NewRecorder()
 			request := httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/p?q", body)
--- a/ingress/homefleet_test.go
+++ b/ingress/homefleet_test.go
@@ -86,7 +86,7 @@
 	for i, instance := range f.instances {
 		router := ingress.NewRouter(endpoint.Config{Self: instance.ID})
 		instance.proxy = ingress.NewProxy(ingress.ProxyConfig{
-			Clock: clock, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Place: instance.Place, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: homeTransport{}, Router: router,
+			Clock: clock, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Place: instance.Place, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: homeTransport{}, Router: router,
 		})
 		instance.relay = peer.NewCatalogRelay(peer.CatalogRelayConfig{
 			Catalog: &homeStoreClient{homeStore: store, id: instance.ID}, Client: &http.Client{Transport: &homePeerTransport{homeFleet: f, region: instance.Place.Region}}, Clock: clock,
--- a/ingress/homeroutes_test.go
+++ b/ingress/homeroutes_test.go
@@ -78,7 +78,7 @@
 					transport.before, body.before = change, func() {}
 				}
 				proxy := ingress.NewProxy(ingress.ProxyConfig{
-					Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Place: savorystep.Place{Region: "south", Zone: "s"}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
+					Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Place: savorystep.Place{Region: "south", Zone: "s"}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
 				})
 				request := httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/p/q", io.Reader(body))
 				request.Host = "h"
--- a/ingress/homezones_test.go
+++ b/ingress/homezones_test.go
@@ -19,7 +19,7 @@
 	router.SetRouting(boundRouting(1, "north"))
 	watcher := ingress.NewWatcher(ingress.WatcherConfig{Router: router, Clock: savorystep.SystemClock{}, RegionByZone: map[savorystep.Zone]savorystep.Region{"n": "north", "s": "south"}})
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
-		Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Place: savorystep.Place{Region: "north", Zone: "n"}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: homeTransport{}, Router: router,
+		Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Place: savorystep.Place{Region: "north", Zone: "n"}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: homeTransport{}, Router: router,
 	})
 	for i, c := range []struct {
 		zone   savorystep.Zone
--- a/ingress/inflightattempts_test.go
+++ b/ingress/inflightattempts_test.go
@@ -60,7 +60,7 @@
 			_, _, router := newTestProxy(t, "ok")
 			transport := &powerLossTransport{waiting: make(chan struct{})}
 			proxy := ingress.NewProxy(ingress.ProxyConfig{
-				Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router),
+				Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router),
 				Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
 			})
 			request := func(path string) int {
--- a/ingress/leaving_test.go
+++ b/ingress/leaving_test.go
@@ -90,7 +90,7 @@
 		_, transport, router := newPatientProxy(t, "leaving", "ok")
 		transports = append(transports, transport)
 		proxies = append(proxies, ingress.NewProxy(ingress.ProxyConfig{
-			Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{},
+			Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(facts, router), Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{},
 			Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
 		}))
 	}
--- a/ingress/pipelined_test.go
+++ b/ingress/pipelined_test.go
@@ -30,7 +30,7 @@
 	_, transport, router := newPatientProxy(t, outcome, "ok")
 	transport.onExchange = func() { time.Sleep(15 * time.Millisecond) }
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
-		Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: decoder,
+		Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: decoder,
 		Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
 	})
 	_, address := startServer(t, proxy)
--- a/ingress/proxy_test.go
+++ b/ingress/proxy_test.go
@@ -203,7 +203,7 @@
 	_, transport, readyRouter := newTestProxy(t, "ok")
 	router := ingress.NewRouter(endpoint.Config{Self: "self"})
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
-		Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router),
+		Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router),
 		Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
 	})
 	request := func() int {
--- a/ingress/quarantine_test.go
+++ b/ingress/quarantine_test.go
@@ -54,7 +54,7 @@
 			}
 		})
 		proxies = append(proxies, ingress.NewProxy(ingress.ProxyConfig{
-			Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(facts, nil), RateLimits: ingress.NewRateLimits(facts, router),
+			Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(facts, router), Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(facts, nil), RateLimits: ingress.NewRateLimits(facts, router),
 			Transport: transport, Router: router,
 		}))
 	}
--- a/ingress/quarantinekeeper_test.go
+++ b/ingress/quarantinekeeper_test.go
@@ -73,6 +73,9 @@
 	t.Helper()
 	_, _, router := newTestProxy(t, "ok")
 	router.WithTable(func(table *endpoint.Table) {
+		for _, id := range []savorystep.EndpointID{"a", "b", "c"} {
+			table.Remove(time.Now(), id) // Their address is none that refuses connections.
+		}
 		for i := range 20 {
 			table.Put(time.Now(), savorystep.Endpoint{
 				ID: savorystep.EndpointID("e" + string(rune('a'+i))), Service: "s", State: savorystep.StateLive, Slots: 50, StartedAtMillis: 1, ReportSequence: 2, WrittenVersion: 3,
@@ -80,9 +83,13 @@
 			})
 		}
 	})
+	// Endpoints that don't have the object cached are expected to answer in time, too.
+	route := *router.Routing().Match("h", "/once/x")
+	route.Timeout = 2 * time.Second
+	router.SetRouting(savorystep.NewRouting(2, []*savorystep.Route{&route}, map[savorystep.Service]savorystep.ServiceSpec{"s": {Name: "s"}}, savorystep.ClientLimits{HeaderBytes: 4096, BodyBytes: 1000}))
 	instance := &keptInstance{quarantine: ingress.NewQuarantine(facts, log)}
 	instance.proxy = ingress.NewProxy(ingress.ProxyConfig{
-		Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: instance.quarantine, RateLimits: ingress.NewRateLimits(facts, router),
+		Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(facts, router), Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: instance.quarantine, RateLimits: ingress.NewRateLimits(facts, router),
 		Transport: transport, Router: router,
 	})
 	keeper := ingress.NewQuarantineKeeper(ingress.QuarantineKeeperConfig{
--- a/ingress/ratelimit_test.go
+++ b/ingress/ratelimit_test.go
@@ -50,7 +50,7 @@
 		_, transport, router := newTestProxy(t, outcomes...)
 		routers = append(routers, router)
 		proxies = append(proxies, ingress.NewProxy(ingress.ProxyConfig{
-			Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(facts, router),
+			Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(facts, router), Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(facts, router),
 			Transport: transport, Router: router,
 		}))
 	}
--- a/ingress/refusal_test.go
+++ b/ingress/refusal_test.go
@@ -104,7 +104,7 @@
 				Split: []savorystep.WeightedService{{Service: "s", Weight: 1}}, Timeout: 10 * time.Second, MaxAttempts: 2,
 			}}, map[savorystep.Service]savorystep.ServiceSpec{"s": {Name: "s"}}, savorystep.ClientLimits{}))
 			proxy := ingress.NewProxy(ingress.ProxyConfig{
-				Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router),
+				Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router),
 				Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: transport, Router: router,
 			})
 			reused := 0
--- a/ingress/retryafter_test.go
+++ b/ingress/retryafter_test.go
@@ -27,7 +27,7 @@
 	_, transport, router := newPatientProxy(t, outcomes...)
 	clock := &shiftedClock{}
 	return ingress.NewProxy(ingress.ProxyConfig{
-		Clock: clock, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{},
+		Clock: clock, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{},
 		Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router), Transport: transport, Router: router,
 	}), transport, clock
 }
--- a/ingress/server_test.go
+++ b/ingress/server_test.go
@@ -241,7 +241,7 @@
 func TestUnreadResponseTimesOut(t *testing.T) {
 	_, _, router := newTestProxy(t, "ok")
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
-		ResponseWriteTimeout: 50 * time.Millisecond, Clock: savorystep.SystemClock{}, HeaderNames: names, Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router),
+		ResponseWriteTimeout: 50 * time.Millisecond, Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(&fakeFacts{}, router), Leavings: ingress.NewLeavings(&fakeFacts{}, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(&fakeFacts{}, nil), RateLimits: ingress.NewRateLimits(&fakeFacts{}, router),
 		Place: savorystep.Place{Region: "r", Zone: "z"}, Transport: largeTransport{}, Router: router,
 	})
 	_, address := startServer(t, proxy)
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -220,6 +220,7 @@
 	if w.listFailedSince.IsZero() {
 		w.listFailedSince = now
 	}
+	w.config.Router.WithTable(func(t *endpoint.Table) { t.SetListFailing(now, true) })
 }
 
 // applyList applies changes of the endpoint list. After a store outage, and if the
@@ -238,6 +239,7 @@
 		if isDelayed {
 			t.DelayPending(now)
 		}
+		t.SetListFailing(now, false)
 		w.removeEndpoints(now, t, removedEndpoints(t, changes))
 		for _, entry := range changes.Endpoints {
 			delete(w.graceUntil, entry.ID)
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -23,7 +23,7 @@
 // forwarded.
 func forwardCountOf(kind savorystep.FactKind) int {
 	switch kind {
-	case savorystep.FactDraining, savorystep.FactCrash, savorystep.FactRateLimit, savorystep.FactLeaving:
+	case savorystep.FactDraining, savorystep.FactCrash, savorystep.FactRateLimit, savorystep.FactLeaving, savorystep.FactEnded:
 		return urgentForwardCount
 	case factSuspicion:
 		return suspicionForwardCount
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -42,6 +42,9 @@
 	// rateLimitRetention is the maximum age of statements about rate limits. It is
 	// twice the interval in which instances publish them again.
 	rateLimitRetention = 30 * time.Second
+	// endedRetention is the maximum age of reports that endpoints have ended, which is how
+	// long instances use them.
+	endedRetention = 30 * time.Second
 	// unknownRetention is the maximum age of the count of an unknown name.
 	unknownRetention = time.Hour
 	// neutralRetention is the maximum age of scoped facts that have the same
@@ -69,6 +72,8 @@
 		return drainingRetention
 	case savorystep.FactLeaving:
 		return leavingRetention
+	case savorystep.FactEnded:
+		return endedRetention
 	case savorystep.FactCrash:
 		return crashRetention
 	case savorystep.FactRateLimit:
@@ -92,7 +97,7 @@
 // the next gossip round.
 func isUrgent(kind savorystep.FactKind) bool {
 	switch kind {
-	case savorystep.FactDraining, savorystep.FactStatus, savorystep.FactCrash, savorystep.FactRateLimit, savorystep.FactLeaving, factSuspicion:
+	case savorystep.FactDraining, savorystep.FactStatus, savorystep.FactCrash, savorystep.FactRateLimit, savorystep.FactLeaving, savorystep.FactEnded, factSuspicion:
 		return true
 	default:
 		return false
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -104,6 +104,7 @@
 // periodically.
 func (f *fleet) pollEndpointList(i *instance) {
 	if i.frozenUntil <= f.scheduler.now {
+		i.table.SetListFailing(f.now(), i.staleList != nil)
 		f.readEndpointList(i)
 	}
 	if !f.isOver() {
@@ -219,6 +220,39 @@
 	}
 }
 
+// checkEnding lets an instance find out whether an endpoint has ended after an attempt got
+// no response: at once if no connection could be opened, else by opening another one. It
+// tells the others if they are to be told.
+func (f *fleet) checkEnding(from *instance, e *simulatedEndpoint, choice endpoint.Choice, outcome endpoint.Outcome) {
+	var delay time.Duration
+	switch outcome {
+	case endpoint.OutcomeConnectFailed:
+	case endpoint.OutcomeBrokenResponse:
+		delay = networkDelay(from.place, e)
+	default:
+		return
+	}
+	f.scheduler.after(delay, func() {
+		if !e.isDown && delay > 0 {
+			return
+		}
+		f.scheduler.after(from.delay(f.scheduler.now, delay), func() { f.recordEnding(from, choice.Endpoint) })
+	})
+}
+
+// recordEnding records at an instance that an endpoint has ended, and at the others if
+// they are to be told.
+func (f *fleet) recordEnding(from *instance, ended savorystep.Endpoint) {
+	if f.policy.IgnoresEndings || !from.table.RecordEnded(f.now(), ended) || f.policy.IgnoresPeers {
+		return
+	}
+	for _, other := range f.instances {
+		if other != from && f.isConnected(from, other) {
+			f.scheduler.after(factDelay, func() { other.table.ApplyEnded(f.now(), ended.ID, ended.StartedAtMillis) })
+		}
+	}
+}
+
 // scheduleArrival schedules the next request of a region, and that one schedules
 // its successor. Arrivals are a Poisson process whose rate follows a sine wave with
 // another phase in each region.
--- a/simulation/instance.go
+++ b/simulation/instance.go
@@ -40,7 +40,7 @@
 		RetryRatio: limits.RetryRatio, RetrySlack: limits.RetrySlack, RetryWindow: limits.RetryWindow,
 		MayReplace: i.starts > 1,
 	})
-	i.table.SetSpecs(map[savorystep.Service]savorystep.ServiceSpec{service: {Name: service, ColdRate: limits.ColdRate}})
+	i.table.SetSpecs(map[savorystep.Service]savorystep.ServiceSpec{service: {Name: service, ColdRate: limits.ColdRate, Warmup: warmup}})
 }
 
 const (
--- a/simulation/request.go
+++ b/simulation/request.go
@@ -115,6 +115,7 @@
 				reported = nil
 			}
 			table.Finish(f.now(), choice, outcome, reported)
+			f.checkEnding(from, e, choice, outcome)
 			r.finishAttempt(outcome)
 		})
 	}
--- a/simulation/restart_test.go
+++ b/simulation/restart_test.go
@@ -17,10 +17,13 @@
 // restartCases are series of events under which endpoints that start again under their
 // ids must get no more requests than they bear while they are cold.
 var restartCases = []struct {
-	name   string
-	events []simulation.Event
+	name string
+	// needsNews is true if instances that hear nothing of the end of endpoints exceed the
+	// bound. In the other cases each of them finds it out by itself.
+	needsNews bool
+	events    []simulation.Event
 }{
-	{name: "restarted within a second", events: []simulation.Event{
+	{name: "restarted within a second", needsNews: true, events: []simulation.Event{
 		{Kind: simulation.EventBurst, Start: 5 * time.Second, Duration: 12 * time.Second, Factor: 2},
 		crashOf(6*time.Second, 600*time.Millisecond, 0.3), crashOf(11*time.Second, 1200*time.Millisecond, 0.3),
 	}},
@@ -32,17 +35,17 @@
 		{Kind: simulation.EventBurst, Start: 5 * time.Second, Duration: 12 * time.Second, Factor: 2},
 		crashOf(6*time.Second, 5*time.Second, 0.5),
 	}},
-	{name: "restarted while the list is away", events: []simulation.Event{
+	{name: "restarted while the list is away", needsNews: true, events: []simulation.Event{
 		crashOf(6*time.Second, 1200*time.Millisecond, 0.4),
 		{Kind: simulation.EventOutage, Start: 6500 * time.Millisecond, Duration: 8 * time.Second, Share: 1},
 		{Kind: simulation.EventBurst, Start: 7 * time.Second, Duration: 6 * time.Second, Factor: 2},
 	}},
-	{name: "down for four seconds while the list is away", events: []simulation.Event{
+	{name: "down for four seconds while the list is away", needsNews: true, events: []simulation.Event{
 		{Kind: simulation.EventOutage, Start: 5 * time.Second, Duration: 12 * time.Second, Share: 1},
 		crashOf(6*time.Second, 4*time.Second, 0.4),
 		{Kind: simulation.EventBurst, Start: 9 * time.Second, Duration: 7 * time.Second, Factor: 2},
 	}},
-	{name: "restarted while half of the instances are without the list", events: []simulation.Event{
+	{name: "restarted while half of the instances are without the list", needsNews: true, events: []simulation.Event{
 		{Kind: simulation.EventOutage, Start: 5 * time.Second, Duration: 10 * time.Second, Share: 0.5},
 		crashOf(6*time.Second, 1200*time.Millisecond, 0.4),
 		{Kind: simulation.EventBurst, Start: 6 * time.Second, Duration: 8 * time.Second, Factor: 2},
@@ -72,3 +75,23 @@
 		}
 	}
 }
+
+// TestRestartedEndpointsAreColdCanFail shows that TestRestartedEndpointsAreCold can fail:
+// instances that go on as if they had not found that an endpoint has ended, nor heard of
+// it, exceed the bound.
+func TestRestartedEndpointsAreColdCanFail(t *testing.T) {
+	policy := simulation.DefaultPolicy()
+	policy.IgnoresEndings = true
+	for _, test := range restartCases {
+		if !test.needsNews {
+			continue
+		}
+		scenario := siteScenario(1)
+		scenario.Instances, scenario.Events = 83, test.events
+		result := simulation.Run(scenario, policy)
+		t.Logf("%s, 83 instances that ignore endings: %d requests at a cold endpoint in a second, bound %.1f", test.name, result.MaxColdPerSecond, result.ColdBound)
+		if float64(result.MaxColdPerSecond) <= result.ColdBound {
+			t.Errorf("%s: %d requests at a cold endpoint in a second although instances ignore endings, want more than the bound %.1f", test.name, result.MaxColdPerSecond, result.ColdBound)
+		}
+	}
+}
--- a/simulation/scenario.go
+++ b/simulation/scenario.go
@@ -76,6 +76,9 @@
 	// IgnoresNotices makes instances ignore what endpoints say about further requests.
 	// It shows that the checks of it can fail.
 	IgnoresNotices bool
+	// IgnoresEndings makes instances go on as if they had not found that an endpoint has
+	// ended, nor heard of it. It shows that the check of it can fail.
+	IgnoresEndings bool
 }
 
 // Policies returns the policies that an experiment compares, the default policy
