Check the cold limit again when a connection has been opened

A request that was chosen while its endpoint counted as warm is sent up to 350 ms later, once its connection is open. Such a request is withdrawn now unless the share of this instance has room, and goes to another endpoint; one that is sent counts from the moment at which it is sent.

Test: table/endedwhileconnecting failed before (none of three requests withdrawn, share 1). Requests are identified by a number: two choices can have the same time.

--- a/endpoint/admission.go
+++ b/endpoint/admission.go
@@ -124,7 +124,9 @@
 }
 
 // Recheck returns why the endpoint of a choice may no longer get the request, which was
-// not sent yet. It considers only what the endpoint has said since the choice was made.
+// not sent yet. It considers only what has become known of the endpoint since the choice
+// was made: what it has said, and that it has restarted. A request that is sent counts
+// from now on for the cold limit.
 func (t *Table) Recheck(now time.Time, choice Choice) Exclusion {
 	if known, ok := t.leavings[choice.Endpoint.ID]; ok && known.startedAtMillis >= choice.Endpoint.StartedAtMillis {
 		return ExclusionLeaving
@@ -132,5 +134,15 @@
 	if h := t.knownHoldOff(choice.Endpoint); h != nil && h.isClosed(now) {
 		return ExclusionClosed
 	}
+	s := t.byID[choice.Endpoint.ID]
+	if s == nil {
+		return ExclusionNone
+	}
+	s.recent.remove(choice.number)
+	isCold := t.isCold(now, s)
+	if isCold && !choice.wasCold && !t.hasColdRoom(now, s) {
+		return ExclusionColdLimit
+	}
+	s.recent.add(now, choice.number, isCold)
 	return ExclusionNone
 }
--- a/endpoint/choice.go
+++ b/endpoint/choice.go
@@ -42,8 +42,12 @@
 	// rate limit is in force.
 	RecentRequests int
 
+	// number identifies the choice among those of this instance.
+	number      uint64
 	affinityKey uint64
 	startedAt   time.Time
+	// wasCold is true if the endpoint counted as cold.
+	wasCold bool
 	// cached is true if the endpoint was assumed to have the object cached.
 	cached bool
 	// excludesUnlimited is that of the query for which no endpoint was found.
--- a/endpoint/choose.go
+++ b/endpoint/choose.go
@@ -24,7 +24,9 @@
 		choice.IsRateLimited, choice.RateLimit = true, s.rateLimiter.statement.Rate
 		choice.RecentRequests = s.rateLimiter.requests.sum(now)
 	}
-	s.recent.add(now, t.isCold(now, s))
+	t.lastNumber++
+	choice.number, choice.wasCold = t.lastNumber, t.isCold(now, s)
+	s.recent.add(now, choice.number, choice.wasCold)
 	return choice, true
 }
 
--- a/endpoint/recentrequests.go
+++ b/endpoint/recentrequests.go
@@ -7,6 +7,8 @@
 
 // A recentRequest is a request of this instance to an endpoint.
 type recentRequest struct {
+	// number identifies it among the requests of this instance.
+	number uint64
 	sentAt time.Time
 	// wasCold is true if the endpoint counted as cold.
 	wasCold bool
@@ -17,14 +19,14 @@
 type recentRequests []recentRequest
 
 // add adds a request that is sent now.
-func (r *recentRequests) add(now time.Time, isCold bool) {
+func (r *recentRequests) add(now time.Time, number uint64, isCold bool) {
 	r.evict(now)
-	*r = append(*r, recentRequest{sentAt: now, wasCold: isCold})
+	*r = append(*r, recentRequest{number: number, sentAt: now, wasCold: isCold})
 }
 
 // remove drops a request that was not sent after all.
-func (r *recentRequests) remove(sentAt time.Time) {
-	i := slices.IndexFunc(*r, func(request recentRequest) bool { return request.sentAt.Equal(sentAt) })
+func (r *recentRequests) remove(number uint64) {
+	i := slices.IndexFunc(*r, func(request recentRequest) bool { return request.number == number })
 	if i >= 0 {
 		*r = slices.Delete(*r, i, i+1)
 	}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -36,6 +36,8 @@
 	// instance.
 	startedAt  time.Time
 	standstill standstill
+	// lastNumber is the number of the last choice.
+	lastNumber uint64
 	// restarts are those that were not taken yet.
 	restarts      []Restart
 	restartTotals RestartTotals
@@ -228,7 +230,7 @@
 		return
 	}
 	if outcome == OutcomeConnectFailed || outcome == OutcomeWithdrawn {
-		s.recent.remove(choice.startedAt)
+		s.recent.remove(choice.number)
 	}
 	if s.StartedAtMillis != choice.Endpoint.StartedAtMillis {
 		// The response of an earlier incarnation says nothing about this one.
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -86,6 +86,8 @@
 		return "not to be reported\n"
 	case "peer-ended":
 		return formatNews(s.table.ApplyEnded(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))))
+	case "recheck":
+		return s.recheck(t, d)
 	case "list":
 		s.table.SetListFailing(s.now, intArg(t, d, "failing") != 0)
 	case "retry":
@@ -226,6 +228,24 @@
 	}
 }
 
+// recheck returns why the oldest choices of an endpoint may no longer be sent, in order.
+// Those that are withdrawn are finished.
+func (s *script) recheck(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	id := savorystep.EndpointID(arg(t, d, "id"))
+	var out strings.Builder
+	for range max(1, intArg(t, d, "times")) {
+		choice := s.inFlight[id][0]
+		s.inFlight[id] = s.inFlight[id][1:]
+		exclusion := s.table.Recheck(s.now, choice)
+		if exclusion != endpoint.ExclusionNone {
+			s.table.Finish(s.now, choice, endpoint.OutcomeWithdrawn, nil)
+		}
+		fmt.Fprintln(&out, exclusion)
+	}
+	return out.String()
+}
+
 // retry counts requests, takes retries until none is allowed and returns their
 // number.
 func (s *script) retry(t *testing.T, d *datadriven.TestData) string {
