Start an upstream endpoint slowly after it has restarted

An endpoint of `serve` that starts again under its id and address got its full load as soon as it listened, and none at all if its earlier incarnation was ejected, for up to 30 s. The list of the platform shows such a restart by the start time alone if it happens between two reads, or before a late list shows the end. The pool compared only the address, so health, counts, service time and connections of the process that had ended were used for the next one.

The state belongs to a process now: id, address and start time. The stand-in of an upstream states when it started; a platform that states no start times is not affected, since they are all equal then.

--- a/cmd/standinupstreamcmd.go
+++ b/cmd/standinupstreamcmd.go
@@ -79,7 +79,7 @@
 		MeanServiceTime: flags.meanServiceTime,
 		Exit:            func() { os.Exit(exitFailed) },
 	}).Serve(serveCtx, listener)
-	endpoint := flags.endpoint(listener)
+	endpoint := flags.endpoint(time.Now(), listener)
 	if err := platformClient.RegisterEndpoint(ctx, endpoint); err != nil {
 		return err
 	}
@@ -99,14 +99,15 @@
 }
 
 // endpoint returns the description of the endpoint for the registration.
-func (f standinUpstreamFlags) endpoint(listener net.Listener) savorystep.Endpoint {
+func (f standinUpstreamFlags) endpoint(startedAt time.Time, listener net.Listener) savorystep.Endpoint {
 	return savorystep.Endpoint{
-		ID:             savorystep.EndpointID(f.id),
-		Service:        savorystep.Service(f.service),
-		Place:          savorystep.Place{Region: savorystep.Region(f.region), Zone: savorystep.Zone(f.zone)},
-		State:          savorystep.StateLive,
-		Address:        savorystep.Address(listener.Addr().String()),
-		Slots:          savorystep.Slots(f.slots),
-		MaxConnections: 330,
+		ID:              savorystep.EndpointID(f.id),
+		Service:         savorystep.Service(f.service),
+		Place:           savorystep.Place{Region: savorystep.Region(f.region), Zone: savorystep.Zone(f.zone)},
+		State:           savorystep.StateLive,
+		Address:         savorystep.Address(listener.Addr().String()),
+		Slots:           savorystep.Slots(f.slots),
+		MaxConnections:  330,
+		StartedAtMillis: startedAt.UnixMilli(),
 	}
 }
--- a/upstream/endpoint.go
+++ b/upstream/endpoint.go
@@ -62,6 +62,12 @@
 	return e
 }
 
+// isSameProcess reports whether an entry is of the process that the state
+// belongs to, and not of a later one with the same ID.
+func (e *endpoint) isSameProcess(info savorystep.Endpoint) bool {
+	return e.info.Address == info.Address && e.info.StartedAtMillis == info.StartedAtMillis
+}
+
 // recordPeerCount records a peer's reported number of requests in flight.
 func (e *endpoint) recordPeerCount(id savorystep.InstanceID, count savorystep.Slots, receivedAt time.Time, minInterval time.Duration) {
 	e.peerCounts[id] = e.peerCounts[id].withReport(count, receivedAt, minInterval)
--- a/upstream/group.go
+++ b/upstream/group.go
@@ -256,14 +256,14 @@
 }
 
 // updateEndpoints replaces the list of endpoints. The state of an endpoint is
-// kept if its address is unchanged. It returns the connections of the endpoints
-// that are gone. The caller holds mu.
+// kept if it runs in the same process. It returns the connections of the
+// endpoints that are gone. The caller holds mu.
 func (g *group) updateEndpoints(list []savorystep.Endpoint, base *timebase, now time.Time) []*connSet {
 	var retired []*connSet
 	endpoints := make([]*endpoint, 0, len(list))
 	for _, info := range list {
 		e := g.findEndpoint(info.ID)
-		if e == nil || e.info.Address != info.Address {
+		if e == nil || !e.isSameProcess(info) {
 			e = newEndpoint(info, base, g.limits)
 			// The first reads of load pages are spread over an interval, so
 			// that they do not all happen at the start. A new endpoint is
--- /dev/null
+++ b/upstream/restart_test.go
@@ -0,0 +1,103 @@
+package upstream_test
+
+import (
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"savorystep"
+	"savorystep/standin"
+	"savorystep/upstream"
+)
+
+// restart lists an endpoint as started again under its id and address, with one slot
+// more, and waits until the pool knows the new entry.
+func (tb *testbed) restart(p *upstream.Pool, index int) {
+	tb.t.Helper()
+	slots := p.RegionLoads(testService, time.Now())[0].Slots
+	entry := tb.registry.endpoints[index]
+	entry.StartedAtMillis++
+	entry.Slots++
+	tb.registry.set(entry)
+	tb.eventually("the new entry is known", func() bool {
+		return p.RegionLoads(testService, time.Now())[0].Slots > slots
+	})
+}
+
+// TestRestartedEndpointStartsSlowly guards against sending an endpoint its full load
+// immediately after it has started again under its id and address: its caches are cold.
+// The variant without slow start does.
+func TestRestartedEndpointStartsSlowly(t *testing.T) {
+	tests := []struct {
+		name        string
+		window      time.Duration
+		wantRunning savorystep.Slots
+	}{
+		{name: "slow start", window: time.Hour, wantRunning: 1},
+		{name: "variant without slow start", window: time.Nanosecond, wantRunning: 8},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			const requests = 8
+			tb := newTestbed(t)
+			a := tb.addUpstream("a", "natal", standin.UpstreamConfig{Slots: 20})
+			p := tb.newPool(func(c *upstream.Config) {
+				disableLoadPages(c)
+				c.Limits.Health.SlowStartWindow = test.window
+			})
+			tb.restart(p, 0)
+			a.SetFaults(standin.UpstreamFaults{Hold: true})
+			results := make(chan forwardResult, requests)
+			for i := range requests {
+				tb.forwardAsync(p, get(savorystep.RequestID(fmt.Sprint("r", i)), "/echo"), results)
+			}
+			tb.eventually("all requests run or are queued", func() bool {
+				return int(a.Load().Busy)+queuedRequests(p) == requests
+			})
+			if running := a.Load().Busy; running != test.wantRunning {
+				t.Errorf("%d requests run after the restart, want %d", running, test.wantRunning)
+			}
+			a.SetFaults(standin.UpstreamFaults{})
+			for range requests {
+				if result := <-results; result.err != nil {
+					t.Errorf("request %s: %v", result.id, result.err)
+				}
+			}
+		})
+	}
+}
+
+// ejectOnly makes the only endpoint of a testbed fail until the pool ejects it.
+func (tb *testbed) ejectOnly(p *upstream.Pool) {
+	tb.t.Helper()
+	u := tb.upstreams["a"]
+	u.SetFaults(standin.UpstreamFaults{Truncate: true})
+	tb.eventually("the endpoint is ejected", func() bool {
+		response, err := p.Forward(tb.t.Context(), get("fail", "/size/100000"))
+		if err == nil {
+			_, _ = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		return p.RegionLoads(testService, time.Now())[0].UsableEndpoints == 0
+	})
+	u.SetFaults(standin.UpstreamFaults{})
+}
+
+// TestRestartedEndpointIsNotEjected guards against an endpoint that gets no requests after
+// it has started again, because its earlier incarnation was ejected.
+func TestRestartedEndpointIsNotEjected(t *testing.T) {
+	tb := newTestbed(t)
+	tb.addUpstream("a", "natal", standin.UpstreamConfig{})
+	p := tb.newPool(func(c *upstream.Config) {
+		disableLoadPages(c)
+		c.Limits.Health.BaseEjectionTime, c.Limits.Health.MaxEjectionTime = time.Hour, time.Hour
+	})
+	tb.ejectOnly(p)
+	entry := tb.registry.endpoints[0]
+	entry.StartedAtMillis++
+	tb.registry.set(entry)
+	tb.eventually("the restarted endpoint is usable", func() bool {
+		return p.RegionLoads(testService, time.Now())[0].UsableEndpoints == 1
+	})
+}
