Withdraw the report of an ejection when its endpoint is gone

An instance of `serve` tells its peers that it has ejected an endpoint, and takes that back when the ejection ends. When the endpoint started again or was no longer listed, its state was dropped with the mark that the ejection was published, so the report stood at the peers for up to twice the longest ejection (60 s), and for a later incarnation under that id. Peers count such reports when they judge whether a region is dead or their own network is at fault.

The pool publishes the end of the ejection when it drops the state.

--- a/upstream/endpointlist.go
+++ b/upstream/endpointlist.go
@@ -63,15 +63,31 @@
 	}
 	now := p.clock.Now()
 	groups := p.mergeGroups(listed)
-	var retired []*connSet
+	var actions []deferredAction
 	for key, g := range groups {
 		g.mu.Lock()
-		retired = append(retired, g.updateEndpoints(listed[key], p.base, now)...)
+		for _, e := range g.updateEndpoints(listed[key], p.base, now) {
+			actions = p.retire(e, actions)
+		}
 		g.mu.Unlock()
 	}
-	for _, conns := range retired {
-		conns.retire()
+	for _, action := range actions {
+		action()
+	}
+}
+
+// retire closes the connections to an endpoint that is gone, and withdraws the
+// report to the peers that it is ejected. The caller holds the group's lock.
+func (p *Pool) retire(e *endpoint, actions []deferredAction) []deferredAction {
+	actions = append(actions, e.conns.retire)
+	if !e.publishedEjected {
+		return actions
 	}
+	e.publishedEjected = false
+	subject := string(e.info.ID)
+	return append(actions, func() {
+		p.config.Facts.Publish(savorystep.FactHealth, subject, savorystep.HealthFact{})
+	})
 }
 
 // mergeGroups adds groups for new services and regions, rebuilds the index of
--- a/upstream/group.go
+++ b/upstream/group.go
@@ -256,10 +256,10 @@
 }
 
 // updateEndpoints replaces the list of endpoints. The state of an endpoint is
-// kept if it runs in the same process. It returns the connections of the
-// endpoints that are gone. The caller holds mu.
-func (g *group) updateEndpoints(list []savorystep.Endpoint, base *timebase, now time.Time) []*connSet {
-	var retired []*connSet
+// kept if it runs in the same process. It returns the endpoints that are gone.
+// The caller holds mu.
+func (g *group) updateEndpoints(list []savorystep.Endpoint, base *timebase, now time.Time) []*endpoint {
+	var gone []*endpoint
 	endpoints := make([]*endpoint, 0, len(list))
 	for _, info := range list {
 		e := g.findEndpoint(info.ID)
@@ -279,7 +279,7 @@
 	}
 	for _, old := range g.endpoints {
 		if !slices.Contains(endpoints, old) {
-			retired = append(retired, old.conns)
+			gone = append(gone, old)
 		}
 	}
 	g.endpoints = endpoints
@@ -288,5 +288,5 @@
 		g.healths = append(g.healths, e.health)
 	}
 	g.dispatch(now)
-	return retired
+	return gone
 }
--- a/upstream/restart_test.go
+++ b/upstream/restart_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"savorystep"
 	"savorystep/standin"
 	"savorystep/upstream"
@@ -101,3 +103,45 @@
 		return p.RegionLoads(testService, time.Now())[0].UsableEndpoints == 1
 	})
 }
+
+// TestEjectionEndsWithIncarnation guards against peers that take an endpoint for ejected
+// by this instance after it has started again or is no longer listed.
+func TestEjectionEndsWithIncarnation(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(*testbed)
+	}{
+		{name: "started again", change: func(tb *testbed) {
+			entry := tb.registry.endpoints[0]
+			entry.StartedAtMillis++
+			tb.registry.set(entry)
+		}},
+		{name: "not listed any more", change: func(tb *testbed) {
+			entry := tb.registry.endpoints[0]
+			entry.State = savorystep.StateEnded
+			tb.registry.set(entry)
+		}},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tb := newTestbed(t)
+			tb.addUpstream("a", "natal", standin.UpstreamConfig{})
+			peer := tb.factBus.join("instance-2")
+			p := tb.newPool(func(c *upstream.Config) {
+				disableLoadPages(c)
+				c.Limits.Health.BaseEjectionTime, c.Limits.Health.MaxEjectionTime = time.Hour, time.Hour
+			})
+			tb.ejectOnly(p)
+			isEjected := func() bool {
+				facts := peer.Facts(savorystep.FactHealth)
+				var body savorystep.HealthFact
+				return len(facts) > 0 && cbor.Unmarshal(facts[len(facts)-1].Body, &body) == nil && body.Ejected
+			}
+			tb.eventually("peers know of the ejection", isEjected)
+			// A list without usable endpoints is ignored.
+			tb.addUpstream("b", "natal", standin.UpstreamConfig{})
+			test.change(tb)
+			tb.eventually("peers know that the ejection has ended", func() bool { return !isEjected() })
+		})
+	}
+}
