Count the crashes of each start of an upstream endpoint

A request that crashes upstreams was never quarantined by `serve` where the same endpoint ran it each time and started again under its id: the crashes were told apart by the id alone, so all of them counted as one, here, at the peers and in the crash log. Gateways tell them apart by id and start time. Both use the same function for that now; an endpoint whose start is not known keeps its id alone.

An instance of an older build counts what it gets by name, as before. While builds are mixed, one crash that instances of both saw counts twice, since they name it differently.

--- a/endpoint.go
+++ b/endpoint.go
@@ -1,6 +1,9 @@
 package savorystep
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // An Endpoint is an endpoint of an upstream service as listed by the platform.
 type Endpoint struct {
@@ -25,3 +28,12 @@
 	// SoftwareVersion is the version of the software that the endpoint runs.
 	SoftwareVersion string `json:"version,omitempty"`
 }
+
+// IncarnationID returns an ID that names this start of the endpoint only. It is the
+// endpoint's ID if the start is not known.
+func (e Endpoint) IncarnationID() EndpointID {
+	if e.StartedAtMillis == 0 {
+		return e.ID
+	}
+	return EndpointID(fmt.Sprintf("%s@%d", e.ID, e.StartedAtMillis))
+}
--- a/factbodies.go
+++ b/factbodies.go
@@ -32,8 +32,9 @@
 	RequestRate float64 `cbor:"6,keyasint"`
 }
 
-// A CrashFact lists the endpoints that failed while they ran requests with a given
-// fingerprint, as seen by one instance. Enough of them quarantine the fingerprint.
+// A CrashFact lists the incarnations of endpoints that failed while they ran requests
+// with a given fingerprint, as seen by one instance. Enough of them quarantine the
+// fingerprint.
 type CrashFact struct {
 	Endpoints []EndpointID `cbor:"1,keyasint,omitempty"`
 	// Cleared is true if a request with the fingerprint has since been answered,
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -277,10 +277,9 @@
 
 // recordCrash records the crash of an endpoint that ran a request, and publishes it.
 // The request's crashStreak is what check returned before it was sent to the endpoint.
-// The id of the crash includes the start time of the endpoint.
 func (q *Quarantine) recordCrash(now time.Time, pr *proxiedRequest, crashed savorystep.Endpoint) {
 	key := pr.fingerprint
-	id := savorystep.EndpointID(fmt.Sprintf("%s@%d", crashed.ID, crashed.StartedAtMillis))
+	id := crashed.IncarnationID()
 	q.mu.Lock()
 	record := q.recordOf(now, key)
 	record.addCrash(now, id)
--- a/upstream/attemptfailure.go
+++ b/upstream/attemptfailure.go
@@ -110,7 +110,7 @@
 		return false
 	}
 	if a.options.onEndpointCrashed != nil {
-		a.options.onEndpointCrashed(a.lease.info.ID)
+		a.options.onEndpointCrashed(a.lease.info)
 	}
 	return true
 }
--- a/upstream/crashtable.go
+++ b/upstream/crashtable.go
@@ -18,9 +18,8 @@
 	maxCrashRecords = 10_000
 )
 
-// A crashTable holds the endpoints that crashed while they ran a request with a
-// fingerprint. A crash of an endpoint counts once, however many instances
-// report it.
+// A crashTable holds the incarnations of endpoints that crashed while they ran a
+// request with a fingerprint. Each counts once, however many instances report it.
 type crashTable struct {
 	mu      sync.Mutex
 	records map[savorystep.Fingerprint]*crashRecord
@@ -28,9 +27,9 @@
 
 // A crashRecord holds the crashes of one fingerprint.
 type crashRecord struct {
-	// reportedAt holds when the crash of each endpoint was first reported.
+	// reportedAt holds when the crash of each incarnation was first reported.
 	reportedAt map[savorystep.EndpointID]time.Time
-	// ownCrashes lists the endpoints whose crash this instance observed, the
+	// ownCrashes lists the incarnations whose crash this instance observed, the
 	// last one at lastOwnCrash.
 	ownCrashes   []savorystep.EndpointID
 	lastOwnCrash time.Time
--- a/upstream/forwardoptions.go
+++ b/upstream/forwardoptions.go
@@ -15,7 +15,7 @@
 	newConn bool
 	// onEndpointCrashed is called when an endpoint crashed while it ran the
 	// request, before the error is returned. It is nil without a Quarantine.
-	onEndpointCrashed func(endpoint savorystep.EndpointID)
+	onEndpointCrashed func(endpoint savorystep.Endpoint)
 	// beforeRetry is called before a retry. It returns an error if the request
 	// must not be sent again. It is nil without a Quarantine.
 	beforeRetry func(ctx context.Context) error
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -209,8 +209,8 @@
 // BroadcastTimeout at most. A crash is ignored if the attempt started before
 // the last crash that this instance observed itself: when an availability zone
 // fails, its endpoints crash together, whatever they run.
-func (a *admission) onEndpointCrashed(endpoint savorystep.EndpointID) {
-	q, key := a.quarantine, a.request.Fingerprint
+func (a *admission) onEndpointCrashed(crashed savorystep.Endpoint) {
+	q, key, endpoint := a.quarantine, a.request.Fingerprint, crashed.IncarnationID()
 	if q.crashes.ownCrashSince(key, a.lastAttemptStart()) {
 		log.Warningf("endpoint %s crashed with request %s, not counted because the attempt started before the last crash", endpoint, a.request.ID)
 		return
--- a/upstream/restart_test.go
+++ b/upstream/restart_test.go
@@ -145,3 +145,28 @@
 		})
 	}
 }
+
+// TestQuarantineCountsRestarts guards against a request that is never quarantined, because
+// the endpoint that it crashes starts again under its id each time.
+func TestQuarantineCountsRestarts(t *testing.T) {
+	tb := newTestbed(t)
+	instance := newInstance(tb, "instance-1", true)
+	var last error
+	for start := range 4 {
+		tb.addUpstream("a", "natal", standin.UpstreamConfig{}).SetFaults(standin.UpstreamFaults{CrashPath: "/poison"})
+		entry := tb.registry.endpoints[0]
+		entry.StartedAtMillis = int64(start + 1)
+		tb.registry.set(entry)
+		tb.eventually("the started endpoint gets a request", func() bool {
+			_, last = instance.Forward(t.Context(), get("r1", "/poison"))
+			return tb.runsOf("r1") == 1 || savorystep.KindOf(last) == savorystep.KindQuarantined
+		})
+		if savorystep.KindOf(last) == savorystep.KindQuarantined {
+			if start != 2 {
+				t.Errorf("quarantined after %d crashes, want 2", start)
+			}
+			return
+		}
+	}
+	t.Errorf("not quarantined after 4 crashes: %v", last)
+}
