Admit nothing under a lowered cap while a restored row may lack units

Cause: an instance that received a lower cap admits again once its own write is in the row and the sum of the row fits. After a restore of the table the row lacks the entries of the lost part until their holders have written them again, so the sum fits too early. The bound of the simulation is right: all instances had received the cap.

--- a/store/grantallowance.go
+++ b/store/grantallowance.go
@@ -17,9 +17,10 @@
 	// AdmissionCeiling bounds admissions below TotalUnits while this instance
 	// returns units to others.
 	AdmissionCeiling savorystep.Slots
-	// Suspended is true while the sum of the row is above the cap, or the row
-	// does not record a lowered cap yet. Nothing is admitted until
-	// SuspendedUntil, and from then on at most SuspendedFloor units.
+	// Suspended is true while the sum of the row is above the cap, the row does
+	// not record a lowered cap yet, or a restored row may lack units that do not
+	// fit a lowered cap. Nothing is admitted until SuspendedUntil, and from then
+	// on at most SuspendedFloor units.
 	Suspended      bool
 	SuspendedUntil time.Time
 	SuspendedFloor savorystep.Slots
--- a/store/grantledger.go
+++ b/store/grantledger.go
@@ -39,7 +39,8 @@
 //     applies. An instance that has received a lower cap admits nothing until
 //     the row records the lower cap and the sum of the row is within it.
 //   - After a restore of the table, an instance writes its entry again, and gets
-//     no further units until all grants of the lost rows have ended.
+//     no further units until all grants of the lost rows have ended. If the cap
+//     was lowered, it admits nothing until then.
 type GrantLedger struct {
 	config GrantLedgerConfig
 
@@ -87,6 +88,9 @@
 	// held is this instance's entry of before a restore. It replaces the one in the
 	// row until the table has it again, then it is nil.
 	held *GrantHolder
+	// isSumUnknown is true from a restore until the first read after its end if the
+	// units in use may exceed a lowered cap although the sum of the row is within it.
+	isSumUnknown bool
 }
 
 // A nonceSighting is a nonce and the time when it was first seen.
@@ -151,6 +155,7 @@
 	}
 	if budgetCap < l.budgetCap {
 		l.capReductions++
+		l.isSumUnknown = l.isSumUnknown || l.guard.isOpen()
 	}
 	l.budgetCap = budgetCap
 	l.capSetAt = now
@@ -165,7 +170,7 @@
 		return nil
 	}
 	if l.rowKnown && era == l.era && row.Version == l.version {
-		l.guard.observe(era, at)
+		l.observeEra(at)
 		l.checkedAt = at
 		l.hasUnknownOutcome = false
 		return nil
@@ -177,7 +182,7 @@
 	if era > l.era {
 		l.beginRestore(era, at)
 	}
-	l.guard.observe(era, at)
+	l.observeEra(at)
 	l.adopt(decoded, row.Version, at)
 	return nil
 }
@@ -186,7 +191,7 @@
 // version. The time must be taken after the response arrived.
 func (l *GrantLedger) RecordCommit(proposal GrantProposal, version savorystep.RowVersion, at time.Time) {
 	if proposal.Era == l.era && version > l.version {
-		l.guard.observe(l.era, at)
+		l.observeEra(at)
 		l.held = nil
 		l.adopt(proposal.Row, version, at)
 	}
@@ -241,7 +246,7 @@
 		allowance.Expiry = ownWrite.at.Add(l.config.GrantLifetime)
 	}
 	budgetCap := l.lowestLiveCap(l.checkedAt)
-	if l.capReductionsInRow < l.capReductions || l.row.TotalUnits() > budgetCap {
+	if l.isSumUnknown || l.exceedsCap(budgetCap) {
 		allowance.Suspended = true
 		suspendedSince := l.capSetAt
 		if l.checkedAt.After(suspendedSince) {
@@ -258,6 +263,12 @@
 	return allowance
 }
 
+// exceedsCap reports whether the row gives out more units than the cap, or does not
+// record a lowered cap yet.
+func (l *GrantLedger) exceedsCap(budgetCap savorystep.Slots) bool {
+	return l.capReductionsInRow < l.capReductions || l.row.TotalUnits() > budgetCap
+}
+
 // isContended reports whether another instance wants more units than it has, or
 // the row gives out more units than the cap.
 func (l *GrantLedger) isContended(budgetCap savorystep.Slots) bool {
--- a/store/grantreads.go
+++ b/store/grantreads.go
@@ -16,7 +16,7 @@
 	}
 	own := l.row.Holder(l.config.Self)
 	budgetCap := l.lowestLiveCap(l.checkedAt)
-	if l.guard.isOpen() {
+	if l.guard.isOpen() || l.isSumUnknown {
 		return l.config.GrantLifetime / 6, true
 	}
 	if demand.PeakNeed > own.TotalUnits() || l.row.TotalUnits() > budgetCap {
--- a/store/grantrestore.go
+++ b/store/grantrestore.go
@@ -10,6 +10,7 @@
 // beginRestore keeps this instance's entry as it is in force, because the row of the
 // new era may lack it.
 func (l *GrantLedger) beginRestore(era savorystep.StoreEra, now time.Time) {
+	l.isSumUnknown = l.isSumUnknown || l.exceedsCap(l.lowestLiveCap(now))
 	held := l.row.Holder(l.config.Self)
 	if l.hasOpenWrites {
 		held.limit(l.openTotal, l.openFloor)
@@ -20,6 +21,12 @@
 	clear(l.sightings)
 }
 
+// observeEra records a response of the table in the era of the known row.
+func (l *GrantLedger) observeEra(at time.Time) {
+	l.guard.observe(l.era, at)
+	l.isSumUnknown = l.isSumUnknown && l.guard.isOpen()
+}
+
 // expireHeld removes the units of the held entry once its grant has expired, because
 // others may have reclaimed them in the lost rows.
 func (l *GrantLedger) expireHeld(now time.Time) {
--- a/store/grantscript_test.go
+++ b/store/grantscript_test.go
@@ -20,6 +20,7 @@
 	t       *testing.T
 	now     time.Time
 	table   *standin.FaultyTable
+	backing *standin.Table
 	ledgers map[string]*store.GrantLedger
 	ended   map[savorystep.InstanceID]bool
 }
@@ -30,9 +31,11 @@
 func TestGrantScripts(t *testing.T) {
 	datadriven.Walk(t, "testdata/grants", func(t *testing.T, path string) {
 		t.Helper()
+		backing := standin.NewTable()
 		script := &grantScript{
 			t: t, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
-			table:   standin.NewFaultyTable(standin.NewTable()),
+			table:   standin.NewFaultyTable(backing),
+			backing: backing,
 			ledgers: make(map[string]*store.GrantLedger),
 			ended:   make(map[savorystep.InstanceID]bool),
 		}
@@ -70,6 +73,11 @@
 		}
 		s.table.SetFaults(faults)
 		return ""
+	case "era":
+		for _, arg := range d.CmdArgs {
+			s.ledger(arg.Key).NoteEra(s.backing.Era())
+		}
+		return ""
 	case "limit":
 		var limit int
 		d.ScanArgs(t, "limit", &limit)
@@ -79,6 +87,11 @@
 			}
 		}
 		return ""
+	case "restore":
+		var version int
+		d.ScanArgs(t, "version", &version)
+		s.backing.Restore(savorystep.RowVersion(version))
+		return ""
 	case "work":
 		return s.readAndWrite(d)
 	default:
@@ -147,11 +160,16 @@
 	commit, err := s.table.Commit(s.t.Context(), savorystep.Txn{
 		Conditions: []savorystep.Condition{{Key: simulatedRowKey, Version: proposal.BaseVersion}},
 		Writes:     []savorystep.Write{{Key: simulatedRowKey, Value: value}},
+		Era:        proposal.Era,
 	})
 	if err != nil {
 		ledger.RecordUnknownOutcome()
 		return "write: " + err.Error() + "\n"
 	}
+	if commit.IsOtherEra() {
+		ledger.RecordUnknownOutcome()
+		return "other era\n"
+	}
 	if len(commit.Conflicts) > 0 {
 		if err := ledger.Observe(commit.Conflicts[0], s.now); err != nil {
 			s.t.Fatal(err)
