Keep a connection whose body is written when the response comes

Callers saw nothing but a new connection: after an upload, a connection that could carry the next request was closed now and then. TestUploadToEndpointThatReadsLate failed with "endpoint accepted 2 connections, want 1".

Cause: finishBodyWrite took the body for unfinished if the goroutine that writes it had not reported its end when the response was read, although its last write had been done and returned no error. It now decides by what the write returned, and clears the deadline that ends a write which is really waiting; such a one returns an error, and the connection is closed as before.

TestReuseAfterBodyWrite forces the state: "written" failed before ("reused false, want true"), "cut" and "not begun" pass before and after.

--- a/http1/bodywrite_test.go
+++ b/http1/bodywrite_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"savorystep"
 )
@@ -64,3 +65,69 @@
 		})
 	}
 }
+
+// A blockedConn is a scriptedConn on which the write of a body blocks until a deadline is
+// set, then reports the given number of bytes.
+type blockedConn struct {
+	scriptedConn
+	deadlines chan time.Time
+	written   int
+	bodyErr   error
+}
+
+func (c *blockedConn) Write(p []byte) (int, error) {
+	if len(p) <= maxInlineBodyBytes {
+		return len(p), nil
+	}
+	<-c.deadlines
+	return c.written, c.bodyErr
+}
+
+func (c *blockedConn) SetDeadline(deadline time.Time) error {
+	c.deadlines <- deadline
+	return nil
+}
+
+// TestReuseAfterBodyWrite guards against closing a connection whose endpoint has got the
+// whole body, because the response was read before the write reported its end, and against
+// reusing one whose endpoint still expects a part of the body.
+func TestReuseAfterBodyWrite(t *testing.T) {
+	const bodyBytes = maxInlineBodyBytes + 1
+	tests := []struct {
+		name       string
+		written    int
+		err        error
+		isReusable bool
+	}{
+		{name: "written", written: bodyBytes, isReusable: true},
+		{name: "cut", written: bodyBytes - 1, err: os.ErrDeadlineExceeded},
+		{name: "not begun", err: os.ErrDeadlineExceeded},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			config := Config{HeaderNames: savorystep.HeaderNames{AttemptID: "Attempt"}}.withDefaults()
+			request := &Request{Method: "POST", Target: "/", Host: "h", AttemptID: "1", HasBody: true, Body: make([]byte, bodyBytes)}
+			wire := "HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 4\r\n\r\nbody"
+			opened := &blockedConn{
+				scriptedConn: scriptedConn{Reader: strings.NewReader(wire)},
+				deadlines:    make(chan time.Time, 2), written: test.written, bodyErr: test.err,
+			}
+			_, isReusable, err := newConn(opened).exchange(t.Context(), request, &config)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if isReusable != test.isReusable {
+				t.Errorf("reused %t, want %t", isReusable, test.isReusable)
+			}
+			isCleared := false
+			select {
+			case deadline := <-opened.deadlines:
+				isCleared = deadline.IsZero()
+			default:
+			}
+			if isReusable && !isCleared {
+				t.Error("the reused connection keeps a deadline in the past")
+			}
+		})
+	}
+}
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -150,17 +150,19 @@
 }
 
 // finishBodyWrite ends the goroutine that writes the body. It reports whether the whole
-// body had been written before, and returns the error of the write. If it had not, the
-// endpoint still expects the rest of the body, so the connection can't carry another
-// request.
+// body is written, and returns the error of the write. If it is not, the endpoint still
+// expects the rest of the body, so the connection can't carry another request.
 func (c *conn) finishBodyWrite(bodyWritten <-chan error) (bool, error) {
 	select {
 	case err := <-bodyWritten:
 		return err == nil, err
 	default:
 	}
+	// The endpoint may have the whole body although the goroutine has not reported it yet.
 	_ = c.SetDeadline(time.Unix(1, 0))
-	return false, <-bodyWritten
+	err := <-bodyWritten
+	isWritten := err == nil && c.SetDeadline(time.Time{}) == nil
+	return isWritten, err
 }
 
 // isConnBroken reports whether the error of a write shows that the connection broke
