Send the news that endpoints have ended before the byte budget allows more

Cause: an instance sends 5 KB/s at most, 1 KB at once; an ending costs it some 60 bytes for each peer, and the crashes of the requests that broke off, up to 300 bytes each, were queued before it, newest first.

Endings come first now and have a budget of their own, 20 KB and 1 KB/s. Up to six instances find the same ending at once; the reports after the first one are not forwarded.

TestEndingsPassUsedUpBudget and TestRepeatedEndingIsNotForwarded failed before.

--- a/peer/ended_bench_test.go
+++ b/peer/ended_bench_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
-	"sync/atomic"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,9 +26,28 @@
 				f := newFleet(b, size, benchConfig)
 				f.waitForFullMembership(b)
 				time.Sleep(settleTime)
-				var received atomic.Int64
-				for _, n := range f.nodes {
-					n.Subscribe(savorystep.FactEnded, func(savorystep.ReceivedFact) { received.Add(1) })
+				var mu sync.Mutex
+				var knownAt []time.Time
+				countKnown := func() int {
+					mu.Lock()
+					defer mu.Unlock()
+					return len(knownAt)
+				}
+				subject := func(i int) string { return fmt.Sprintf("i-%010x", i) }
+				for index, n := range f.nodes {
+					subjects := make(map[string]bool)
+					for i := range endpoints {
+						// A finder knows of it already.
+						subjects[subject(i)] = (index-i*finders%size+size)%size < finders
+					}
+					n.Subscribe(savorystep.FactEnded, func(fact savorystep.ReceivedFact) {
+						if !subjects[fact.Subject] {
+							subjects[fact.Subject] = true
+							mu.Lock()
+							defer mu.Unlock()
+							knownAt = append(knownAt, time.Now())
+						}
+					})
 				}
 				idleSent, _, _ := f.totals()
 				start := time.Now()
@@ -37,15 +57,18 @@
 				cpuBefore, start := cpuTime(), time.Now()
 				for i := range endpoints {
 					for k := range finders {
-						f.nodes[(i*finders+k)%size].Publish(savorystep.FactEnded, fmt.Sprintf("i-%010x", i), savorystep.EndedFact{StartedAtMillis: 1_791_317_950_729, Number: 1})
+						f.nodes[(i*finders+k)%size].Publish(savorystep.FactEnded, subject(i), savorystep.EndedFact{StartedAtMillis: 1_791_317_950_729, Number: 1})
 					}
 				}
-				want := int64(endpoints * finders * (size - 1))
-				eventually(b, "news known to all", func() bool { return received.Load() >= want })
+				want := endpoints * (size - finders)
+				eventually(b, "news known to all", func() bool { return countKnown() >= want })
 				took, used := time.Since(start), cpuTime()-cpuBefore
 				after, _, _ := f.totals()
 				news := float64(endpoints)
-				b.ReportMetric(took.Seconds()*1000, "all-ms")
+				slices.SortFunc(knownAt, time.Time.Compare)
+				for name, rank := range map[string]int{"median-ms": want / 2, "p95-ms": want * 95 / 100, "all-ms": want - 1} {
+					b.ReportMetric(knownAt[rank].Sub(start).Seconds()*1000, name)
+				}
 				b.ReportMetric((after-before-idle*took.Seconds())/news/float64(size), "sentB/ending/node")
 				b.ReportMetric(float64(used.Microseconds())/news/float64(size), "µs/ending/node")
 				f.stop()
--- /dev/null
+++ b/peer/ended_test.go
@@ -0,0 +1,64 @@
+package peer
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"savorystep"
+)
+
+// newBusyLink returns a link of an exchange that has used up its byte budget.
+func newBusyLink(now time.Time) (*Exchange, *link) {
+	e := New(Config{Clock: fixedClock(now), Secret: "secret of the test", Self: savorystep.Instance{ID: "self"}})
+	e.byteBudget.spend(now, e.byteBudget.available(now))
+	l := &link{exchange: e, peer: savorystep.Instance{ID: "other"}, pending: make(map[factKey]bool), sentNames: make(map[string]uint64), writeSignal: make(chan struct{}, 1)}
+	e.links["other"] = l
+	return e, l
+}
+
+// A fixedClock always returns the same time.
+type fixedClock time.Time
+
+func (c fixedClock) Now() time.Time { return time.Time(c) }
+
+// TestEndingsPassUsedUpBudget guards against the news that endpoints have ended which
+// waits until they run again, because the crashes of requests that they ran have used up
+// the byte budget. Other urgent facts wait.
+func TestEndingsPassUsedUpBudget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e, l := newBusyLink(now)
+	for i := range 10 {
+		e.Publish(savorystep.FactCrash, fmt.Sprint("request-", i), savorystep.CrashFact{Streak: 1})
+		e.Publish(savorystep.FactEnded, fmt.Sprint("endpoint-", i), savorystep.EndedFact{StartedAtMillis: 1, Number: 1})
+	}
+	facts := &factsFrame{}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	l.addPendingFacts(now, facts, e.byteBudget.available(now))
+	counts := make(map[savorystep.FactKind]int)
+	for _, fact := range facts.Facts {
+		counts[fact.Kind]++
+	}
+	if counts[savorystep.FactEnded] != 10 || len(counts) != 1 {
+		t.Errorf("facts by kind %v, want 10 of kind %d only", counts, savorystep.FactEnded)
+	}
+}
+
+// TestRepeatedEndingIsNotForwarded guards against reports of several instances that the
+// same endpoint has ended, each of which is forwarded to all instances.
+func TestRepeatedEndingIsNotForwarded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e, l := newBusyLink(now)
+	from := &link{exchange: e, peer: savorystep.Instance{ID: "third"}, pending: make(map[factKey]bool)}
+	e.links["third"] = from
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, finder := range []savorystep.InstanceID{"third", "fourth", "fifth"} {
+		fact := savorystep.Fact{Instance: finder, Sequence: 1, Kind: savorystep.FactEnded, Subject: "endpoint", Body: []byte{0xa1, 1, 5}}
+		e.disseminate(e.store.merge(now, fact, now), from)
+	}
+	if got := len(l.pending); got != 1 {
+		t.Errorf("%d reports are forwarded, want 1", got)
+	}
+}
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -35,7 +35,12 @@
 	mu         sync.Mutex
 	store      *store
 	byteBudget *tokenBucket
-	links      map[savorystep.InstanceID]*link
+	// endingBudget limits the bytes of reports that endpoints have ended beyond it.
+	endingBudget *tokenBucket
+	// endingSentAt holds when a report that an endpoint has ended was last sent on, by the
+	// endpoint's id.
+	endingSentAt map[string]time.Time
+	links        map[savorystep.InstanceID]*link
 	// monitors holds the instances that this one monitors.
 	monitors              map[savorystep.InstanceID]*monitor
 	dialStates            map[savorystep.Address]*dialState
@@ -98,6 +103,8 @@
 		secretHash:            sha256.Sum256([]byte(config.Secret)),
 		store:                 newStore(config.Self.ID, config.PeerTimeout),
 		byteBudget:            newTokenBucket(config.BytesPerSecond, now),
+		endingBudget:          &tokenBucket{bytesPerSecond: endingBytesPerSecond, capacity: endingBurstBytes, tokens: endingBurstBytes, refilledAt: now},
+		endingSentAt:          make(map[string]time.Time),
 		links:                 make(map[savorystep.InstanceID]*link),
 		monitors:              make(map[savorystep.InstanceID]*monitor),
 		dialStates:            make(map[savorystep.Address]*dialState),
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -190,21 +190,45 @@
 			return
 		}
 	}
-	count := forwardCountOf(entry.key.kind)
-	switch {
+	if entry.key.kind == savorystep.FactEnded && !e.isEndingDue(entry, from) {
+		return
+	}
+	for _, l := range e.forwardTargets(entry.key.instance, from, e.forwardCount(entry, from)) {
+		l.enqueue(entry.key)
+	}
+}
+
+// forwardCount returns the number of peers to which a new fact is sent.
+func (e *Exchange) forwardCount(entry *entry, from *link) int {
+	switch count := forwardCountOf(entry.key.kind); {
 	case from == nil && e.isFullMesh():
-		count = len(e.links)
+		return len(e.links)
 	case from == nil:
-		count *= 2
+		return 2 * count
 	case e.isFullMesh():
 		// In a full mesh the publisher has sent the fact to every instance. One
 		// forwarded copy covers the case that its connection to a third
 		// instance has failed.
-		count = 1
+		return 1
+	default:
+		return count
 	}
-	for _, l := range e.forwardTargets(entry.key.instance, from, count) {
-		l.enqueue(entry.key)
+}
+
+// isEndingDue reports whether a report that an endpoint has ended is sent on. Several
+// instances find it at the same moment. Of their reports, an instance forwards the first
+// one; anti-entropy delivers the others.
+func (e *Exchange) isEndingDue(entry *entry, from *link) bool {
+	now := e.config.Clock.Now()
+	sentAt, isSent := e.endingSentAt[entry.key.subject]
+	if from != nil && isSent && now.Sub(sentAt) < endingForwardInterval {
+		return false
+	}
+	if len(e.endingSentAt) >= maxSubjectsPerKind {
+		clear(e.endingSentAt)
 	}
+	e.endingSentAt[entry.key.subject] = now
+	return true
 }
 
 // forwardTargets chooses count random links for a fact. It excludes the
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -45,6 +45,14 @@
 	// endedRetention is the maximum age of reports that endpoints have ended, which is how
 	// long instances use them.
 	endedRetention = 30 * time.Second
+	// endingBurstBytes and endingBytesPerSecond are a budget of sent bytes besides the byte
+	// budget, for reports that endpoints have ended. An instance sends about 400 bytes for
+	// each ending, and a fault of a service or a zone ends dozens of endpoints at once.
+	endingBurstBytes     = 20_000
+	endingBytesPerSecond = 1_000
+	// endingForwardInterval is the time in which further reports of the same ending are not
+	// forwarded. Instances repeat a report after that time at the earliest.
+	endingForwardInterval = time.Second
 	// unknownRetention is the maximum age of the count of an unknown name.
 	unknownRetention = time.Hour
 	// neutralRetention is the maximum age of scoped facts that have the same
@@ -93,6 +101,20 @@
 	return kind == savorystep.FactInFlight || kind == savorystep.FactHealth
 }
 
+// urgencyOf returns the order in which facts are sent, those with the greatest urgency
+// first. An endpoint that has ended may run again within a second, by when all instances
+// have to know it.
+func urgencyOf(kind savorystep.FactKind) int {
+	switch {
+	case kind == savorystep.FactEnded:
+		return 2
+	case isUrgent(kind):
+		return 1
+	default:
+		return 0
+	}
+}
+
 // isUrgent reports whether facts of a kind are sent immediately instead of in
 // the next gossip round.
 func isUrgent(kind savorystep.FactKind) bool {
--- a/peer/linkgossip.go
+++ b/peer/linkgossip.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"savorystep"
 )
 
 // nextGossip returns the next gossip frame, nil if there is nothing to send or
@@ -99,17 +101,25 @@
 	}
 	entries := l.sendableFacts()
 	remaining := available
-	added := 0
+	added, frameBytes := 0, 0
 	for _, entry := range entries {
 		keepFree := reservedBytes + l.exchange.vectorReservedBytes
 		if isUrgent(entry.key.kind) {
 			keepFree = 0
 		}
 		size := l.factSizeBound(entry)
-		if remaining-size < keepFree || available-remaining+size > maxGossipBytes {
+		isExtra := entry.key.kind == savorystep.FactEnded && l.exchange.endingBudget.available(now) >= size
+		if frameBytes+size > maxGossipBytes || !isExtra && remaining-size < keepFree {
 			break
 		}
-		remaining -= size
+		frameBytes += size
+		if isExtra {
+			// It does not use the budget from which the frame is deducted.
+			l.exchange.endingBudget.spend(now, size)
+			l.exchange.byteBudget.spend(now, -size)
+		} else {
+			remaining -= size
+		}
 		l.addFact(now, facts, entry)
 		delete(l.pending, entry.key)
 		added++
@@ -144,7 +154,7 @@
 			return order
 		}
 		return cmp.Or(
-			compareBools(isUrgent(b.key.kind), isUrgent(a.key.kind)),
+			cmp.Compare(urgencyOf(b.key.kind), urgencyOf(a.key.kind)),
 			b.publishedAt.Compare(a.publishedAt),
 			cmp.Compare(b.sequence, a.sequence),
 		)
