Count a crash of an endpoint that was listed again while it ran the request

A gateway did not count the crash of an endpoint for the quarantine of the request that it ran if the list named a later start of that endpoint when the crash was noticed: such an endpoint was taken for one that stops as planned, like one that is not listed any more. After a restart under the same id, requests reach the new process for as long as the list names the old one, so a request that crashes its endpoints could run on further ones than the three that quarantine it.

A later start at the same address is considered in place of the one that was chosen: nothing listens there any more, and the list says that it should. A planned stop that the endpoint has announced by a response or by its state is no crash as before, nor is a start at another address, after which nothing tells how the old process ended.

Where the list names the first start all along, it passed before, since the crashes in a row count and not their names. TestRestartEndsGrace passes without a change.

--- a/endpoint/leaving.go
+++ b/endpoint/leaving.go
@@ -110,13 +110,17 @@
 }
 
 // IsStopping reports whether an endpoint stops as planned, or may: it has said that it
-// leaves, or is not listed any more.
+// leaves, or is not listed any more. A later incarnation at its address may have run what
+// was sent to it, and is considered in its place.
 func (t *Table) IsStopping(e savorystep.Endpoint) bool {
 	if known, ok := t.leavings[e.ID]; ok && known.startedAtMillis == e.StartedAtMillis {
 		return true
 	}
 	s := t.byID[e.ID]
-	return s == nil || s.StartedAtMillis != e.StartedAtMillis || s.State == savorystep.StateLeaving || s.isLeaving
+	if s == nil || s.StartedAtMillis < e.StartedAtMillis || (s.StartedAtMillis > e.StartedAtMillis && s.Address != e.Address) {
+		return true
+	}
+	return s.State == savorystep.StateLeaving || s.isLeaving
 }
 
 // CountLeaving returns the number of listed endpoints that have said that they leave.
