Cancel only attempts at the incarnation that was found to be down

A safe request to an endpoint that had started again got 502, because one to its earlier incarnation was refused: attempts in flight were cancelled by the endpoint's id, and the later incarnation counted as crashed by the request. They are kept by id and start now, for which gateways have had a name already.

--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -211,7 +211,7 @@
 	}
 	f.config.Router.recordOutcome(endedAt, choice, result.outcome, load)
 	if cause := endpointDownCause(err); cause != nil {
-		f.attempts.cancelAll(choice.Endpoint.ID, cause)
+		f.attempts.cancelAll(choice.Endpoint.IncarnationID(), cause)
 	}
 	f.metrics.countAttempt(result.outcome, choice.IsRateLimited)
 	switch {
@@ -277,7 +277,7 @@
 		var cancel context.CancelCauseFunc
 		ctx, cancel = context.WithCancelCause(ctx)
 		defer cancel(nil)
-		defer f.attempts.add(target.ID, cancel)()
+		defer f.attempts.add(target.IncarnationID(), cancel)()
 	}
 	return f.config.Transport.Exchange(ctx, target, request)
 }
--- a/ingress/inflightattempts.go
+++ b/ingress/inflightattempts.go
@@ -17,7 +17,7 @@
 )
 
 // inFlightAttempts holds the cancel functions of the attempts in flight that are
-// safe to retry, by endpoint. A machine that loses power sends no TCP reset, so
+// safe to retry, by incarnation of the endpoint. A machine that loses power sends no TCP reset, so
 // without cancellation a request to it would wait until its deadline. It is safe
 // for concurrent use.
 type inFlightAttempts struct {
