Keep the ends of earlier requests out of an endpoint's requests in flight

An endpoint that was removed from the list and added again got more requests than it has room for, 9 for 6 in the test: the ends of requests that were sent before the removal were subtracted from those in flight since. Only requests that were chosen after an endpoint was added count now.

--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -35,7 +35,10 @@
 	// endpoint, as of ownRankVersion of the set of instances.
 	ownRank, ownRankVersion int
 	inFlight                savorystep.Slots
-	foreignLoad             foreignLoad
+	// addedAfter is the number of the last choice before the endpoint was added. Earlier
+	// choices are not in flight here.
+	addedAfter  uint64
+	foreignLoad foreignLoad
 	// warmAt is when its warm-up ends according to its last report.
 	warmAt time.Time
 	// suspectUntil is when the suspicion that it was restarted ends at the latest.
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -96,7 +96,7 @@
 	if tomb != nil {
 		recent = tomb.recent
 	}
-	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, holdOff: hold, recent: recent}
+	s := &endpointState{Endpoint: entry, idHash: xxh3.HashString(string(entry.ID)), warmAt: now.Add(entry.ColdRemaining), cached: make(cachedObjects), rateLimiter: limiter, holdOff: hold, recent: recent, addedAfter: t.lastNumber}
 	t.updateLeaving(now, s)
 	t.updateEnding(s)
 	t.byID[entry.ID] = s
@@ -229,18 +229,20 @@
 	if s == nil {
 		return
 	}
+	wasInFlight := s.inFlight
+	if choice.number > s.addedAfter {
+		s.inFlight = max(0, s.inFlight-1)
+	}
 	if outcome == OutcomeConnectFailed || outcome == OutcomeWithdrawn {
 		s.recent.remove(choice.number)
 	}
 	if s.StartedAtMillis != choice.Endpoint.StartedAtMillis {
 		// The response of an earlier incarnation says nothing about this one.
-		s.inFlight = max(0, s.inFlight-1)
 		return
 	}
 	if load != nil {
-		s.foreignLoad.record(now, *load, s.inFlight)
+		s.foreignLoad.record(now, *load, wasInFlight)
 	}
-	s.inFlight = max(0, s.inFlight-1)
 	s.holdOff.finish(choice.startedAt, outcome, int(maxLoadPerSlot*float64(s.Slots)))
 	s.recordOutcome(now, outcome)
 	took := now.Sub(choice.startedAt)
