Keep a rate limit that an endpoint stated before its restart was listed

An endpoint that had started again and stated a limit of 0.5 requests a second got 5 at once when its new start was listed: the limit and the count of recent requests were dropped with those of the earlier incarnation.

--- a/endpoint/ratelimit.go
+++ b/endpoint/ratelimit.go
@@ -84,6 +84,16 @@
 	return rateLimiter{requests: newWindowCounter(rateLimitWindow)}
 }
 
+// afterRestart returns the rate limiter of the next incarnation when it is listed: a new
+// one, unless a response stated a limit so recently that it may be that of the new
+// incarnation.
+func (l *rateLimiter) afterRestart(now time.Time) rateLimiter {
+	if l.isLimited(now) && now.Sub(l.ownAt) < maxListingDelay {
+		return *l
+	}
+	return newRateLimiter()
+}
+
 // isLimited reports whether a limit is in force.
 func (l *rateLimiter) isLimited(now time.Time) bool {
 	return l.statement.IsLimited && l.isInForce(now)
