Count endpoints that were silent to several instances as cold

Callers saw endpoints flooded (FAILBACK) that lost power and started again, or started again behind a cut: no connection is refused then, so no instance learns that they ended. In the violating seconds about half of the instances had suspected the endpoint, by a connection that was not opened in time; the others sent it up to six requests as warm in 1.3 s.

A silent endpoint may only be cut off, and a lost packet alone makes a connection late. So an instance reports it (FactSilent), unless most endpoints are silent to it, as if its own link were at fault; the endpoint counts as one that has ended at an instance to which two instances, itself included, reported it within 2 s, and which it has not answered within 1 s. It is warm a warm-up after it has answered, as before.

--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -48,6 +48,8 @@
 	suspectSequence uint64
 	// suspectSince is when that suspicion began.
 	suspectSince time.Time
+	// answeredAt is when it last answered a request of this instance.
+	answeredAt time.Time
 	// ending is the end of this incarnation or of a later one, nil if none is known.
 	ending *ending
 	// shedsInRow and failuresInRow count outcomes since the last success.
@@ -80,7 +82,7 @@
 		s.forgetMeasurements()
 		s.shedsInRow, s.failuresInRow, s.backoffUntil = 0, 0, time.Time{}
 		s.suspectUntil = time.Time{}
-		s.rateLimiter, s.holdOff = newRateLimiter(), holdOff{}
+		s.rateLimiter, s.holdOff = s.rateLimiter.afterRestart(now), holdOff{}
 	}
 	if isRestarted || entry.ReportSequence != s.ReportSequence {
 		s.warmAt = now.Add(entry.ColdRemaining)
--- /dev/null
+++ b/endpoint/silence.go
@@ -0,0 +1,121 @@
+package endpoint
+
+import (
+	"time"
+
+	"savorystep"
+)
+
+const (
+	// minSilenceReports is the number of instances to which an endpoint must be silent
+	// before all take it for one that may have restarted. One alone may have a fault of its
+	// own link.
+	minSilenceReports = 2
+	// silenceWindow is the time within which they report it.
+	silenceWindow = 2 * time.Second
+	// contactWindow is how long an endpoint that has answered this instance counts as
+	// reachable, whatever others report.
+	contactWindow = time.Second
+)
+
+// A silence holds when instances, by id, found that an incarnation of an endpoint is
+// silent: it accepted no connection in time, or acknowledged nothing. It may have lost
+// power and start again, or only be cut off.
+type silence struct {
+	startedAtMillis int64
+	reports         map[savorystep.InstanceID]time.Time
+}
+
+// RecordSilent records that an endpoint was silent to this instance. It returns true if the
+// other instances are to be told.
+func (t *Table) RecordSilent(now time.Time, e savorystep.Endpoint) bool {
+	s := t.byID[e.ID]
+	if s == nil || s.StartedAtMillis != e.StartedAtMillis || t.IsStopping(e) {
+		return false
+	}
+	s.suspectCold(now)
+	known := t.silenceOf(now, e.ID, e.StartedAtMillis)
+	reportedAt, isReported := known.reports[t.config.Self]
+	known.reports[t.config.Self] = now
+	if len(known.reports) > minSilenceReports {
+		// The others know from the instances that reported it before.
+		t.hearSilence(now, s, known)
+		return false
+	}
+	t.hearSilence(now, s, known)
+	return (!isReported || now.Sub(reportedAt) >= endingReportInterval) && !t.mayBeCutOff(now)
+}
+
+// ApplySilent records that an endpoint was silent to another instance. It returns true if
+// the endpoint counts as one that may have restarted from now on.
+func (t *Table) ApplySilent(now time.Time, from savorystep.InstanceID, id savorystep.EndpointID, startedAtMillis int64) bool {
+	s := t.byID[id]
+	if s == nil || s.StartedAtMillis != startedAtMillis {
+		return false
+	}
+	known := t.silenceOf(now, id, startedAtMillis)
+	known.reports[from] = now
+	_, isOwn := known.reports[t.config.Self]
+	if !isOwn && now.Sub(s.answeredAt) < contactWindow {
+		return false
+	}
+	return t.hearSilence(now, s, known)
+}
+
+// hearSilence lets an endpoint count as one that may have restarted, if enough instances
+// reported that it is silent. It returns true if that is new.
+func (t *Table) hearSilence(now time.Time, s *endpointState, known *silence) bool {
+	if len(known.reports) < minSilenceReports {
+		return false
+	}
+	isNew := s.ending == nil
+	t.hearEnding(now, s.ID, s.StartedAtMillis)
+	return isNew
+}
+
+// silenceOf returns the silence of an incarnation with the reports in silenceWindow.
+func (t *Table) silenceOf(now time.Time, id savorystep.EndpointID, startedAtMillis int64) *silence {
+	known := t.silences[id]
+	if known == nil || known.startedAtMillis != startedAtMillis {
+		t.evictSilences(now)
+		known = &silence{startedAtMillis: startedAtMillis, reports: make(map[savorystep.InstanceID]time.Time)}
+		t.silences[id] = known
+	}
+	known.evict(now)
+	return known
+}
+
+// evict drops the reports before the last silenceWindow.
+func (s *silence) evict(now time.Time) {
+	for id, at := range s.reports {
+		if now.Sub(at) >= silenceWindow {
+			delete(s.reports, id)
+		}
+	}
+}
+
+// evictSilences drops the silences without recent reports.
+func (t *Table) evictSilences(now time.Time) {
+	for id, known := range t.silences {
+		if known.evict(now); len(known.reports) == 0 {
+			delete(t.silences, id)
+		}
+	}
+}
+
+// mayBeCutOff reports whether more endpoints were silent to this instance lately than
+// answered it, so that its own link may be at fault.
+func (t *Table) mayBeCutOff(now time.Time) bool {
+	silent, answered := 0, 0
+	for id, known := range t.silences {
+		if at, isOwn := known.reports[t.config.Self]; isOwn && t.byID[id] != nil && now.Sub(at) < silenceWindow {
+			silent++
+		}
+	}
+	for _, s := range t.byID {
+		if now.Sub(s.answeredAt) < silenceWindow {
+			answered++
+		}
+	}
+	return silent > answered
+}
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -30,6 +30,7 @@
 	tombstones       map[savorystep.EndpointID]*tombstone
 	leavings         map[savorystep.EndpointID]leaving
 	endings          map[savorystep.EndpointID]*ending
+	silences         map[savorystep.EndpointID]*silence
 	// isListFailing is true while the endpoint list can't be read.
 	isListFailing bool
 	// startedAt is when the first endpoint was put. It counts as the start of this
@@ -58,6 +59,7 @@
 		tombstones:       make(map[savorystep.EndpointID]*tombstone),
 		leavings:         make(map[savorystep.EndpointID]leaving),
 		endings:          make(map[savorystep.EndpointID]*ending),
+		silences:         make(map[savorystep.EndpointID]*silence),
 	}
 }
 
@@ -253,6 +255,7 @@
 		}
 		s.cached.add(now, choice.affinityKey)
 		s.recordAnswer(now, choice.startedAt)
+		s.answeredAt = now
 		s.slowness.record(now, took, choice.ExpectedLatency)
 	case OutcomeTimedOut:
 		s.slowness.record(now, took, choice.ExpectedLatency)
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -84,6 +84,17 @@
 			return "to be reported\n"
 		}
 		return "not to be reported\n"
+	case "silent":
+		id, started := savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))
+		if s.table.RecordSilent(s.now, savorystep.Endpoint{ID: id, StartedAtMillis: started}) {
+			return "to be reported\n"
+		}
+		return "not to be reported\n"
+	case "peer-silent":
+		if s.table.ApplySilent(s.now, savorystep.InstanceID(arg(t, d, "from")), savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))) {
+			return "new\n"
+		}
+		return "known or not enough\n"
 	case "peer-ended":
 		return formatNews(s.table.ApplyEnded(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))))
 	case "recheck":
--- a/factbodies.go
+++ b/factbodies.go
@@ -79,7 +79,7 @@
 }
 
 // An EndedFact says that an instance found that nothing listens at the address of an
-// endpoint any more. The endpoint may start again under its id.
+// endpoint any more, or that the endpoint is silent. It may start again under its id.
 type EndedFact struct {
 	// StartedAtMillis is the start of the incarnation in Unix milliseconds, as it is
 	// listed.
--- a/factkind.go
+++ b/factkind.go
@@ -16,4 +16,5 @@
 	FactRateLimit                     // Subject: endpoint. Body: RateLimitFact.
 	FactLeaving                       // Subject: endpoint. Body: LeavingFact.
 	FactEnded                         // Subject: endpoint. Body: EndedFact.
+	FactSilent                        // Subject: endpoint. Body: EndedFact.
 )
--- a/ingress/endings.go
+++ b/ingress/endings.go
@@ -1,13 +1,18 @@
 package ingress
 
 import (
+	"context"
+	"errors"
+	"os"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"savorystep"
 	"savorystep/endpoint"
+	"savorystep/http1"
 )
 
 // Endings shares which endpoints have ended without notice with the other instances, so
@@ -25,6 +30,7 @@
 func NewEndings(facts savorystep.Facts, router *Router) *Endings {
 	e := &Endings{facts: facts, router: router}
 	facts.Subscribe(savorystep.FactEnded, e.applyFact)
+	facts.Subscribe(savorystep.FactSilent, e.applyFact)
 	return e
 }
 
@@ -40,17 +46,49 @@
 	e.facts.Publish(savorystep.FactEnded, string(ended.ID), savorystep.EndedFact{StartedAtMillis: ended.StartedAtMillis, Number: e.reports.Add(1)})
 }
 
+// recordSilent records that an endpoint was silent: it accepted no connection in time, or
+// acknowledged nothing. It publishes that if the other instances are to be told.
+func (e *Endings) recordSilent(now time.Time, silent savorystep.Endpoint) {
+	var isDue bool
+	e.router.WithTable(func(t *endpoint.Table) { isDue = t.RecordSilent(now, silent) })
+	if !isDue {
+		return
+	}
+	log.Infof("endpoint %s, started at %d, is silent at %s", silent.ID, silent.StartedAtMillis, silent.Address)
+	e.facts.Publish(savorystep.FactSilent, string(silent.ID), savorystep.EndedFact{StartedAtMillis: silent.StartedAtMillis, Number: e.reports.Add(1)})
+}
+
 // applyFact applies what another instance found.
 func (e *Endings) applyFact(fact savorystep.ReceivedFact) {
 	var body savorystep.EndedFact
 	if err := cbor.Unmarshal(fact.Body, &body); err != nil {
-		log.Warningf("can't use ended fact of instance %s about endpoint %s: %v", fact.Instance, fact.Subject, err)
+		log.Warningf("can't use fact about an ended or silent endpoint of instance %s with subject %s: %v", fact.Instance, fact.Subject, err)
 		return
 	}
 	id := savorystep.EndpointID(fact.Subject)
 	var isNew bool
+	if fact.Kind == savorystep.FactSilent {
+		e.router.WithTable(func(t *endpoint.Table) {
+			isNew = t.ApplySilent(fact.ReceivedAt, fact.Instance, id, body.StartedAtMillis)
+		})
+		if isNew {
+			log.Infof("endpoint %s, started at %d, may have ended: it is silent to several instances, the last one is %s", id, body.StartedAtMillis, fact.Instance)
+		}
+		return
+	}
 	e.router.WithTable(func(t *endpoint.Table) { isNew = t.ApplyEnded(fact.ReceivedAt, id, body.StartedAtMillis) })
 	if isNew {
 		log.Infof("endpoint %s, started at %d, has ended according to instance %s", id, body.StartedAtMillis, fact.Instance)
 	}
 }
+
+// isSilent reports whether the error of an exchange shows that its endpoint accepted no
+// connection in time or acknowledged nothing, and was not only slower than the request's
+// deadline.
+func isSilent(ctx context.Context, err error) bool {
+	var exchangeErr *http1.ExchangeError
+	if ctx.Err() != nil || !errors.As(err, &exchangeErr) {
+		return false
+	}
+	return errors.Is(err, syscall.ETIMEDOUT) || exchangeErr.Stage == http1.StageDial && errors.Is(err, os.ErrDeadlineExceeded)
+}
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -197,6 +197,11 @@
 }
 
 func (f *fakeFacts) Publish(kind savorystep.FactKind, subject string, body any) {
+	f.publishFrom("", kind, subject, body)
+}
+
+// publishFrom is Publish for a fact of the given instance.
+func (f *fakeFacts) publishFrom(instance savorystep.InstanceID, kind savorystep.FactKind, subject string, body any) {
 	data, err := cbor.Marshal(body)
 	if err != nil {
 		panic(err)
@@ -205,6 +210,6 @@
 	subscribers := f.subscribers[kind]
 	f.mu.Unlock()
 	for _, subscriber := range subscribers {
-		subscriber(savorystep.ReceivedFact{Fact: savorystep.Fact{Kind: kind, Subject: subject, Body: data}, ReceivedAt: time.Now()})
+		subscriber(savorystep.ReceivedFact{Fact: savorystep.Fact{Instance: instance, Kind: kind, Subject: subject, Body: data}, ReceivedAt: time.Now()})
 	}
 }
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -219,6 +219,8 @@
 		f.config.Quarantine.recordAnswer(endedAt, pr.fingerprint)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		f.config.Endings.record(endedAt, choice.Endpoint, "a connection was refused")
+	case isSilent(ctx, err):
+		f.config.Endings.recordSilent(endedAt, choice.Endpoint)
 	case !f.config.Router.isStopping(choice.Endpoint) && crashed(ctx, err, choice.Endpoint.Address):
 		f.config.Endings.record(f.config.Clock.Now(), choice.Endpoint, "a request broke off")
 		f.config.Quarantine.recordCrash(endedAt, pr, choice.Endpoint)
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -37,10 +37,9 @@
 	byteBudget *tokenBucket
 	// endingBudget limits the bytes of reports that endpoints have ended beyond it.
 	endingBudget *tokenBucket
-	// endingSentAt holds when a report that an endpoint has ended was last sent on, by the
-	// endpoint's id.
-	endingSentAt map[string]time.Time
-	links        map[savorystep.InstanceID]*link
+	// endingsSent counts the reports that were sent on, by kind and endpoint.
+	endingsSent map[factKey]endingsSent
+	links       map[savorystep.InstanceID]*link
 	// monitors holds the instances that this one monitors.
 	monitors              map[savorystep.InstanceID]*monitor
 	dialStates            map[savorystep.Address]*dialState
@@ -104,7 +103,7 @@
 		store:                 newStore(config.Self.ID, config.PeerTimeout),
 		byteBudget:            newTokenBucket(config.BytesPerSecond, now),
 		endingBudget:          &tokenBucket{bytesPerSecond: endingBytesPerSecond, capacity: endingBurstBytes, tokens: endingBurstBytes, refilledAt: now},
-		endingSentAt:          make(map[string]time.Time),
+		endingsSent:           make(map[factKey]endingsSent),
 		links:                 make(map[savorystep.InstanceID]*link),
 		monitors:              make(map[savorystep.InstanceID]*monitor),
 		dialStates:            make(map[savorystep.Address]*dialState),
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -23,7 +23,7 @@
 // forwarded.
 func forwardCountOf(kind savorystep.FactKind) int {
 	switch kind {
-	case savorystep.FactDraining, savorystep.FactCrash, savorystep.FactRateLimit, savorystep.FactLeaving, savorystep.FactEnded:
+	case savorystep.FactDraining, savorystep.FactCrash, savorystep.FactRateLimit, savorystep.FactLeaving, savorystep.FactEnded, savorystep.FactSilent:
 		return urgentForwardCount
 	case factSuspicion:
 		return suspicionForwardCount
@@ -190,7 +190,7 @@
 			return
 		}
 	}
-	if entry.key.kind == savorystep.FactEnded && !e.isEndingDue(entry, from) {
+	if isEnding(entry.key.kind) && !e.isEndingDue(entry, from) {
 		return
 	}
 	for _, l := range e.forwardTargets(entry.key.instance, from, e.forwardCount(entry, from)) {
@@ -215,22 +215,33 @@
 	}
 }
 
-// isEndingDue reports whether a report that an endpoint has ended is sent on. Several
-// instances find it at the same moment. Of their reports, an instance forwards the first
-// one; anti-entropy delivers the others.
+// isEndingDue reports whether a report that an endpoint has ended or is silent is sent on.
+// Several instances find it at the same moment. Of their reports, an instance forwards as
+// many as instances act on; anti-entropy delivers the others.
 func (e *Exchange) isEndingDue(entry *entry, from *link) bool {
 	now := e.config.Clock.Now()
-	sentAt, isSent := e.endingSentAt[entry.key.subject]
-	if from != nil && isSent && now.Sub(sentAt) < endingForwardInterval {
+	key := factKey{kind: entry.key.kind, subject: entry.key.subject}
+	sent := e.endingsSent[key]
+	if sent.count == 0 || now.Sub(sent.since) >= endingForwardInterval {
+		sent = endingsSent{since: now}
+	}
+	if from != nil && sent.count >= maxForwardedEndings(entry.key.kind) {
 		return false
 	}
-	if len(e.endingSentAt) >= maxSubjectsPerKind {
-		clear(e.endingSentAt)
+	if len(e.endingsSent) >= maxSubjectsPerKind {
+		clear(e.endingsSent)
 	}
-	e.endingSentAt[entry.key.subject] = now
+	sent.count++
+	e.endingsSent[key] = sent
 	return true
 }
 
+// endingsSent counts the reports of an ending or a silence that were sent on since a time.
+type endingsSent struct {
+	since time.Time
+	count int
+}
+
 // forwardTargets chooses count random links for a fact. It excludes the
 // instance that published the fact and the link from which it was received.
 func (e *Exchange) forwardTargets(instance savorystep.InstanceID, from *link, count int) []*link {
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -80,7 +80,7 @@
 		return drainingRetention
 	case savorystep.FactLeaving:
 		return leavingRetention
-	case savorystep.FactEnded:
+	case savorystep.FactEnded, savorystep.FactSilent:
 		return endedRetention
 	case savorystep.FactCrash:
 		return crashRetention
@@ -101,12 +101,27 @@
 	return kind == savorystep.FactInFlight || kind == savorystep.FactHealth
 }
 
+// isEnding reports whether facts of a kind say that an endpoint has or may have ended.
+func isEnding(kind savorystep.FactKind) bool {
+	return kind == savorystep.FactEnded || kind == savorystep.FactSilent
+}
+
+// maxForwardedEndings returns the number of reports about the same endpoint that are
+// forwarded in endingForwardInterval. Instances act on the first report that it has ended,
+// and on the second one that it is silent.
+func maxForwardedEndings(kind savorystep.FactKind) int {
+	if kind == savorystep.FactSilent {
+		return 2
+	}
+	return 1
+}
+
 // urgencyOf returns the order in which facts are sent, those with the greatest urgency
 // first. An endpoint that has ended may run again within a second, by when all instances
 // have to know it.
 func urgencyOf(kind savorystep.FactKind) int {
 	switch {
-	case kind == savorystep.FactEnded:
+	case isEnding(kind):
 		return 2
 	case isUrgent(kind):
 		return 1
@@ -119,7 +134,7 @@
 // the next gossip round.
 func isUrgent(kind savorystep.FactKind) bool {
 	switch kind {
-	case savorystep.FactDraining, savorystep.FactStatus, savorystep.FactCrash, savorystep.FactRateLimit, savorystep.FactLeaving, savorystep.FactEnded, factSuspicion:
+	case savorystep.FactDraining, savorystep.FactStatus, savorystep.FactCrash, savorystep.FactRateLimit, savorystep.FactLeaving, savorystep.FactEnded, savorystep.FactSilent, factSuspicion:
 		return true
 	default:
 		return false
--- a/peer/linkgossip.go
+++ b/peer/linkgossip.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"slices"
 	"time"
-
-	"savorystep"
 )
 
 // nextGossip returns the next gossip frame, nil if there is nothing to send or
@@ -108,7 +106,7 @@
 			keepFree = 0
 		}
 		size := l.factSizeBound(entry)
-		isExtra := entry.key.kind == savorystep.FactEnded && l.exchange.endingBudget.available(now) >= size
+		isExtra := isEnding(entry.key.kind) && l.exchange.endingBudget.available(now) >= size
 		if frameBytes+size > maxGossipBytes || !isExtra && remaining-size < keepFree {
 			break
 		}
