Let the fixture of herd crashes send to cold endpoints

It has a limit and has run for a minute now. What the test checks is unchanged; the tests of crashes, probes, quarantine and restarts in package ingress pass.

--- a/ingress/herdcrash_test.go
+++ b/ingress/herdcrash_test.go
@@ -57,7 +57,7 @@
 	var proxies []*ingress.Proxy
 	var routers []*ingress.Router
 	for range 2 {
-		router := ingress.NewRouter(endpoint.Config{Self: "self", RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second})
+		router := ingress.NewRouter(endpoint.Config{Self: "self", ColdSlack: 100, RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second})
 		router.SetRouting(savorystep.NewRouting(1, []*savorystep.Route{{
 			Name: "once", Host: "h", Prefix: "/once/", Class: savorystep.RequestClassNonIdempotent,
 			Split: []savorystep.WeightedService{{Service: "s", Weight: 1}}, Timeout: 5 * time.Second, MaxAttempts: 2,
@@ -74,7 +74,8 @@
 			})
 		}
 		watcher := ingress.NewWatcher(ingress.WatcherConfig{Router: router, Clock: savorystep.SystemClock{}, RegionByZone: map[savorystep.Zone]savorystep.Region{"z1": "r", "z2": "r"}})
-		watcher.ApplyList(time.Now(), changes)
+		// The instance has run for longer than it sends nothing to cold endpoints.
+		watcher.ApplyList(time.Now().Add(-time.Minute), changes)
 		routers = append(routers, router)
 		proxies = append(proxies, ingress.NewProxy(ingress.ProxyConfig{
 			Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(facts, router), Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(facts, log), RateLimits: ingress.NewRateLimits(facts, router),
