Ignore reports that an earlier incarnation of an upstream endpoint drains

A peer's report that an endpoint drains named the endpoint by its id alone. One that arrived after the endpoint had started again and was listed, such as the reports of the last ten minutes that a starting instance of `serve` gets, kept requests away from the new process for 10 s, or until its load page was read.

The report has the start of the endpoint now, and one of an earlier start is ignored. An older build publishes no start, which counts as before, and takes reports whatever their start.

--- a/factbodies.go
+++ b/factbodies.go
@@ -7,6 +7,14 @@
 	Ejected bool `cbor:"1,keyasint"`
 }
 
+// A DrainingFact says that an endpoint drains. Builds that know no body publish an empty
+// one.
+type DrainingFact struct {
+	// StartedAtMillis is the start of the endpoint in Unix milliseconds, zero if it is not
+	// known. A restarted endpoint does not drain.
+	StartedAtMillis int64 `cbor:"1,keyasint,omitempty"`
+}
+
 // An InFlightFact is the number of requests that an instance has in flight to an
 // endpoint.
 type InFlightFact struct {
--- a/factkind.go
+++ b/factkind.go
@@ -6,7 +6,7 @@
 
 // The fact kinds. Instances exchange them by number.
 const (
-	FactDraining  FactKind = iota + 1 // Subject: endpoint. Body: empty.
+	FactDraining  FactKind = iota + 1 // Subject: endpoint. Body: DrainingFact.
 	FactHealth                        // Subject: endpoint. Body: HealthFact.
 	FactInFlight                      // Subject: endpoint. Body: InFlightFact.
 	FactRevision                      // Subject: empty. Body: RevisionFact.
--- a/upstream/peerfacts.go
+++ b/upstream/peerfacts.go
@@ -64,13 +64,17 @@
 	})
 }
 
-// handleDraining records a peer's report that an endpoint is draining.
+// handleDraining records a peer's report that an endpoint is draining, unless
+// it is about an earlier incarnation.
 func (p *Pool) handleDraining(fact savorystep.ReceivedFact) {
-	if !p.recordPeerFact(fact) {
+	var body savorystep.DrainingFact
+	if !p.recordPeerFact(fact) || len(fact.Body) > 0 && cbor.Unmarshal(fact.Body, &body) != nil {
 		return
 	}
 	p.withEndpoint(fact.Subject, func(_ *group, e *endpoint) {
-		e.health.RecordPeerDraining(fact.ReceivedAt)
+		if body.StartedAtMillis == 0 || body.StartedAtMillis >= e.info.StartedAtMillis {
+			e.health.RecordPeerDraining(fact.ReceivedAt)
+		}
 	})
 }
 
--- a/upstream/restart_test.go
+++ b/upstream/restart_test.go
@@ -170,3 +170,32 @@
 	}
 	t.Errorf("not quarantined after 4 crashes: %v", last)
 }
+
+// TestRestartedEndpointDoesNotDrain guards against an endpoint that gets no requests after it
+// has started again, because a peer reported that its earlier incarnation drained. A report
+// of the same start, and one of an older build, which names none, count.
+func TestRestartedEndpointDoesNotDrain(t *testing.T) {
+	tests := []struct {
+		name       string
+		body       any
+		wantUsable int
+	}{
+		{name: "earlier start", body: savorystep.DrainingFact{StartedAtMillis: 1}, wantUsable: 1},
+		{name: "same start", body: savorystep.DrainingFact{StartedAtMillis: 2}, wantUsable: 0},
+		{name: "older build", body: struct{}{}, wantUsable: 0},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			tb := newTestbed(t)
+			tb.addUpstream("a", "natal", standin.UpstreamConfig{})
+			entry := tb.registry.endpoints[0]
+			entry.StartedAtMillis = 2
+			tb.registry.set(entry)
+			p := tb.newPool(disableLoadPages)
+			tb.factBus.join("instance-2").Publish(savorystep.FactDraining, "a", test.body)
+			if usable := p.RegionLoads(testService, time.Now())[0].UsableEndpoints; usable != test.wantUsable {
+				t.Errorf("%d usable endpoints, want %d", usable, test.wantUsable)
+			}
+		})
+	}
+}
--- a/upstream/watch.go
+++ b/upstream/watch.go
@@ -219,16 +219,16 @@
 	if e.drainPublished && now.Sub(e.drainPublishedAt) < drainRepublishInterval {
 		return actions
 	}
-	subject := string(e.info.ID)
+	subject, body := string(e.info.ID), savorystep.DrainingFact{StartedAtMillis: e.info.StartedAtMillis}
 	firstReport := !e.drainPublished
 	e.drainPublished, e.drainPublishedAt = true, now
 	if !firstReport {
-		return append(actions, func() { p.config.Facts.Publish(savorystep.FactDraining, subject, struct{}{}) })
+		return append(actions, func() { p.config.Facts.Publish(savorystep.FactDraining, subject, body) })
 	}
 	return append(actions, p.backgroundAction(func() {
 		broadcastCtx, cancel := context.WithTimeout(ctx, p.limits.DrainBroadcastTimeout)
 		defer cancel()
-		p.config.Facts.Broadcast(broadcastCtx, savorystep.FactDraining, subject, struct{}{})
+		p.config.Facts.Broadcast(broadcastCtx, savorystep.FactDraining, subject, body)
 		p.record(savorystep.Event{
 			Kind: savorystep.EventDrain, Service: g.service, Region: g.region,
 			Text: "endpoint " + subject + " drains",
