Let TestProofCapsUnchecked find its fault on a busy machine, too

Callers saw nothing: the test removes the conditions on the rows of budgets and expects the cap to be exceeded.

Budget rows are now read up to 10 s late in this test, so that instances decide on the same version whatever the order in which a busy machine runs them, and again each 10 s. That is no fault by itself: TestProofCapsStaleReads does the same with the conditions and must stay within the caps. Expectation and time limit of TestProofCapsUnchecked are unchanged.

--- a/cmd/proofcaps_test.go
+++ b/cmd/proofcaps_test.go
@@ -1,8 +1,11 @@
 package cmd
 
 import (
+	"context"
 	"fmt"
 	"net/http"
+	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -100,14 +103,68 @@
 	t.Logf("%d requests answered, failures: %v", load.answered.Load(), load.failuresByKind)
 }
 
+// A staleTable answers the reads of budget rows with rows that are up to staleFor old, so
+// that instances decide on the same version even if a busy machine runs them one after the
+// other. The conditions of a correct table refuse what they write then.
+type staleTable struct {
+	savorystep.Table
+
+	mu     sync.Mutex
+	rows   map[savorystep.RowKey]savorystep.Row
+	readAt map[savorystep.RowKey]time.Time
+}
+
+const staleFor = 10 * time.Second
+
+func newStaleTable(table savorystep.Table) *staleTable {
+	return &staleTable{Table: table, rows: make(map[savorystep.RowKey]savorystep.Row), readAt: make(map[savorystep.RowKey]time.Time)}
+}
+
+// Get reads a row.
+func (t *staleTable) Get(ctx context.Context, key savorystep.RowKey) (savorystep.Row, error) {
+	if !strings.HasPrefix(string(key), budgetPrefix) {
+		return t.Table.Get(ctx, key)
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if time.Since(t.readAt[key]) < staleFor {
+		return t.rows[key], nil
+	}
+	row, err := t.Table.Get(ctx, key)
+	if err == nil {
+		t.rows[key], t.readAt[key] = row, time.Now()
+	}
+	return row, err
+}
+
+// budgetPrefix is the prefix of the keys of budget rows.
+const budgetPrefix = "budget/"
+
 // TestProofCapsUnchecked shows that TestProofCaps would find a fault: without the
 // conditions on the rows of budgets the cap or the limit is exceeded.
 func TestProofCapsUnchecked(t *testing.T) {
 	t.Parallel()
-	p, load := startCapsLoad(t, 4, &uncheckedTable{Table: standin.NewTable(), uncheckedPrefixes: []savorystep.RowKey{"budget/"}})
+	unchecked := &uncheckedTable{Table: standin.NewTable(), uncheckedPrefixes: []savorystep.RowKey{budgetPrefix}}
+	p, load := startCapsLoad(t, 4, newStaleTable(unchecked))
 	p.await("the cap or the limit is exceeded", func() bool {
 		shift, region := p.peakInFlight()
 		return shift > proofShiftCap || region > proofRegionLimit
 	})
 	load.stopAndWait()
 }
+
+// TestProofCapsStaleReads guards against a TestProofCapsUnchecked that passes because of
+// its stale reads: with the conditions they don't exceed the cap or the limit.
+func TestProofCapsStaleReads(t *testing.T) {
+	t.Parallel()
+	p, load := startCapsLoad(t, 4, newStaleTable(standin.NewTable()))
+	time.Sleep(5 * time.Second)
+	load.stopAndWait()
+	shift, region := p.peakInFlight()
+	if shift > proofShiftCap || region > proofRegionLimit {
+		t.Errorf("%d requests of the shift ran at once, want at most %d; %d in the region, want at most %d", shift, proofShiftCap, region, proofRegionLimit)
+	}
+	if load.answered.Load() == 0 {
+		t.Error("no request was answered, want at least one")
+	}
+}
