Take a zone that is silent as a whole for one that is cut off

An instance does not report an endpoint any more if a second one of its availability zone was silent and none of the zone has answered since the first.

--- a/endpoint/silence.go
+++ b/endpoint/silence.go
@@ -43,7 +43,7 @@
 		return false
 	}
 	t.hearSilence(now, s, known)
-	return (!isReported || now.Sub(reportedAt) >= endingReportInterval) && !t.mayBeCutOff(now)
+	return (!isReported || now.Sub(reportedAt) >= endingReportInterval) && !t.mayBeCutOff(now, s.Place.Zone)
 }
 
 // ApplySilent records that an endpoint was silent to another instance. It returns true if
@@ -103,19 +103,35 @@
 	}
 }
 
-// mayBeCutOff reports whether more endpoints were silent to this instance lately than
-// answered it, so that its own link may be at fault.
-func (t *Table) mayBeCutOff(now time.Time) bool {
-	silent, answered := 0, 0
+// mayBeCutOff reports whether a link may be at fault and not the endpoint that was silent
+// to this instance: more endpoints were silent to it lately than answered it, or no
+// endpoint of the availability zone has answered it since a first one was silent.
+func (t *Table) mayBeCutOff(now time.Time, zone savorystep.Zone) bool {
+	silent, silentInZone := 0, 0
+	var firstInZone time.Time
 	for id, known := range t.silences {
-		if at, isOwn := known.reports[t.config.Self]; isOwn && t.byID[id] != nil && now.Sub(at) < silenceWindow {
-			silent++
+		at, isOwn := known.reports[t.config.Self]
+		s := t.byID[id]
+		if s == nil || !isOwn || now.Sub(at) >= silenceWindow {
+			continue
+		}
+		silent++
+		if s.Place.Zone != zone {
+			continue
+		}
+		silentInZone++
+		if firstInZone.IsZero() || at.Before(firstInZone) {
+			firstInZone = at
 		}
 	}
+	answered, answeredInZone := 0, 0
 	for _, s := range t.byID {
 		if now.Sub(s.answeredAt) < silenceWindow {
 			answered++
 		}
+		if s.Place.Zone == zone && s.answeredAt.After(firstInZone) {
+			answeredInZone++
+		}
 	}
-	return silent > answered
+	return silent > answered || silentInZone > 1 && answeredInZone == 0
 }
