Send endings that a peer lacks, and those of later incarnations, at once

Endings that anti-entropy finds missing, after a standstill, a cut or a start, were queued behind all other facts and never reached while the byte budget was used up, although endings have their own. The end of a later incarnation within a second of the earlier one's was not forwarded, since repeats were told by the endpoint's id alone. TestMissingEndingPassesUsedUpBudget and the last part of TestRepeatedEndingIsNotForwarded failed before.

--- a/peer/ended_test.go
+++ b/peer/ended_test.go
@@ -61,4 +61,28 @@
 	if got := len(l.pending); got != 1 {
 		t.Errorf("%d reports are forwarded, want 1", got)
 	}
+	clear(l.pending)
+	later := savorystep.Fact{Instance: "third", Sequence: 2, Kind: savorystep.FactEnded, Subject: "endpoint", Body: []byte{0xa1, 1, 6}}
+	e.disseminate(e.store.merge(now, later, now), from)
+	if got := len(l.pending); got != 1 {
+		t.Errorf("%d reports of a later incarnation are forwarded, want 1", got)
+	}
+}
+
+// TestMissingEndingPassesUsedUpBudget guards against endings that an instance did not get
+// while it stood still or was cut off, and that wait for the byte budget afterwards.
+func TestMissingEndingPassesUsedUpBudget(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e, l := newBusyLink(now)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	ended := e.store.merge(now, savorystep.Fact{Instance: "third", Sequence: 1, Kind: savorystep.FactEnded, Subject: "endpoint", Body: []byte{0xa1, 1, 5}}, now)
+	crash := e.store.merge(now, savorystep.Fact{Instance: "third", Sequence: 2, Kind: savorystep.FactCrash, Subject: "request", Body: []byte{0xa1, 1, 5}}, now)
+	l.pending[ended.key], l.pending[crash.key] = true, false
+	l.gossipDue, l.urgentPending = true, true
+	facts := &factsFrame{}
+	l.addPendingFacts(now, facts, e.byteBudget.available(now))
+	if len(facts.Facts) != 1 || facts.Facts[0].Kind != savorystep.FactEnded {
+		t.Errorf("facts %v, want the report of the ending", facts.Facts)
+	}
 }
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"strconv"
 	"time"
 
 	"savorystep"
@@ -221,6 +222,10 @@
 func (e *Exchange) isEndingDue(entry *entry, from *link) bool {
 	now := e.config.Clock.Now()
 	key := factKey{kind: entry.key.kind, subject: entry.key.subject}
+	if body, err := endedCodec.Decode(entry.body); err == nil {
+		// The end of a later incarnation is other news.
+		key.subject += "@" + strconv.FormatInt(body.StartedAtMillis, 10)
+	}
 	sent := e.endingsSent[key]
 	if sent.count == 0 || now.Sub(sent.since) >= endingForwardInterval {
 		sent = endingsSent{since: now}
--- a/peer/linkgossip.go
+++ b/peer/linkgossip.go
@@ -131,9 +131,9 @@
 	return added > 0
 }
 
-// sendableFacts returns the pending facts that may be sent now: urgent facts
-// first, then others, each newest first, and last those that anti-entropy found
-// missing, in random order.
+// sendableFacts returns the pending facts that may be sent now: endings first, then
+// other urgent facts, then the rest, each newest first, and last those that anti-entropy
+// found missing, in random order.
 func (l *link) sendableFacts() []*entry {
 	e := l.exchange
 	entries := make([]*entry, 0, len(l.pending))
@@ -148,6 +148,9 @@
 		}
 	}
 	slices.SortFunc(entries, func(a, b *entry) int {
+		if order := compareBools(isEnding(b.key.kind), isEnding(a.key.kind)); order != 0 {
+			return order
+		}
 		if order := compareBools(l.pending[a.key], l.pending[b.key]); order != 0 || l.pending[a.key] {
 			return order
 		}
--- a/peer/store.go
+++ b/peer/store.go
@@ -39,6 +39,7 @@
 	inFlightCodec  = Codec[savorystep.InFlightFact]{Limit: maxBodyBytes}
 	statusCodec    = Codec[savorystep.StatusFact]{Limit: maxBodyBytes}
 	revisionCodec  = Codec[savorystep.RevisionFact]{Limit: maxBodyBytes}
+	endedCodec     = Codec[savorystep.EndedFact]{Limit: maxBodyBytes}
 	suspicionCodec = Codec[suspicionFact]{Limit: maxBodyBytes}
 )
 
