Check the cold limit again also for choices of cold endpoints

By a review: a request that was chosen for a cold endpoint and sent over 1.3 s later, by an instance that stood still, was sent on top of the one that used its share meanwhile. table/recheckcold failed before. Its own request does not count against it.

--- a/endpoint/admission.go
+++ b/endpoint/admission.go
@@ -140,7 +140,7 @@
 	}
 	s.recent.remove(choice.number)
 	isCold := t.isCold(now, s)
-	if isCold && !choice.wasCold && !t.hasColdRoom(now, s) {
+	if isCold && !t.hasColdRoom(now, s) {
 		return ExclusionColdLimit
 	}
 	s.recent.add(now, choice.number, isCold)
