--- a/endpoint/restart.go
+++ b/endpoint/restart.go
@@ -42,7 +42,7 @@
 // restarted, zero if it does not.
 func (t *Table) suspicionStart(now time.Time, s *endpointState) time.Time {
 	switch {
-	case now.Before(t.endingUntil(s)):
+	case s.ending != nil && now.Sub(s.ending.heardAt) < maxEndingTime:
 		return s.ending.since
 	case s.isSuspect(now):
 		return s.suspectSince
