End an ending by what was read since, and report a second one at once

An ending ran out 6 s after it was heard although no read of the list had begun since, such as while one waited for a paused reader, so an endpoint that was back for less than its warm-up was taken for warm. It lasts until a read that begins later succeeds, at most 30 s. The other way round, any read that failed made endpoints cold again that had ended long ago; their 30 s are a bound now. And an endpoint that ended, answered, and ended again within a second was not reported, so others took it for warm a warm-up after that answer.

table/endedtwice and the new parts of table/ended and endedwithoutlist failed before; two scripts read the list now where they let endings run out.

--- a/endpoint/ending.go
+++ b/endpoint/ending.go
@@ -49,9 +49,11 @@
 // RecordEnded records that this instance found that nothing listens at the address of an
 // endpoint any more. It returns true if the other instances are to be told.
 func (t *Table) RecordEnded(now time.Time, e savorystep.Endpoint) bool {
-	isStopping := t.IsStopping(e)
+	isStopping, previous := t.IsStopping(e), t.endings[e.ID]
+	// A process that has answered since the last report was another one.
+	isAnother := previous != nil && !previous.answeredAt.IsZero()
 	known := t.hearEnding(now, e.ID, e.StartedAtMillis)
-	if known == nil || isStopping || now.Sub(known.reportedAt) < endingReportInterval {
+	if known == nil || isStopping || !isAnother && now.Sub(known.reportedAt) < endingReportInterval {
 		return false
 	}
 	known.reportedAt = now
@@ -135,7 +137,8 @@
 		return time.Time{}
 	case !e.answeredAt.IsZero():
 		return e.answeredAt.Add(t.specs[s.Service].Warmup)
-	case t.isListFailing:
+	case t.isListFailing || !t.lastListRead.After(e.expiresAt):
+		// The list was not read since then.
 		return e.heardAt.Add(maxEndingTime)
 	default:
 		return e.expiresAt
@@ -154,9 +157,20 @@
 // not have counted the silence of endpoints meanwhile.
 func (t *Table) SetListFailing(now time.Time, isFailing bool) {
 	if t.isListFailing && !isFailing {
+		t.evictEndings(now)
 		for _, e := range t.endings {
-			e.expiresAt = now.Add(expiryTime)
+			if latest := e.heardAt.Add(maxEndingTime); e.expiresAt.Before(latest) {
+				e.expiresAt = minTime(now.Add(expiryTime), latest)
+			}
 		}
 	}
 	t.isListFailing = isFailing
 }
+
+// minTime returns the earlier one of two times.
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/endpoint/standstill.go
+++ b/endpoint/standstill.go
@@ -48,6 +48,7 @@
 // succeeded. After one that failed, an instance that stood still does not know which
 // endpoints the others found to have ended meanwhile.
 func (t *Table) ListRead(startedAt time.Time) {
+	t.lastListRead = startedAt
 	if !startedAt.Before(t.standstill.unreadSince) {
 		t.standstill.unreadSince = time.Time{}
 	}
