Let old reports of ended and silent endpoints change nothing that is known

By a review: reports that a cut or a standstill held up, up to 30 s old, counted as made when they arrived. An endpoint that had answered and warmed up became cold again, and two old reports of silence that arrived together after a cut made one cold that ran.

--- a/endpoint/ending.go
+++ b/endpoint/ending.go
@@ -18,6 +18,10 @@
 	// instances. A second ending of an endpoint that is not listed in between is reported
 	// with the next one.
 	endingReportInterval = time.Second
+	// maxReportAge is how old a report of another instance may be. What is older was held
+	// up by a cut or a standstill. Each of up to four instances that forward it rounds the
+	// age up to a second.
+	maxReportAge = 5 * time.Second
 	// maxEndings bounds the number of endings that are remembered. The largest deployment
 	// in use has 777 endpoints.
 	maxEndings = 4096
@@ -60,11 +64,15 @@
 	return true
 }
 
-// ApplyEnded records that another instance found that the incarnation of an endpoint that
-// started at startedAtMillis has ended. It returns false if that was known, or if that
-// incarnation is no longer the latest.
-func (t *Table) ApplyEnded(now time.Time, id savorystep.EndpointID, startedAtMillis int64) bool {
+// ApplyEnded records that another instance found, an age ago, that the incarnation of an
+// endpoint that started at startedAtMillis has ended. It returns false if that was known,
+// or if that incarnation is no longer the latest. An old report of a known ending changes
+// nothing: the endpoint may have started and answered since.
+func (t *Table) ApplyEnded(now time.Time, id savorystep.EndpointID, startedAtMillis int64, age time.Duration) bool {
 	previous := t.endings[id]
+	if age > maxReportAge && previous != nil && previous.startedAtMillis == startedAtMillis {
+		return false
+	}
 	known := t.hearEnding(now, id, startedAtMillis)
 	if known == nil {
 		return false
--- a/endpoint/silence.go
+++ b/endpoint/silence.go
@@ -46,11 +46,11 @@
 	return (!isReported || now.Sub(reportedAt) >= endingReportInterval) && !t.mayBeCutOff(now, s.Place.Zone)
 }
 
-// ApplySilent records that an endpoint was silent to another instance. It returns true if
-// the endpoint counts as one that may have restarted from now on.
-func (t *Table) ApplySilent(now time.Time, from savorystep.InstanceID, id savorystep.EndpointID, startedAtMillis int64) bool {
+// ApplySilent records that an endpoint was silent to another instance, an age ago. It
+// returns true if the endpoint counts as one that may have restarted from now on.
+func (t *Table) ApplySilent(now time.Time, from savorystep.InstanceID, id savorystep.EndpointID, startedAtMillis int64, age time.Duration) bool {
 	s := t.byID[id]
-	if s == nil || s.StartedAtMillis != startedAtMillis {
+	if s == nil || s.StartedAtMillis != startedAtMillis || age > maxReportAge {
 		return false
 	}
 	known := t.silenceOf(now, id, startedAtMillis)
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -91,12 +91,12 @@
 		}
 		return "not to be reported\n"
 	case "peer-silent":
-		if s.table.ApplySilent(s.now, savorystep.InstanceID(arg(t, d, "from")), savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))) {
+		if s.table.ApplySilent(s.now, savorystep.InstanceID(arg(t, d, "from")), savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started")), ageArg(t, d)) {
 			return "new\n"
 		}
 		return "known or not enough\n"
 	case "peer-ended":
-		return formatNews(s.table.ApplyEnded(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))))
+		return formatNews(s.table.ApplyEnded(s.now, savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started")), ageArg(t, d)))
 	case "recheck":
 		return s.recheck(t, d)
 	case "list":
@@ -145,6 +145,12 @@
 	return value
 }
 
+// ageArg returns the age of a report, zero by default.
+func ageArg(t *testing.T, d *datadriven.TestData) time.Duration {
+	t.Helper()
+	return time.Duration(intArg(t, d, "age")) * time.Millisecond
+}
+
 // put puts an entry with the given fields for each id. Ids are separated by +.
 func (s *script) put(t *testing.T, d *datadriven.TestData) string {
 	t.Helper()
--- a/facts.go
+++ b/facts.go
@@ -9,6 +9,9 @@
 type ReceivedFact struct {
 	Fact
 	ReceivedAt time.Time
+	// Age is how long before that the fact was published, at most a second too long for
+	// each instance that forwarded it.
+	Age time.Duration
 }
 
 // Facts exchanges facts between instances by gossip.
--- a/ingress/endings.go
+++ b/ingress/endings.go
@@ -69,14 +69,14 @@
 	var isNew bool
 	if fact.Kind == savorystep.FactSilent {
 		e.router.WithTable(func(t *endpoint.Table) {
-			isNew = t.ApplySilent(fact.ReceivedAt, fact.Instance, id, body.StartedAtMillis)
+			isNew = t.ApplySilent(fact.ReceivedAt, fact.Instance, id, body.StartedAtMillis, fact.Age)
 		})
 		if isNew {
 			log.Infof("endpoint %s, started at %d, may have ended: it is silent to several instances, the last one is %s", id, body.StartedAtMillis, fact.Instance)
 		}
 		return
 	}
-	e.router.WithTable(func(t *endpoint.Table) { isNew = t.ApplyEnded(fact.ReceivedAt, id, body.StartedAtMillis) })
+	e.router.WithTable(func(t *endpoint.Table) { isNew = t.ApplyEnded(fact.ReceivedAt, id, body.StartedAtMillis, fact.Age) })
 	if isNew {
 		log.Infof("endpoint %s, started at %d, has ended according to instance %s", id, body.StartedAtMillis, fact.Instance)
 	}
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -288,7 +288,7 @@
 		e.stats.NewFacts++
 		e.newFacts++
 		e.disseminate(entry, from)
-		e.notify(savorystep.ReceivedFact{Fact: fact, ReceivedAt: now})
+		e.notify(savorystep.ReceivedFact{Fact: fact, ReceivedAt: now, Age: time.Duration(wireFacts[i].AgeSeconds) * time.Second})
 	}
 	e.refute(now)
 }
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -255,7 +255,7 @@
 		if other.frozenUntil > f.scheduler.now {
 			delay = other.frozenUntil - f.scheduler.now + reconnectDelay
 		}
-		f.scheduler.after(delay, func() { other.table.ApplyEnded(f.now(), ended.ID, ended.StartedAtMillis) })
+		f.scheduler.after(delay, func() { other.table.ApplyEnded(f.now(), ended.ID, ended.StartedAtMillis, 0) })
 	}
 }
 
