End the silence of an endpoint that answers on an older connection

Endpoints that had been cut off and run stayed cold for a warm-up after their first answer.

A process keeps no connection of the one before, so an answer on a connection that was opened before the silence shows that the endpoint runs on. The instance that gets it tells the others, and the endpoint is as warm as before; what was measured of it is kept. It does not end an ending that was proved by a refused connection.

--- a/endpoint/ending.go
+++ b/endpoint/ending.go
@@ -41,6 +41,8 @@
 	// answeredAt is when an endpoint at that address first answered a request that was
 	// sent after heardAt, zero before.
 	answeredAt time.Time
+	// isSilence is true if the incarnation was only silent, and may run.
+	isSilence bool
 	// reportedAt is when this instance or another one last reported it.
 	reportedAt time.Time
 }
@@ -56,7 +58,7 @@
 	isStopping, previous := t.IsStopping(e), t.endings[e.ID]
 	// A process that has answered since the last report was another one.
 	isAnother := previous != nil && !previous.answeredAt.IsZero()
-	known := t.hearEnding(now, e.ID, e.StartedAtMillis)
+	known := t.hearEnding(now, e.ID, e.StartedAtMillis, false)
 	if known == nil || isStopping || !isAnother && now.Sub(known.reportedAt) < endingReportInterval {
 		return false
 	}
@@ -73,7 +75,7 @@
 	if age > maxReportAge && previous != nil && previous.startedAtMillis == startedAtMillis {
 		return false
 	}
-	known := t.hearEnding(now, id, startedAtMillis)
+	known := t.hearEnding(now, id, startedAtMillis, false)
 	if known == nil {
 		return false
 	}
@@ -83,7 +85,7 @@
 
 // hearEnding returns the ending of an incarnation after it was found to have ended, nil if
 // that incarnation is no longer the latest.
-func (t *Table) hearEnding(now time.Time, id savorystep.EndpointID, startedAtMillis int64) *ending {
+func (t *Table) hearEnding(now time.Time, id savorystep.EndpointID, startedAtMillis int64, isSilence bool) *ending {
 	s := t.byID[id]
 	if s != nil && s.StartedAtMillis > startedAtMillis {
 		return nil
@@ -94,13 +96,16 @@
 		return nil
 	case known == nil || known.startedAtMillis < startedAtMillis:
 		t.evictEndings(now)
-		known = &ending{startedAtMillis: startedAtMillis, since: now}
+		known = &ending{startedAtMillis: startedAtMillis, since: now, isSilence: isSilence}
 		t.endings[id] = known
 	}
 	known.hear(now)
+	known.isSilence = known.isSilence && isSilence
 	if s != nil {
 		s.ending = known
-		s.forgetMeasurements()
+		if !known.isSilence {
+			s.forgetMeasurements()
+		}
 	}
 	return known
 }
--- a/endpoint/silence.go
+++ b/endpoint/silence.go
@@ -16,6 +16,9 @@
 	// contactWindow is how long an endpoint that has answered this instance counts as
 	// reachable, whatever others report.
 	contactWindow = time.Second
+	// maxSilenceDelay is how long after an endpoint became silent it is known at most: the
+	// time until a connection counts as dead, and until the report arrives.
+	maxSilenceDelay = 2 * time.Second
 )
 
 // A silence holds when instances, by id, found that an incarnation of an endpoint is
@@ -69,10 +72,34 @@
 		return false
 	}
 	isNew := s.ending == nil
-	t.hearEnding(now, s.ID, s.StartedAtMillis)
+	t.hearEnding(now, s.ID, s.StartedAtMillis, true)
 	return isNew
 }
 
+// RecordRunning records that an endpoint answered this instance on a connection that was
+// opened at openedAt. If it was silent since, it runs on, since a process keeps no
+// connections of the one before. It returns true if the other instances are to be told.
+func (t *Table) RecordRunning(now time.Time, e savorystep.Endpoint, openedAt time.Time) bool {
+	known := t.endings[e.ID]
+	if known == nil || openedAt.IsZero() || !openedAt.Before(known.since.Add(-maxSilenceDelay)) {
+		return false
+	}
+	return t.ApplyRunning(now, e.ID, e.StartedAtMillis)
+}
+
+// ApplyRunning records that an endpoint which was silent runs on. It returns false if that
+// was known.
+func (t *Table) ApplyRunning(now time.Time, id savorystep.EndpointID, startedAtMillis int64) bool {
+	s, known := t.byID[id], t.endings[id]
+	if s == nil || known == nil || !known.isSilence || known.startedAtMillis != startedAtMillis || s.StartedAtMillis != startedAtMillis {
+		return false
+	}
+	delete(t.endings, id)
+	delete(t.silences, id)
+	s.ending, s.suspectUntil, s.answeredAt = nil, time.Time{}, now
+	return true
+}
+
 // silenceOf returns the silence of an incarnation with the reports in silenceWindow.
 func (t *Table) silenceOf(now time.Time, id savorystep.EndpointID, startedAtMillis int64) *silence {
 	known := t.silences[id]
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -84,6 +84,13 @@
 			return "to be reported\n"
 		}
 		return "not to be reported\n"
+	case "running":
+		e := savorystep.Endpoint{ID: savorystep.EndpointID(arg(t, d, "id")), StartedAtMillis: int64(intArg(t, d, "started"))}
+		opened := s.now.Add(-time.Duration(intArg(t, d, "opened")) * time.Millisecond)
+		if s.table.RecordRunning(s.now, e, opened) {
+			return "to be reported\n"
+		}
+		return "not to be reported\n"
 	case "silent":
 		id, started := savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))
 		if s.table.RecordSilent(s.now, savorystep.Endpoint{ID: id, StartedAtMillis: started}) {
--- a/factbodies.go
+++ b/factbodies.go
@@ -94,4 +94,6 @@
 	StartedAtMillis int64 `cbor:"1,keyasint"`
 	// Number counts the reports of the instance, so that a repeated one is sent again.
 	Number uint64 `cbor:"2,keyasint"`
+	// IsRunning is true if an endpoint that was silent runs on.
+	IsRunning bool `cbor:"3,keyasint,omitempty"`
 }
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -39,6 +39,7 @@
 	net.Conn
 	reader     *bufio.Reader
 	headReader *headLimitReader
+	openedAt   time.Time
 	// idleSince is when the last response was read.
 	idleSince time.Time
 	// idleTimeout is how long the connection may stay idle. Zero means the pool's
@@ -51,7 +52,7 @@
 // newConn wraps a newly opened connection.
 func newConn(opened net.Conn) *conn {
 	limit := &headLimitReader{Reader: opened}
-	return &conn{Conn: opened, headReader: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
+	return &conn{Conn: opened, openedAt: time.Now(), headReader: limit, reader: bufio.NewReaderSize(limit, readBufferBytes)}
 }
 
 // isUsable reports whether an idle connection is still open and has received
@@ -273,7 +274,7 @@
 	if err != nil {
 		return nil, false, &ExchangeError{Stage: StageSent, Cause: err}
 	}
-	response := &Response{Status: head.StatusCode, Header: head.Header, reservation: config.ResponseBudget.NewReservation()}
+	response := &Response{Status: head.StatusCode, Header: head.Header, ConnOpenedAt: c.openedAt, reservation: config.ResponseBudget.NewReservation()}
 	if err := response.readBody(head, config.MaxResponseBytes); err != nil {
 		// The body is not closed, because closing reads it to its end.
 		response.Release()
--- a/http1/response.go
+++ b/http1/response.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 )
 
 // A Response is a complete response of an endpoint. Its body counts against a
@@ -12,6 +13,8 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// ConnOpenedAt is when the connection was opened on which it came.
+	ConnOpenedAt time.Time
 
 	// isUnframed is true if the body has neither a length nor chunks and ends with the
 	// connection.
--- a/ingress/endings.go
+++ b/ingress/endings.go
@@ -58,6 +58,18 @@
 	e.facts.Publish(savorystep.FactSilent, string(silent.ID), savorystep.EndedFact{StartedAtMillis: silent.StartedAtMillis, Number: e.reports.Add(1)})
 }
 
+// recordRunning records that an endpoint answered on a connection that was opened at
+// openedAt. It publishes that the endpoint runs on if it was silent since.
+func (e *Endings) recordRunning(now time.Time, answered savorystep.Endpoint, openedAt time.Time) {
+	var isDue bool
+	e.router.WithTable(func(t *endpoint.Table) { isDue = t.RecordRunning(now, answered, openedAt) })
+	if !isDue {
+		return
+	}
+	log.Infof("endpoint %s, started at %d, was silent and runs on: it answered on a connection of %v ago", answered.ID, answered.StartedAtMillis, now.Sub(openedAt).Round(time.Millisecond))
+	e.facts.Publish(savorystep.FactSilent, string(answered.ID), savorystep.EndedFact{StartedAtMillis: answered.StartedAtMillis, Number: e.reports.Add(1), IsRunning: true})
+}
+
 // applyFact applies what another instance found.
 func (e *Endings) applyFact(fact savorystep.ReceivedFact) {
 	var body savorystep.EndedFact
@@ -67,6 +79,10 @@
 	}
 	id := savorystep.EndpointID(fact.Subject)
 	var isNew bool
+	if body.IsRunning {
+		e.router.WithTable(func(t *endpoint.Table) { t.ApplyRunning(fact.ReceivedAt, id, body.StartedAtMillis) })
+		return
+	}
 	if fact.Kind == savorystep.FactSilent {
 		e.router.WithTable(func(t *endpoint.Table) {
 			isNew = t.ApplySilent(fact.ReceivedAt, fact.Instance, id, body.StartedAtMillis, fact.Age)
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -219,6 +219,7 @@
 	switch {
 	case result.outcome == endpoint.OutcomeAnswered:
 		f.config.Quarantine.recordAnswer(endedAt, pr.fingerprint)
+		f.config.Endings.recordRunning(endedAt, choice.Endpoint, response.ConnOpenedAt)
 	case errors.Is(err, syscall.ECONNREFUSED):
 		f.config.Endings.record(endedAt, choice.Endpoint, "a connection was refused")
 	case isSilent(ctx, err):
