Hold a fault in TestProofAtMostOnce until a key is refused for good

Callers saw nothing.

Cause: a key counts as not executed if all its six attempts, 100 ms apart, are refused at once. While the platform is down it does not happen, because its status 503 counts as a refusal for its rate, after which writes wait.

The checks and their bounds are as before.

--- a/cmd/proofonce_test.go
+++ b/cmd/proofonce_test.go
@@ -24,6 +24,9 @@
 	// executed.
 	notExecuted     map[savorystep.IdempotencyKey]bool
 	unknownOutcomes int
+	// givenUp counts the keys with one caller that were not executed and are not sent
+	// again.
+	givenUp int
 }
 
 // A onceInput is an attempt or, at the end, the count of the runs.
@@ -100,6 +103,22 @@
 	})
 }
 
+// giveUp records that the only caller of a key makes no further attempt.
+func (h *onceHistory) giveUp(key savorystep.IdempotencyKey) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.notExecuted[key] {
+		h.givenUp++
+	}
+}
+
+// hasGivenUp reports whether a key was given up without a run.
+func (h *onceHistory) hasGivenUp() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.givenUp > 0
+}
+
 // violations returns the violations of at-most-once execution that the attempts and
 // the numbers of runs show.
 func (h *onceHistory) violations(runs map[savorystep.IdempotencyKey]int) []string {
@@ -176,6 +195,9 @@
 			return
 		}
 	}
+	if n%4 != 0 {
+		h.giveUp(request.key)
+	}
 }
 
 // startKeyedLoad sends keyed requests from several workers until stop is closed.
@@ -258,6 +280,8 @@
 		func() { pauseEntry(2, func() { holdFaults(standin.PlatformFaults{LoseResponses: 50}, time.Second) }) },
 		func() {
 			holdFaults(standin.PlatformFaults{CommitDelayMillis: 500}, time.Second)
+			// How many attempts fit in a second depends on the machine.
+			p.await("a key is given up without a run", h.hasGivenUp)
 			p.entries[1].signal(syscall.SIGKILL)
 			holdFaults(standin.PlatformFaults{}, time.Second)
 			p.replaceEntry(1)
