Count a connected peer's revision before its status arrives

Callers could be routed by an old revision of the configuration: an instance that starts while the platform does not answer becomes ready once it has the greatest revision of its peers.

Cause: a frame carries the sender's revision, but the statuses in it may be those of other members, from before the change. Until the sender's own status arrives, its revision was kept on the connection only, so that the greatest revision of the members was an old one.

Evidence: by reading, after TestProofConfiguration had found a new entry ready at revision 0 with 224 in force.

The readiness rule now counts what connected peers have reported of themselves.

--- a/cmd/peerrevision.go
+++ b/cmd/peerrevision.go
@@ -6,14 +6,22 @@
 	"savorystep"
 )
 
+// peerRevisions knows the revisions of the other members.
+type peerRevisions interface {
+	savorystep.Members
+	ReportedRevision() savorystep.Revision
+}
+
 // newPeerRevision returns a function for the configuration log, which uses it to
 // decide readiness while the platform is down. The function returns the greatest
 // revision of the other members and whether any of them is ready. Members without
 // a recent heartbeat do not count: no lookup answer contains them, so no caller
-// can see their revision next to that of this instance.
-func newPeerRevision(members savorystep.Members) func(now time.Time) (savorystep.Revision, bool) {
+// can see their revision next to that of this instance. A connected peer counts
+// before its status arrives, because the statuses that it passes on may be from
+// before its revision.
+func newPeerRevision(members peerRevisions) func(now time.Time) (savorystep.Revision, bool) {
 	return func(now time.Time) (savorystep.Revision, bool) {
-		var maxRevision savorystep.Revision
+		maxRevision := members.ReportedRevision()
 		anyReady := false
 		for _, member := range members.Members(now) {
 			if member.Instance.ID == members.Self().ID {
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -300,6 +300,18 @@
 	return now.Sub(e.disconnectedAt) >= e.config.PeerTimeout+refutationTimeout(0)
 }
 
+// ReportedRevision returns the greatest revision that a connected peer has reported to be
+// in force at itself. Until the peer's status arrives, Members lacks the peer.
+func (e *Exchange) ReportedRevision() savorystep.Revision {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var reported savorystep.Revision
+	for _, l := range e.links {
+		reported = max(reported, l.receivedRevision)
+	}
+	return reported
+}
+
 // LatestRevision returns the greatest revision known to be in force at any
 // instance, including lost ones.
 func (e *Exchange) LatestRevision() savorystep.Revision {
