Trust no listed warm-up while the endpoint list can't be read

An endpoint that is cold when reads of the list begin to fail counts as one that has ended now: it is warm a warm-up after it has answered, or when the list has been read for long enough.

--- a/endpoint/ending.go
+++ b/endpoint/ending.go
@@ -177,6 +177,14 @@
 			}
 		}
 	}
+	if !t.isListFailing && isFailing {
+		for id, s := range t.byID {
+			if now.Before(s.warmAt) && s.ending == nil {
+				// If it starts again, no request need find it, and the list can't tell.
+				t.hearEnding(now, id, s.StartedAtMillis, false)
+			}
+		}
+	}
 	t.isListFailing = isFailing
 }
 
