Let an answer tell nothing about an ending that is over

Found when reading the change: the first answer after an ending had run out set the time from which the endpoint warms up, so an endpoint that runs counted as cold for 3 s more, as late as minutes after a false report. An endpoint that was cold when reads of the list began to fail may run, like one that was silent.

--- a/endpoint/ending.go
+++ b/endpoint/ending.go
@@ -41,8 +41,9 @@
 	// answeredAt is when an endpoint at that address first answered a request that was
 	// sent after heardAt, zero before.
 	answeredAt time.Time
-	// isSilence is true if the incarnation was only silent, and may run.
-	isSilence bool
+	// isUnproven is true if the incarnation may run: it was only silent, or was cold when
+	// the endpoint list could not be read any more.
+	isUnproven bool
 	// reportedAt is when this instance or another one last reported it.
 	reportedAt time.Time
 }
@@ -85,7 +86,7 @@
 
 // hearEnding returns the ending of an incarnation after it was found to have ended, nil if
 // that incarnation is no longer the latest.
-func (t *Table) hearEnding(now time.Time, id savorystep.EndpointID, startedAtMillis int64, isSilence bool) *ending {
+func (t *Table) hearEnding(now time.Time, id savorystep.EndpointID, startedAtMillis int64, isUnproven bool) *ending {
 	s := t.byID[id]
 	if s != nil && s.StartedAtMillis > startedAtMillis {
 		return nil
@@ -96,14 +97,14 @@
 		return nil
 	case known == nil || known.startedAtMillis < startedAtMillis:
 		t.evictEndings(now)
-		known = &ending{startedAtMillis: startedAtMillis, since: now, isSilence: isSilence}
+		known = &ending{startedAtMillis: startedAtMillis, since: now, isUnproven: isUnproven}
 		t.endings[id] = known
 	}
 	known.hear(now)
-	known.isSilence = known.isSilence && isSilence
+	known.isUnproven = known.isUnproven && isUnproven
 	if s != nil {
 		s.ending = known
-		if !known.isSilence {
+		if !known.isUnproven {
 			s.forgetMeasurements()
 		}
 	}
@@ -158,9 +159,10 @@
 	}
 }
 
-// recordAnswer records that an endpoint answered a request that was sent at sentAt.
-func (s *endpointState) recordAnswer(now, sentAt time.Time) {
-	if e := s.ending; e != nil && e.answeredAt.IsZero() && sentAt.After(e.heardAt) {
+// recordAnswer records that an endpoint answered a request that was sent at sentAt. It
+// tells nothing about an ending that is no longer in force.
+func (t *Table) recordAnswer(now time.Time, s *endpointState, sentAt time.Time) {
+	if e := s.ending; e != nil && e.answeredAt.IsZero() && sentAt.After(e.heardAt) && now.Before(t.endingUntil(s)) {
 		e.answeredAt = now
 	}
 }
@@ -181,7 +183,7 @@
 		for id, s := range t.byID {
 			if now.Before(s.warmAt) && s.ending == nil {
 				// If it starts again, no request need find it, and the list can't tell.
-				t.hearEnding(now, id, s.StartedAtMillis, false)
+				t.hearEnding(now, id, s.StartedAtMillis, true)
 			}
 		}
 	}
--- a/endpoint/silence.go
+++ b/endpoint/silence.go
@@ -91,7 +91,7 @@
 // was known.
 func (t *Table) ApplyRunning(now time.Time, id savorystep.EndpointID, startedAtMillis int64) bool {
 	s, known := t.byID[id], t.endings[id]
-	if s == nil || known == nil || !known.isSilence || known.startedAtMillis != startedAtMillis || s.StartedAtMillis != startedAtMillis {
+	if s == nil || known == nil || !known.isUnproven || known.startedAtMillis != startedAtMillis || s.StartedAtMillis != startedAtMillis {
 		return false
 	}
 	delete(t.endings, id)
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -256,7 +256,7 @@
 			t.latency(s.Service).record(choice.cached, took)
 		}
 		s.cached.add(now, choice.affinityKey)
-		s.recordAnswer(now, choice.startedAt)
+		t.recordAnswer(now, s, choice.startedAt)
 		s.answeredAt = now
 		s.slowness.record(now, took, choice.ExpectedLatency)
 	case OutcomeTimedOut:
