Send endings to an instance that starts

On a new connection an instance sent its own facts only; those of others came with anti-entropy. It sends all endings that it knows now. TestNewLinkGetsEndings failed before.

--- a/peer/connect.go
+++ b/peer/connect.go
@@ -207,7 +207,8 @@
 	}
 	for _, facts := range e.store.facts {
 		for key := range facts {
-			if key.instance == e.config.Self.ID && !isScoped(key.kind) {
+			// An instance that starts needs the endings of all before it sends requests.
+			if key.instance == e.config.Self.ID && !isScoped(key.kind) || isEnding(key.kind) && key.instance != id {
 				l.enqueue(key)
 			}
 		}
--- a/peer/ended_test.go
+++ b/peer/ended_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"savorystep"
 )
 
@@ -86,3 +88,23 @@
 		t.Errorf("facts %v, want the report of the ending", facts.Facts)
 	}
 }
+
+// TestNewLinkGetsEndings guards against an instance that starts and sends requests to
+// endpoints that others found to have ended, until anti-entropy has told it.
+func TestNewLinkGetsEndings(t *testing.T) {
+	now := time.Unix(1000, 0)
+	e, _ := newBusyLink(now)
+	e.tasks = &errgroup.Group{}
+	e.store.merge(now, savorystep.Fact{Instance: "third", Sequence: 1, Kind: savorystep.FactEnded, Subject: "endpoint", Body: []byte{0xa1, 1, 5}}, now)
+	started := e.newLink(nil, savorystep.Instance{ID: "started"}, false)
+	if !e.registerLink(started, 0) {
+		t.Fatal("the link was not kept")
+	}
+	facts := &factsFrame{}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	started.addPendingFacts(now, facts, e.byteBudget.available(now))
+	if len(facts.Facts) != 1 || facts.Facts[0].Kind != savorystep.FactEnded {
+		t.Errorf("facts %v, want the report of the ending", facts.Facts)
+	}
+}
