Log and count requests whose connection is closed under them

Callers reported requests on kept connections that got no answer. The log could not tell why: such a request had a normal line, "the caller left" or even "answered", and nothing said who had closed its connection.

The line of a request now says whether this instance had closed the connection, why and how long before, and whether the answer could be written. Counters: connections that the instance closed, requests handled on them, answers that could not be written by who closed, panics of handlers. A panic is logged with the id of its request instead of net/http's line without it. Answers are flushed by the handler, since net/http tells nobody the error of the write after it; local replies have a length, so that this doesn't chunk them. No decision changes.

A request on a connection that the idle timer had closed now has closed=idle closedfor=1.022s undelivered="write tcp ...: use of closed network connection".

--- a/ingress/localreply.go
+++ b/ingress/localreply.go
@@ -45,13 +45,15 @@
 	return &localReply{status: http.StatusServiceUnavailable, retryAfter: after, reason: reason}
 }
 
-// write sends the reply.
-func (r *localReply) write(w http.ResponseWriter) {
+// write sends the reply. It returns an error if the reply could not be written.
+func (r *localReply) write(w http.ResponseWriter) error {
 	header := w.Header()
 	if r.retryAfter > 0 {
 		header.Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds(), 'f', 2, 64))
 	}
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	body := []byte(r.reason + "\n")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(r.status)
-	_, _ = w.Write([]byte(r.reason + "\n"))
+	return writeBody(w, body)
 }
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -1,6 +1,9 @@
 package ingress
 
 import (
+	"errors"
+	"net"
+	"os"
 	"strconv"
 	"time"
 
@@ -17,6 +20,13 @@
 	choices  *prometheus.CounterVec
 	// limitedAttempts counts the attempts at endpoints that state a rate limit.
 	limitedAttempts prometheus.Counter
+	// closedConns counts the connections of callers that this instance closed, and
+	// requestsOnClosedConns the requests that it handled on such connections.
+	closedConns, requestsOnClosedConns *prometheus.CounterVec
+	// undelivered counts the responses that could not be written, by who closed the
+	// connection.
+	undelivered *prometheus.CounterVec
+	panics      prometheus.Counter
 }
 
 // latencyBuckets are the upper bounds of the latency histogram in seconds. The
@@ -43,8 +53,20 @@
 			Name: "savorystep_ingress_limited_attempts_total", Help: "Attempts at endpoints that state a rate limit.",
 		}),
 	}
+	m.closedConns = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "savorystep_ingress_connections_closed_total", Help: "Connections of callers that this instance closed, by cause.",
+	}, []string{"cause"})
+	m.requestsOnClosedConns = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "savorystep_ingress_requests_on_closed_connections_total", Help: "Requests handled on connections that this instance had closed, by cause.",
+	}, []string{"cause"})
+	m.undelivered = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "savorystep_ingress_undelivered_responses_total", Help: "Responses that could not be written, by who closed the connection.",
+	}, []string{"closed"})
+	m.panics = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "savorystep_ingress_panics_total", Help: "Requests whose handler panicked.",
+	})
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.latency, m.attempts, m.choices, m.limitedAttempts)
+		registerer.MustRegister(m.requests, m.latency, m.attempts, m.choices, m.limitedAttempts, m.closedConns, m.requestsOnClosedConns, m.undelivered, m.panics)
 	}
 	return m
 }
@@ -77,3 +99,21 @@
 	}
 	m.choices.WithLabelValues(string(reason)).Inc()
 }
+
+// countClosedConn counts a caller's connection that this instance closed.
+func (m *metrics) countClosedConn(cause closeCause) {
+	m.closedConns.WithLabelValues(string(cause)).Inc()
+}
+
+// countUndelivered counts a response that could not be written. The error tells a
+// connection that this instance closed from one that the caller closed or does not read.
+func (m *metrics) countUndelivered(err error) {
+	closedBy := "caller"
+	switch {
+	case errors.Is(err, net.ErrClosed):
+		closedBy = "instance"
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		closedBy = "timeout"
+	}
+	m.undelivered.WithLabelValues(closedBy).Inc()
+}
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -90,6 +92,7 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
+	defer p.reportPanic(r)
 	receivedAt := p.config.Clock.Now()
 	reservation := p.bodyBudget.NewReservation()
 	defer reservation.Release()
@@ -98,8 +101,8 @@
 		var response *http1.Response
 		if response, reply = p.forwarder.forward(r.Context(), pr); reply == nil {
 			defer response.Release()
-			p.writeResponse(w, r, response)
-			p.recordRequest(r, receivedAt, pr, response.Status, "answered")
+			err := p.writeResponse(w, r, response)
+			p.recordRequest(r, requestOutcome{receivedAt: receivedAt, proxied: pr, status: response.Status, text: "answered", writeErr: err})
 			return
 		}
 	}
@@ -109,12 +112,25 @@
 	p.closeIfDraining(w)
 	// A caller whose connection seems closed may have closed only its sending
 	// side. Without a reply, the server would send it an empty 200.
-	reply.write(w)
+	outcome := requestOutcome{receivedAt: receivedAt, proxied: pr, status: reply.status, text: reply.reason, writeErr: reply.write(w)}
 	if r.Context().Err() != nil && reply.status != http.StatusRequestTimeout {
-		p.recordRequest(r, receivedAt, pr, 0, "the caller left")
+		outcome.status, outcome.text = 0, "the caller left"
+	}
+	p.recordRequest(r, outcome)
+}
+
+// reportPanic logs and counts a panic of the handler, and lets the server close the
+// connection.
+func (p *Proxy) reportPanic(r *http.Request) {
+	cause := recover()
+	if cause == nil {
 		return
 	}
-	p.recordRequest(r, receivedAt, pr, reply.status, reply.reason)
+	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
+		p.metrics.panics.Inc()
+		log.Errorf("request id=%s host=%s target=%s panicked: %v\n%s", r.Header.Get(p.config.HeaderNames.AttemptID), r.Host, r.RequestURI, cause, debug.Stack())
+	}
+	panic(http.ErrAbortHandler)
 }
 
 // accept validates a request, matches its route and reads its body into
@@ -210,8 +226,9 @@
 	return size
 }
 
-// writeResponse writes an endpoint's response, without hop-by-hop headers.
-func (p *Proxy) writeResponse(w http.ResponseWriter, r *http.Request, response *http1.Response) {
+// writeResponse writes an endpoint's response, without hop-by-hop headers. It returns an
+// error if the response could not be written.
+func (p *Proxy) writeResponse(w http.ResponseWriter, r *http.Request, response *http1.Response) error {
 	controller := http.NewResponseController(w)
 	setDeadline(controller.SetWriteDeadline, p.config.Clock.Now().Add(p.config.ResponseWriteTimeout))
 	defer setDeadline(controller.SetWriteDeadline, time.Time{})
@@ -232,7 +249,20 @@
 	}
 	p.closeIfDraining(w)
 	w.WriteHeader(response.Status)
-	_, _ = w.Write(response.Body)
+	return writeBody(w, response.Body)
+}
+
+// writeBody writes a body and flushes the response. The error says whether the
+// connection took all of it, except on writers that can't be flushed, such as those of
+// tests.
+func writeBody(w http.ResponseWriter, body []byte) error {
+	if _, err := w.Write(body); err != nil && !errors.Is(err, http.ErrBodyNotAllowed) {
+		return err
+	}
+	if err := http.NewResponseController(w).Flush(); err != nil && !errors.Is(err, errors.ErrUnsupported) {
+		return err
+	}
+	return nil
 }
 
 // closeIfDraining makes the server close the connection after the response that is
@@ -243,11 +273,30 @@
 	}
 }
 
-// recordRequest logs the outcome of a request and updates the metrics. pr is nil
-// if accept rejected the request.
-func (p *Proxy) recordRequest(r *http.Request, receivedAt time.Time, pr *proxiedRequest, status int, outcome string) {
+// A requestOutcome is how a request ended.
+type requestOutcome struct {
+	receivedAt time.Time
+	// proxied is nil if accept rejected the request.
+	proxied *proxiedRequest
+	// status is 0 if the caller left.
+	status int
+	text   string
+	// writeErr is the error of writing the response, nil if the connection took it.
+	writeErr error
+}
+
+// recordRequest logs the outcome of a request and updates the metrics.
+func (p *Proxy) recordRequest(r *http.Request, outcome requestOutcome) {
 	now := p.config.Clock.Now()
-	duration := now.Sub(receivedAt)
-	p.metrics.observeRequest(pr, status, duration)
-	p.requestLog.write(now, logEntry{id: r.Header.Get(p.config.HeaderNames.AttemptID), request: r, proxied: pr, status: status, outcome: outcome, duration: duration})
+	duration := now.Sub(outcome.receivedAt)
+	p.metrics.observeRequest(outcome.proxied, outcome.status, duration)
+	entry := logEntry{requestOutcome: outcome, id: r.Header.Get(p.config.HeaderNames.AttemptID), request: r, duration: duration}
+	if closing := closingOf(r.Context()); closing != nil {
+		p.metrics.requestsOnClosedConns.WithLabelValues(string(closing.cause)).Inc()
+		entry.closing, entry.closedFor = closing, now.Sub(closing.at)
+	}
+	if outcome.writeErr != nil {
+		p.metrics.countUndelivered(outcome.writeErr)
+	}
+	p.requestLog.write(now, entry)
 }
--- a/ingress/requestlog.go
+++ b/ingress/requestlog.go
@@ -45,7 +45,7 @@
 
 // write logs a request, or counts its line as omitted.
 func (l *requestLog) write(now time.Time, e logEntry) {
-	failed := e.status == 0 || e.status >= http.StatusInternalServerError
+	failed := e.status == 0 || e.status >= http.StatusInternalServerError || e.writeErr != nil || e.closing != nil
 	limiter, omitted := l.successLimiter, &l.omittedSuccesses
 	if failed || (e.proxied != nil && len(e.proxied.steps) > 1) {
 		limiter, omitted = l.failureLimiter, &l.omittedFailures
@@ -70,20 +70,27 @@
 
 // A logEntry is the log line of a request.
 type logEntry struct {
-	id      string
-	request *http.Request
-	// proxied is nil if Proxy.accept rejected the request.
-	proxied  *proxiedRequest
-	status   int
-	outcome  string
+	requestOutcome
+	id       string
+	request  *http.Request
 	duration time.Duration
+	// closing is when and why this instance closed the connection of the request, nil if
+	// it did not. closedFor is the time since then.
+	closing   *connClosing
+	closedFor time.Duration
 }
 
 // String returns the line as key=value fields. The trace command and operators
 // rely on its format.
 func (e logEntry) String() string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "request id=%s host=%s target=%s status=%d outcome=%q took=%v", e.id, e.request.Host, e.request.RequestURI, e.status, e.outcome, e.duration.Round(time.Millisecond))
+	fmt.Fprintf(&b, "request id=%s host=%s target=%s status=%d outcome=%q took=%v", e.id, e.request.Host, e.request.RequestURI, e.status, e.text, e.duration.Round(time.Millisecond))
+	if e.closing != nil {
+		fmt.Fprintf(&b, " closed=%s closedfor=%v", e.closing.cause, e.closedFor.Round(time.Microsecond))
+	}
+	if e.writeErr != nil {
+		fmt.Fprintf(&b, " undelivered=%q", e.writeErr)
+	}
 	if pr := e.proxied; pr != nil {
 		fmt.Fprintf(&b, " route=%s repetition=%s service=%s revision=%d timeleft=%v steps=%q", pr.route.Name, pr.route.Class, pr.service, pr.routing.Revision, pr.timeBudget.Round(time.Millisecond), pr.steps)
 	}
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -44,7 +44,7 @@
 func NewServer(proxy *Proxy, listener net.Listener) *Server {
 	s := &Server{proxy: proxy, listener: listener, idleTimers: make(map[net.Conn]*time.Timer)}
 	s.idleTimeout = proxy.idleTimeout
-	s.httpServer = &http.Server{Handler: proxy, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, ConnState: s.connState}
+	s.httpServer = &http.Server{Handler: proxy, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, ConnContext: withConn, ConnState: s.connState}
 	return s
 }
 
@@ -61,7 +61,7 @@
 func (s *Server) Serve() <-chan error {
 	done := make(chan error, 1)
 	go func() {
-		err := s.httpServer.Serve(s.listener)
+		err := s.httpServer.Serve(callerListener{Listener: s.listener})
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			err = nil
 		}
@@ -100,7 +100,10 @@
 			s.startIdleTimer(c, idleSince)
 			return
 		}
-		_ = c.Close()
+		if caller, ok := c.(*callerConn); ok {
+			caller.closeFor(time.Now(), closeIdle)
+			s.proxy.metrics.countClosedConn(closeIdle)
+		}
 	})
 	s.idleTimers[c] = timer
 }
