Close idle connections only from the goroutine that reads them

Callers got no answer to requests on kept connections that were passed on to an endpoint. The idle timer closed a connection from its own goroutine, on a state that net/http reports only after it has read the whole header of the next request, so a request that was read at that moment was handled on a closed connection. http.Server.Shutdown closes idle connections in the same way, from the goroutine that calls it.

http1.Server takes the decision to the one place that knows: a read that waits for a request has a deadline, and returns either the request or the end of the connection. Other goroutines may only move that deadline, and only while the connection waits for the first byte. So check and act are one step, however late a goroutine runs; a longer margin would only narrow the gap. What arrived in time on a connection whose deadline passed while the process stood still is read and served. A change of the limit now also applies to connections that are idle already, at once; before, a lower limit left them open for the old one. During a shutdown idle connections end by the same deadline. There is no timer, map entry or global lock for each request any more.

--- a/http1/doc.go
+++ b/http1/doc.go
@@ -1,4 +1,5 @@
-// Package http1 is an HTTP/1.1 client for endpoints with a connection pool. The
+// Package http1 is an HTTP/1.1 client for endpoints with a connection pool, and a server
+// that never closes a connection from which it has read a request without an answer. The
 // error of a failed exchange states whether the request may have reached the
 // endpoint. The transport of net/http does not report this, and it decides
 // whether a retry is safe.
--- /dev/null
+++ b/http1/serverconn.go
@@ -0,0 +1,245 @@
+package http1
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+// A CloseCause is the reason for which a server closes a connection.
+type CloseCause string
+
+// The causes for which a server closes a connection.
+const (
+	// CloseIdle means that the connection was idle for the idle timeout.
+	CloseIdle CloseCause = "idle"
+	// CloseShutdown means that the server is shutting down.
+	CloseShutdown CloseCause = "shutdown"
+)
+
+// A Closing is when and why a server closed a connection.
+type Closing struct {
+	At    time.Time
+	Cause CloseCause
+}
+
+// A connState is what a server waits for on a connection.
+type connState int
+
+const (
+	// connNew means that nothing has arrived yet.
+	connNew connState = iota
+	// connActive means that a request is being read or handled.
+	connActive
+	// connIdle means that the last response is written, and nothing has arrived since.
+	connIdle
+)
+
+// A serverConn is a connection of a Server. Its read ends when the connection has been
+// idle for too long. Other goroutines may only move the deadline of that read, and only
+// while the connection waits for a request.
+type serverConn struct {
+	net.Conn
+	server  *Server
+	closing atomic.Pointer[Closing]
+
+	mu    sync.Mutex
+	state connState
+	// since is when the connection was accepted or became idle.
+	since time.Time
+	// isWaiting is true while a read waits for the first byte of a request.
+	isWaiting bool
+}
+
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// withConn returns the context of the requests on a connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// ClosingOf returns when and why a Server closed the connection of a request, given the
+// request's context. It is nil if the server did not close it.
+func ClosingOf(ctx context.Context) *Closing {
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return nil
+	}
+	if owned := serverConnOf(c); owned != nil {
+		return owned.closing.Load()
+	}
+	return nil
+}
+
+// serverConnOf returns the serverConn that a connection of net/http is or wraps, nil if
+// there is none.
+func serverConnOf(c net.Conn) *serverConn {
+	if secure, ok := c.(*tls.Conn); ok {
+		c = secure.NetConn()
+	}
+	owned, _ := c.(*serverConn)
+	return owned
+}
+
+// Read implements net.Conn. While the connection waits for a request, it returns
+// os.ErrDeadlineExceeded only if nothing has arrived until the end of the idle timeout.
+func (c *serverConn) Read(p []byte) (int, error) {
+	for {
+		c.startWaiting()
+		n, err := c.Conn.Read(p)
+		if n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.endWaiting(time.Now(), n)
+			return n, err
+		}
+		now := time.Now()
+		cause, isExpired := c.expired(now)
+		if !isExpired {
+			continue
+		}
+		if cause == "" {
+			return n, err
+		}
+		if n := c.readArrived(p); n > 0 {
+			c.endWaiting(now, n)
+			return n, nil
+		}
+		c.recordClosing(now, cause)
+		c.server.closing(cause)
+		return 0, err
+	}
+}
+
+// CloseWrite shuts down the writing side of the connection. net/http calls it so that
+// the caller reads a last response before the connection is closed.
+func (c *serverConn) CloseWrite() error {
+	if inner, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return inner.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
+// becomeIdle records that a response is written.
+func (c *serverConn) becomeIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.since = connIdle, now
+}
+
+// becomeActive records that a request is read. A pipelined one needs no read of the
+// connection.
+func (c *serverConn) becomeActive() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.isWaiting = connActive, false
+}
+
+// startWaiting sets the deadline of a read that waits for a request.
+func (c *serverConn) startWaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == connActive {
+		return
+	}
+	c.isWaiting = true
+	c.setDeadline()
+}
+
+// endWaiting records that a read has returned n bytes or failed. The first bytes of a
+// request replace the deadline of the wait by that of the header.
+func (c *serverConn) endWaiting(now time.Time, n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isWaiting {
+		return
+	}
+	c.isWaiting = false
+	if n > 0 {
+		c.state = connActive
+		_ = c.SetReadDeadline(now.Add(c.server.config.HeaderTimeout))
+	}
+}
+
+// updateDeadline sets the deadline of the present read again if it waits for a request.
+func (c *serverConn) updateDeadline() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.isWaiting {
+		c.setDeadline()
+	}
+}
+
+// setDeadline sets the deadline of a read that waits for a request. A new connection has
+// that of the header, which net/http sets. The caller holds mu.
+func (c *serverConn) setDeadline() {
+	if c.state == connIdle || c.server.isClosing.Load() {
+		_ = c.SetReadDeadline(c.waitEnd())
+	}
+}
+
+// waitEnd returns until when the connection waits for a request, the zero time for no
+// limit. The caller holds mu.
+func (c *serverConn) waitEnd() time.Time {
+	if c.server.isClosing.Load() {
+		if c.state == connNew {
+			return c.since.Add(newConnGrace)
+		}
+		return c.since
+	}
+	if timeout := c.server.idleTimeout(); timeout > 0 {
+		return c.since.Add(timeout)
+	}
+	return time.Time{}
+}
+
+// expired reports whether a read whose deadline has passed must end. The cause is empty
+// if the deadline is one of net/http.
+func (c *serverConn) expired(now time.Time) (CloseCause, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isClosing := c.server.isClosing.Load()
+	if !c.isWaiting || (c.state == connNew && !isClosing) {
+		c.isWaiting = false
+		return "", true
+	}
+	if end := c.waitEnd(); end.IsZero() || now.Before(end) {
+		return "", false
+	}
+	if isClosing {
+		return CloseShutdown, true
+	}
+	return CloseIdle, true
+}
+
+// readArrived reads what has arrived without waiting for more. A request may have arrived
+// in time although the deadline has passed since, if the process stood still.
+func (c *serverConn) readArrived(p []byte) int {
+	syscallConn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil || c.SetReadDeadline(time.Time{}) != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Read(func(fd uintptr) bool {
+		n, _ = syscall.Read(int(fd), p) //nolint:gosec // Descriptors are small.
+		return true
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
+// recordClosing records that the server closes the connection, unless it did before.
+func (c *serverConn) recordClosing(now time.Time, cause CloseCause) {
+	c.closing.CompareAndSwap(nil, &Closing{At: now, Cause: cause})
+}
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"savorystep/endpoint"
+	"savorystep/http1"
 )
 
 // metrics holds the Prometheus metrics of a Proxy.
@@ -101,7 +102,7 @@
 }
 
 // countClosedConn counts a caller's connection that this instance closed.
-func (m *metrics) countClosedConn(cause closeCause) {
+func (m *metrics) countClosedConn(cause http1.CloseCause) {
 	m.closedConns.WithLabelValues(string(cause)).Inc()
 }
 
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -291,9 +291,9 @@
 	duration := now.Sub(outcome.receivedAt)
 	p.metrics.observeRequest(outcome.proxied, outcome.status, duration)
 	entry := logEntry{requestOutcome: outcome, id: r.Header.Get(p.config.HeaderNames.AttemptID), request: r, duration: duration}
-	if closing := closingOf(r.Context()); closing != nil {
-		p.metrics.requestsOnClosedConns.WithLabelValues(string(closing.cause)).Inc()
-		entry.closing, entry.closedFor = closing, now.Sub(closing.at)
+	if closing := http1.ClosingOf(r.Context()); closing != nil {
+		p.metrics.requestsOnClosedConns.WithLabelValues(string(closing.Cause)).Inc()
+		entry.closing, entry.closedFor = closing, now.Sub(closing.At)
 	}
 	if outcome.writeErr != nil {
 		p.metrics.countUndelivered(outcome.writeErr)
--- a/ingress/requestlog.go
+++ b/ingress/requestlog.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/time/rate"
+
+	"savorystep/http1"
 )
 
 const (
@@ -76,7 +78,7 @@
 	duration time.Duration
 	// closing is when and why this instance closed the connection of the request, nil if
 	// it did not. closedFor is the time since then.
-	closing   *connClosing
+	closing   *http1.Closing
 	closedFor time.Duration
 }
 
@@ -86,7 +88,7 @@
 	var b strings.Builder
 	fmt.Fprintf(&b, "request id=%s host=%s target=%s status=%d outcome=%q took=%v", e.id, e.request.Host, e.request.RequestURI, e.status, e.text, e.duration.Round(time.Millisecond))
 	if e.closing != nil {
-		fmt.Fprintf(&b, " closed=%s closedfor=%v", e.closing.cause, e.closedFor.Round(time.Microsecond))
+		fmt.Fprintf(&b, " closed=%s closedfor=%v", e.closing.Cause, e.closedFor.Round(time.Microsecond))
 	}
 	if e.writeErr != nil {
 		fmt.Fprintf(&b, " undelivered=%q", e.writeErr)
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -15,6 +15,8 @@
 type Router struct {
 	routing      atomic.Pointer[savorystep.Routing]
 	hasEndpoints atomic.Bool
+	// routingChanged holds a value after a change of the routing, for one receiver.
+	routingChanged chan struct{}
 
 	mu sync.Mutex
 	// runtimeClock counts suspensions of the machine. It is nil if standstills of this
@@ -27,7 +29,7 @@
 
 // NewRouter returns a router without routing and endpoints.
 func NewRouter(config endpoint.Config) *Router {
-	return &Router{table: endpoint.NewTable(config), splitters: make(map[savorystep.RouteName]*weightedSplitter), responseSizes: make(responseSizes)}
+	return &Router{routingChanged: make(chan struct{}, 1), table: endpoint.NewTable(config), splitters: make(map[savorystep.RouteName]*weightedSplitter), responseSizes: make(responseSizes)}
 }
 
 // Routing returns the routing in force, or nil before the first SetRouting.
@@ -65,6 +67,10 @@
 	r.table.SetSpecs(routing.Services)
 	r.responseSizes.retain(routing)
 	r.routing.Store(routing)
+	select {
+	case r.routingChanged <- struct{}{}:
+	default:
+	}
 }
 
 // SetInstances sets the instances that are known to be running.
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -2,11 +2,10 @@
 
 import (
 	"context"
-	"errors"
 	"net"
-	"net/http"
-	"sync"
 	"time"
+
+	"savorystep/http1"
 )
 
 const (
@@ -28,24 +27,21 @@
 )
 
 // A Server serves a Proxy on a listener. Its idle timeout follows changes of the
-// routing, which that of http.Server does not.
+// routing, also for connections that are idle already.
 type Server struct {
-	proxy       *Proxy
-	listener    net.Listener
-	httpServer  *http.Server
-	idleTimeout func() time.Duration
-
-	mu         sync.Mutex
-	idleTimers map[net.Conn]*time.Timer
+	proxy    *Proxy
+	listener net.Listener
+	server   *http1.Server
 }
 
 // NewServer returns a server for a proxy. It does not accept connections before
 // Serve.
 func NewServer(proxy *Proxy, listener net.Listener) *Server {
-	s := &Server{proxy: proxy, listener: listener, idleTimers: make(map[net.Conn]*time.Timer)}
-	s.idleTimeout = proxy.idleTimeout
-	s.httpServer = &http.Server{Handler: proxy, MaxHeaderBytes: maxHeaderBytes, ReadHeaderTimeout: headerTimeout, ConnContext: withConn, ConnState: s.connState}
-	return s
+	return &Server{proxy: proxy, listener: listener, server: http1.NewServer(http1.ServerConfig{
+		Handler: proxy, HeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+		IdleTimeout: proxy.idleTimeout, IdleTimeoutChanged: proxy.config.Router.routingChanged,
+		OnClose: proxy.metrics.countClosedConn,
+	})}
 }
 
 // idleTimeout returns the idle timeout by the routing in force.
@@ -59,53 +55,7 @@
 // Serve starts serving in a goroutine. The channel receives one value when the
 // server ends: nil after Shutdown, or else the error of the listener.
 func (s *Server) Serve() <-chan error {
-	done := make(chan error, 1)
-	go func() {
-		err := s.httpServer.Serve(callerListener{Listener: s.listener})
-		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
-			err = nil
-		}
-		done <- err
-	}()
-	return done
-}
-
-// connState starts the idle timer of a connection that becomes idle, and stops it
-// on any other change of state.
-func (s *Server) connState(c net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if timer := s.idleTimers[c]; timer != nil {
-		timer.Stop()
-		delete(s.idleTimers, c)
-	}
-	if state == http.StateIdle {
-		s.startIdleTimer(c, time.Now())
-	}
-}
-
-// startIdleTimer closes a connection when it has been idle for the idle timeout.
-// If the timeout has grown by then, the timer starts again. The caller must hold
-// s.mu.
-func (s *Server) startIdleTimer(c net.Conn, idleSince time.Time) {
-	var timer *time.Timer
-	timer = time.AfterFunc(s.idleTimeout()-time.Since(idleSince), func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.idleTimers[c] != timer {
-			return
-		}
-		delete(s.idleTimers, c)
-		if time.Since(idleSince) < s.idleTimeout() {
-			s.startIdleTimer(c, idleSince)
-			return
-		}
-		if caller, ok := c.(*callerConn); ok {
-			caller.closeFor(time.Now(), closeIdle)
-			s.proxy.metrics.countClosedConn(closeIdle)
-		}
-	})
-	s.idleTimers[c] = timer
+	return s.server.Serve(s.listener)
 }
 
 // Shutdown stops the server within timeout. During the first half it serves
@@ -118,7 +68,7 @@
 	s.proxy.Drain(startedAt.Add(timeout))
 	waitUntil(ctx, startedAt.Add(timeout/2), func() bool { return false })
 	s.proxy.RejectRequests()
-	_ = s.listener.Close()
+	s.server.StopAccepting()
 	waitUntil(ctx, startedAt.Add(timeout), func() bool { return s.proxy.InFlight() == 0 })
 	if remaining := s.proxy.InFlight(); remaining > 0 {
 		log.Warningf("shutdown timeout of %v exceeded, aborting %d requests in flight", timeout, remaining)
@@ -126,10 +76,10 @@
 	// Responses of handlers that have returned may not be written completely yet.
 	ctx, cancel := context.WithDeadline(ctx, startedAt.Add(timeout))
 	defer cancel()
-	if err := s.httpServer.Shutdown(ctx); err != nil {
+	if err := s.server.Shutdown(ctx); err != nil {
 		log.Debugf("graceful shutdown incomplete, closing connections: %v", err)
 	}
-	_ = s.httpServer.Close()
+	_ = s.server.Close()
 }
 
 // waitUntil polls a condition until it is met, the deadline passes or ctx ends.
