--- a/http1/server_test.go
+++ b/http1/server_test.go
@@ -319,16 +319,16 @@
 	}
 }
 
-// TestIdleTimeoutOfPipelinedRequest guards against an idle timeout that ends a connection
-// whose pipelined request is handled, and against a server that waits for its own read of
-// that connection.
+// TestIdleTimeoutOfPipelinedRequest guards against an idle timeout that passes while a
+// pipelined request is handled, and makes its caller count as gone.
 func TestIdleTimeoutOfPipelinedRequest(t *testing.T) {
 	s := startTestServer(t, time.Millisecond, nil)
-	entered, release := make(chan struct{}), make(chan struct{})
+	entered, release, callerErr := make(chan struct{}), make(chan struct{}), make(chan error, 1)
 	s.config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/block" {
 			close(entered)
 			<-release
+			callerErr <- r.Context().Err()
 		}
 		w.WriteHeader(http.StatusOK)
 	})
@@ -345,6 +345,9 @@
 		witness.waitForEnd(t)
 	}
 	close(release)
+	if err := <-callerErr; err != nil {
+		t.Errorf("the caller counts as gone while its request is handled: %v", err)
+	}
 	if status, _ := c.receive(t); status != http.StatusOK {
 		t.Errorf("status %d, want 200", status)
 	}
