Let no SIGHUP end a gateway that starts or shuts down

The handler was installed by the goroutine that watches the settings and removed when that ended: a SIGHUP before or after had its default action and ended the process. It is installed first now and never removed.

The time before the program runs can't be covered.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -88,8 +88,9 @@
 	return g
 }
 
-// Run serves until ctx ends, then shuts down gracefully within the grace period.
-func (g *gateway) Run(ctx context.Context) error {
+// Run serves until ctx ends, then shuts down gracefully within the grace period. It reads
+// the settings again when hangups receives a signal.
+func (g *gateway) Run(ctx context.Context, hangups <-chan os.Signal) error {
 	backgroundCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	var group errgroup.Group
@@ -100,7 +101,7 @@
 		group.Go(func() error { return ignoreCanceled(<-done) })
 	}
 	group.Go(func() error { g.runMaintenance(backgroundCtx); return nil })
-	group.Go(func() error { g.watchSettings(backgroundCtx); return nil })
+	group.Go(func() error { g.watchSettings(backgroundCtx, hangups); return nil })
 	internalServers, err := g.serveInternal(backgroundCtx)
 	if err != nil {
 		return err
--- a/cmd/gatewaycmd.go
+++ b/cmd/gatewaycmd.go
@@ -31,6 +31,7 @@
 
 // runGatewayCmd runs a gateway until ctx ends, or checks and prints the settings.
 func runGatewayCmd(ctx context.Context, out io.Writer, options gatewayOptions) error {
+	hangups := notifyHangups()
 	settings, err := platform.LoadSettings()
 	if err != nil {
 		return err
@@ -43,7 +44,7 @@
 	if err != nil {
 		return err
 	}
-	return g.Run(ctx)
+	return g.Run(ctx, hangups)
 }
 
 // runtimeMemoryShare is the share of the memory limit that the Go runtime may use before
--- a/cmd/gatewayreload.go
+++ b/cmd/gatewayreload.go
@@ -16,13 +16,18 @@
 // may change without a SIGHUP.
 const settingsPollInterval = 2 * time.Second
 
+// notifyHangups returns a channel that receives each SIGHUP. It is never stopped, because
+// a SIGHUP without a receiver ends the process, also one that is shutting down.
+func notifyHangups() <-chan os.Signal {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	return hangups
+}
+
 // watchSettings reloads the settings file when it changes and on SIGHUP, until ctx
 // ends. If the file cannot be read or is invalid, it logs the error, and the last
 // valid settings stay in force.
-func (g *gateway) watchSettings(ctx context.Context) {
-	hangups := make(chan os.Signal, 1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(hangups)
+func (g *gateway) watchSettings(ctx context.Context, hangups <-chan os.Signal) {
 	ticker := time.NewTicker(settingsPollInterval)
 	defer ticker.Stop()
 	lastData, _ := platform.ReadSettings()
