Go on accepting after an error of Accept

An instance whose callers' listener fails ends, and its callers lose the requests in flight (LOST, H2). http.Server ends for each error of Accept that is not temporary, among them the lack of memory and the errors of a new connection that Linux reports there (ENOBUFS, ENOMEM, EPROTO, EHOSTUNREACH). http1.Server logs them and tries again, with a delay; only a closed listener ends it. That it was the users' case is not shown.

TestAcceptErrors failed for all but EMFILE before, and passes.

--- a/http1/server.go
+++ b/http1/server.go
@@ -258,20 +258,3 @@
 		s.config.OnClose(cause)
 	}
 }
-
-// A serverListener accepts connections as serverConns.
-type serverListener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept implements net.Listener.
-func (l *serverListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &serverConn{Conn: accepted, server: l.server, since: time.Now()}
-	l.server.track(c)
-	return c, nil
-}
--- a/http1/server_test.go
+++ b/http1/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -186,6 +187,36 @@
 	}
 }
 
+// A failingListener fails its first Accept calls with err.
+type failingListener struct {
+	net.Listener
+	err   error
+	count int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.count > 0 {
+		l.count--
+		return nil, l.err
+	}
+	return l.Listener.Accept()
+}
+
+// TestAcceptErrors guards against a server that ends, with all its connections, because a
+// connection could not be accepted.
+func TestAcceptErrors(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EHOSTUNREACH, syscall.EPROTO, syscall.EMFILE} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			s := startTestServer(t, time.Hour, func(l net.Listener) net.Listener {
+				return &failingListener{Listener: l, count: 3, err: &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", errno)}}
+			})
+			c := s.dial(t)
+			c.send(t)
+			c.receive(t)
+		})
+	}
+}
+
 // TestIdleTimeoutChanges guards against connections that keep the idle timeout of the time
 // at which they became idle: a lower one closes them, and a higher one keeps them open.
 func TestIdleTimeoutChanges(t *testing.T) {
