Test many callers that send as their connections are closed as idle

200 callers send their second request within 1 ms around the end of the idle timeout, three times each.

--- a/ingress/idleclose_test.go
+++ b/ingress/idleclose_test.go
@@ -1,6 +1,10 @@
 package ingress_test
 
 import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -114,3 +118,74 @@
 		t.Errorf("the connection ended without an answer (%v), %d requests from it were passed on, want 0", err, passedOn)
 	}
 }
+
+// TestRequestsAtIdleTimeout guards against LOST under load: many callers send on kept
+// connections at about the moment at which these are closed as idle. A request may cross
+// the close unread, but one that is passed on must be answered.
+func TestRequestsAtIdleTimeout(t *testing.T) {
+	const callers, rounds = 200, 3
+	proxy, transport, router := newPatientProxy(t, "ok")
+	limitIdle(router, idleLimit)
+	_, address := startServer(t, proxy)
+	type result struct {
+		target string
+		err    error
+	}
+	results := make(chan result, callers*rounds)
+	for i := range callers {
+		go func() {
+			for round := range rounds {
+				target := fmt.Sprintf("/safe/%d-%d", i, round)
+				results <- result{target: target, err: sendAtIdleTimeout(t.Context(), address, target, time.Duration(i%20-10)*100*time.Microsecond)}
+			}
+		}()
+	}
+	unanswered := make(map[string]error)
+	for range callers * rounds {
+		if r := <-results; r.err != nil {
+			unanswered[r.target] = r.err
+		}
+	}
+	lost := 0
+	for _, sent := range transport.requests() {
+		if err := unanswered[sent.target]; err != nil {
+			lost++
+			t.Logf("request %s was passed on and got no answer: %v", sent.target, err)
+		}
+	}
+	t.Logf("%d of %d requests crossed the close, %d were lost", len(unanswered)-lost, callers*rounds, lost)
+	if lost > 0 {
+		t.Errorf("%d requests were passed on and got no answer, want 0", lost)
+	}
+}
+
+// idleTimeoutMargin is what the server adds to the operators' idle timeout.
+const idleTimeoutMargin = 500 * time.Millisecond
+
+// sendAtIdleTimeout sends a request on a new connection, and a second one for target when
+// the first one's response is older than the idle timeout by offset. It returns an error if
+// the second request gets no response.
+func sendAtIdleTimeout(ctx context.Context, address, target string, offset time.Duration) error {
+	c, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	send := func(target string) error {
+		if _, err := fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nAttempt: %s\r\n\r\n", target, target); err != nil {
+			return err
+		}
+		response, err := http.ReadResponse(reader, nil)
+		if err != nil {
+			return err
+		}
+		_, err = io.Copy(io.Discard, response.Body)
+		return errors.Join(err, response.Body.Close())
+	}
+	if err := send("/safe/first"); err != nil {
+		return err
+	}
+	time.Sleep(idleTimeoutMargin + idleLimit + offset)
+	return send(target)
+}
