Fail an exchange at once whose answer has no valid status

Callers saw: a request whose endpoint answers with status 000 or 099 waits until its deadline; if a 200 with the same attempt id follows on that connection, it gets that one. 101 Switching Protocols and 600 to 999 reach the caller as answers.

Cause: readHead skips every status below 200 but 101 as that of an interim response, and takes everything else as final. net/http's parser, which it uses, accepts any three digits. A head with status 000 may also have a body, which was then read as the next head.

RFC 9110, section 15: statuses are 100 to 599, and a client treats any other like a server error. Section 15.2: a client must be able to parse interim responses that it didn't ask for; section 7.8: 101 answers an Upgrade header, which the gateway never forwards. So 100, 102 and the like are skipped as before, and 101 and what is outside 100 to 599 ends the exchange as sent without an answer: the connection is reset, and the request is repeated or gets a 502 by its class.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -285,8 +285,7 @@
 	return response, !head.Close, nil
 }
 
-// readHead reads the status line and header of a response. It skips interim (1xx)
-// responses except 101 Switching Protocols.
+// readHead reads the status line and header of a response. It skips interim responses.
 func (c *conn) readHead(request *Request) (*http.Response, error) {
 	c.headReader.startHead(c.reader.Buffered())
 	defer c.headReader.endHead()
@@ -298,9 +297,13 @@
 		if hasSecondStatusLine(head) {
 			return nil, savorystep.NewError(savorystep.KindUpstreamFailed, "head of the answer has a second status line, the first one is %.60q", head.Status)
 		}
-		if head.StatusCode >= http.StatusOK || head.StatusCode == http.StatusSwitchingProtocols {
-			return head, nil
+		if isSkippedInterim(head.StatusCode) {
+			continue
+		}
+		if err := checkFinalStatus(head.StatusCode); err != nil {
+			return nil, err
 		}
+		return head, nil
 	}
 }
 
--- a/http1/fuzz_test.go
+++ b/http1/fuzz_test.go
@@ -31,7 +31,8 @@
 func (*scriptedConn) Write(p []byte) (int, error) { return len(p), nil }
 
 // FuzzResponse guards against responses that crash the parser, that are accepted
-// for another request, or whose body is longer than what was received.
+// for another request or with a status that is not final, or whose body is longer than
+// what was received.
 func FuzzResponse(f *testing.F) {
 	for _, seed := range []string{
 		"HTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 2\r\n\r\nok",
@@ -42,6 +43,9 @@
 		"HTTP/1.0 200 OK\r\nAttempt: 1\r\n\r\nuntil the end",
 		"HTTP/1.1 200 OK\r\nContent-Length: 99999999999999999999\r\n\r\n",
 		"garbage\r\n\r\n",
+		"HTTP/1.1 000 Nothing\r\nAttempt: 1\r\n\r\nHTTP/1.1 200 OK\r\nAttempt: 1\r\nContent-Length: 2\r\n\r\nok",
+		"HTTP/1.1 101 Switching Protocols\r\nAttempt: 1\r\nUpgrade: other\r\nConnection: Upgrade\r\n\r\n",
+		"HTTP/1.1 600 More\r\nAttempt: 1\r\nContent-Length: 2\r\n\r\nok",
 	} {
 		f.Add([]byte(seed), false)
 	}
@@ -57,6 +61,9 @@
 			if id := response.Header.Get("Attempt"); id != "1" {
 				t.Errorf("response with attempt id %q is accepted, want %q", id, "1")
 			}
+			if response.Status < 200 || response.Status > 599 {
+				t.Errorf("response with status %d is accepted, want 200 to 599", response.Status)
+			}
 			if len(response.Body) > len(data) {
 				t.Errorf("body has %d bytes after %d bytes were received", len(response.Body), len(data))
 			}
