Treat a response of an endpoint without a valid status as its failure

Callers of 'serve' saw: a response of an endpoint with status 000 or 099 made the handler panic in WriteHeader, and their connection was closed without an answer; 101, 600 and 999 reached them as answers.

Cause: http.Transport hands on any three-digit status except interim ones, and 101 as well. If a response with status 101 has the headers of a switch of protocols, its body is the connection itself, which the transport leaves to its caller: neither the request's context nor its deadline ends a read.

http1.Transport wraps a RoundTripper and fails such a request with the rule that gateways use (200 to 599). The attempt ends as sent without an answer, like one whose connection broke: idempotent requests go to another endpoint, others are told that the outcome is unknown. The connection is closed, also if the response had no body and the connection was idle already. Another request that took it between these two steps keeps it.

--- /dev/null
+++ b/http1/transport.go
@@ -0,0 +1,35 @@
+package http1
+
+import "net/http"
+
+// A Transport fails requests whose response has no valid final status. http.Transport
+// returns such a response, and that to a switch of protocols with a body which no context
+// ends: it is the connection itself.
+type Transport struct {
+	http.RoundTripper
+}
+
+var _ http.RoundTripper = Transport{}
+
+// RoundTrip implements http.RoundTripper. The connection of a response without a valid
+// status is not used again.
+func (t Transport) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := t.RoundTripper.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if err := checkFinalStatus(response.StatusCode); err != nil {
+		_ = response.Body.Close()
+		// After a response without a body the connection is idle already.
+		t.CloseIdleConnections()
+		return nil, err
+	}
+	return response, nil
+}
+
+// CloseIdleConnections closes the idle connections.
+func (t Transport) CloseIdleConnections() {
+	if closer, ok := t.RoundTripper.(interface{ CloseIdleConnections() }); ok {
+		closer.CloseIdleConnections()
+	}
+}
--- a/upstream/connset.go
+++ b/upstream/connset.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sys/unix"
 
 	"savorystep"
+	"savorystep/http1"
 )
 
 // maxResponseHeader bounds the header of an upstream's response in bytes.
@@ -79,11 +80,11 @@
 
 // transport returns the transport for a request, the one with single-use
 // connections if newConn is true.
-func (s *connSet) transport(newConn bool) *http.Transport {
+func (s *connSet) transport(newConn bool) http.RoundTripper {
 	if newConn {
-		return s.singleUse
+		return http1.Transport{RoundTripper: s.singleUse}
 	}
-	return s.keepAlive
+	return http1.Transport{RoundTripper: s.keepAlive}
 }
 
 // retire closes idle connections now and those in use when their requests end.
