Let no answer of the store hold a call beyond its timeout

Gateways and 'serve' would see: a call of the store or the platform whose answer has status 101 with the headers of a switch of protocols never ends: not at its timeout, and not when its context is cancelled. The same for a registration. The long poll of the endpoint list or of the configuration would have stopped for good. An era was learned from answers with status 000, 101 or 600.

Cause: the body of such a response is the connection, which http.Transport gives to its caller and watches no more; the clients read the body before they look at the status.

The clients now use http1.Transport, as the attempts at endpoints do: what has no valid final status fails when its head is read.

--- a/store/client.go
+++ b/store/client.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"savorystep"
+	"savorystep/http1"
 )
 
 // log is the logger of this package.
@@ -60,11 +61,11 @@
 		config:    config,
 		base:      "http://" + string(config.Address),
 		transport: transport,
-		http:      &http.Client{Transport: config.Transport},
 	}
 	if config.Transport == nil {
-		c.http.Transport = transport
+		config.Transport = transport
 	}
+	c.http = &http.Client{Transport: http1.Transport{RoundTripper: config.Transport}}
 	c.registrar = newRegistrar(c)
 	return c
 }
--- a/store/registrar.go
+++ b/store/registrar.go
@@ -13,6 +13,7 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"savorystep"
+	"savorystep/http1"
 )
 
 // errListedAsEnded means that the platform refused a registration because it
@@ -42,7 +43,7 @@
 func newRegistrar(client *Client) *registrar {
 	return &registrar{
 		client:           client,
-		http:             &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		http:             &http.Client{Transport: http1.Transport{RoundTripper: &http.Transport{DisableKeepAlives: true}}},
 		registrationLost: make(chan error, 1),
 		byID:             make(map[string]*registration),
 	}
