Keep late reads of an upload off the connection's deadline

What callers saw: nothing is known of it. An upload that is read after its response replaces the read deadline of the connection, which by then is that of the idle connection or of the next request, and then removes it, so that the idle connection isn't closed.

Cause: the transport to the endpoint may read the request body after its response has been passed on. Each read sets and then clears the deadline of the caller's connection, from the transport's goroutine, whether or not the connection still belongs to the request.

Evidence: TestLateBodyReadKeepsDeadline reads the rest of an upload after the handler has returned.

Change: the handler releases the connection when it returns. The check and the setting of a deadline share a lock with the release. With it the test sets no deadline after the response.

--- a/caller/request.go
+++ b/caller/request.go
@@ -30,7 +30,13 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	request, err := s.newRequest(w, r, now)
+	body := &stallReader{
+		Reader:     http.MaxBytesReader(w, r.Body, s.Limits.MaxBodyBytes),
+		controller: http.NewResponseController(w),
+		timeout:    s.Limits.StallTimeout,
+	}
+	defer body.release()
+	request, err := s.newRequest(body, r, now)
 	if err != nil {
 		s.refuseBeforeKeyCheck(w, r, err)
 		return
@@ -51,7 +57,7 @@
 
 // newRequest validates the caller's HTTP request and returns the request to forward.
 // Its body is read up to the end of the part that the fingerprint covers.
-func (s *Server) newRequest(w http.ResponseWriter, r *http.Request, now time.Time) (*savorystep.Request, error) {
+func (s *Server) newRequest(body *stallReader, r *http.Request, now time.Time) (*savorystep.Request, error) {
 	name, err := parseName(chi.URLParam(r, "name"))
 	if err != nil {
 		return nil, err
@@ -99,23 +105,18 @@
 		Block:          origin.Block,
 		Home:           origin.Home,
 	}
-	return request, s.attachBody(request, w, r)
+	return request, s.attachBody(request, body, r)
 }
 
 // attachBody sets the body and the fingerprint of request. The body fails with an
 // error if it is longer than Limits.MaxBodyBytes or if the caller sends nothing for
 // Limits.StallTimeout. The fingerprint covers the first fingerprintBodyBytes.
-func (s *Server) attachBody(request *savorystep.Request, w http.ResponseWriter, r *http.Request) error {
+func (s *Server) attachBody(request *savorystep.Request, body *stallReader, r *http.Request) error {
 	if r.ContentLength == 0 || r.Body == nil || r.Body == http.NoBody {
 		request.BodyLength = 0
 		request.Fingerprint = newFingerprint(request, nil)
 		return nil
 	}
-	body := &stallReader{
-		Reader:     http.MaxBytesReader(w, r.Body, s.Limits.MaxBodyBytes),
-		controller: http.NewResponseController(w),
-		timeout:    s.Limits.StallTimeout,
-	}
 	buffered := bufio.NewReaderSize(body, fingerprintBodyBytes)
 	bodyPrefix, err := buffered.Peek(fingerprintBodyBytes)
 	if err != nil && !errors.Is(err, io.EOF) {
--- a/caller/stall.go
+++ b/caller/stall.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"sync"
 	"time"
 )
 
@@ -12,21 +13,44 @@
 	io.Reader
 	controller *http.ResponseController
 	timeout    time.Duration
+
+	mu sync.Mutex
+	// released is true once the connection no longer belongs to the request.
+	released bool
 }
 
 // Read reads with a new deadline. After an error or the end of the body it removes the
 // deadline from the connection, which may serve further requests.
 func (r *stallReader) Read(p []byte) (int, error) {
-	if err := r.controller.SetReadDeadline(time.Now().Add(r.timeout)); err != nil {
+	if err := r.setDeadline(time.Now().Add(r.timeout)); err != nil {
 		return 0, err
 	}
 	n, err := r.Reader.Read(p)
 	if err != nil {
-		_ = r.controller.SetReadDeadline(time.Time{})
+		_ = r.setDeadline(time.Time{})
 	}
 	return n, err
 }
 
+// setDeadline sets the read deadline of the connection, unless it has been released. It
+// holds the lock meanwhile, because a transport may read the body after the response to
+// the caller, when the deadline is that of the idle connection or of the next request.
+func (r *stallReader) setDeadline(at time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.released {
+		return http.ErrBodyReadAfterClose
+	}
+	return r.controller.SetReadDeadline(at)
+}
+
+// release ends the use of the connection. Further reads fail.
+func (r *stallReader) release() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.released = true
+}
+
 // A stallWriter writes a response body. A write fails if it takes longer than the
 // timeout. Each write is flushed, so that streamed responses reach the caller without
 // delay.
--- /dev/null
+++ b/caller/stall_test.go
@@ -0,0 +1,53 @@
+package caller_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"savorystep"
+)
+
+// A deadlineRecorder counts the read deadlines set on a caller's connection.
+type deadlineRecorder struct {
+	*httptest.ResponseRecorder
+
+	deadlines atomic.Int32
+}
+
+func (d *deadlineRecorder) SetReadDeadline(time.Time) error {
+	d.deadlines.Add(1)
+	return nil
+}
+
+func (d *deadlineRecorder) SetWriteDeadline(time.Time) error { return nil }
+
+// TestLateBodyReadKeepsDeadline guards against an upload that is still read after its
+// response and replaces the deadline of the idle connection, which then never ends.
+func TestLateBodyReadKeepsDeadline(t *testing.T) {
+	var upload io.Reader
+	server := newServer(func(_ context.Context, request *savorystep.Request) (*savorystep.Response, error) {
+		upload = request.Body
+		return &savorystep.Response{Status: http.StatusOK, Header: http.Header{}, Body: http.NoBody}, nil
+	}, nil)
+	server.Limits.MaxBodyBytes = 1 << 20
+	request := httptest.NewRequestWithContext(t.Context(), http.MethodPut, "/s/status/x", strings.NewReader(strings.Repeat("x", 1<<16)))
+	w := &deadlineRecorder{ResponseRecorder: httptest.NewRecorder()}
+	server.Handler().ServeHTTP(w, request)
+	if w.Code != http.StatusOK || upload == nil {
+		t.Fatalf("status %d, upload %v, want status %d and an upload", w.Code, upload, http.StatusOK)
+	}
+	before := w.deadlines.Load()
+	if _, err := io.Copy(io.Discard, upload); !errors.Is(err, http.ErrBodyReadAfterClose) {
+		t.Errorf("read of the upload after the response: %v, want %v", err, http.ErrBodyReadAfterClose)
+	}
+	if after := w.deadlines.Load(); after != before {
+		t.Errorf("%d read deadlines set after the response, want none", after-before)
+	}
+}
