Don't count a cancelled registration as open

What callers saw: nothing is known of it. An instance whose registration is confirmed at the moment of its timeout closes the registration that was open; the platform lists the instance as ended, and its peers remove it.

Cause: the timer of the confirmation, and the end of the caller's context, cancel the request from their own goroutines. Whether they had done so was not looked at when the confirmation arrived, so the new registration counted as open although its connection was being closed, and the previous one was closed.

Change: the confirmation counts only if both the timer and the watch of the context could be stopped, which says that neither has run or will run.

--- a/store/registrar.go
+++ b/store/registrar.go
@@ -19,6 +19,10 @@
 // lists the ID as ended.
 var errListedAsEnded = errors.New("registration refused: the platform lists the ID as ended")
 
+// errConfirmedLate means that the platform confirmed a registration when its request was
+// being cancelled.
+var errConfirmedLate = errors.New("registration confirmed after its time")
+
 // A registrar keeps registrations open. Each has its own connection; when it
 // closes, the platform lists the member as ended.
 type registrar struct {
@@ -88,7 +92,8 @@
 	requestCtx, cancel := context.WithCancel(requestCtx)
 	timer := time.AfterFunc(r.client.config.Timeout, cancel)
 	defer timer.Stop()
-	defer context.AfterFunc(ctx, cancel)()
+	stopWatch := context.AfterFunc(ctx, cancel)
+	defer stopWatch()
 	request, err := http.NewRequestWithContext(requestCtx, http.MethodPost, r.client.base+path, bytes.NewReader(body))
 	if err != nil {
 		cancel()
@@ -99,11 +104,15 @@
 		cancel()
 		return nil, err
 	}
-	if response.StatusCode == http.StatusOK {
+	// Once both are stopped, only the end of requestCtx can close the registration.
+	if response.StatusCode == http.StatusOK && timer.Stop() && stopWatch() {
 		return response, nil
 	}
 	defer cancel()
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusOK {
+		return nil, errConfirmedLate
+	}
 	if response.StatusCode == http.StatusConflict {
 		return nil, errListedAsEnded
 	}
