Spare a response that begins while its connection is given up

What callers saw: nothing is known of it. A caller of serve gets the head of a response and then a broken connection; of a request that must not run twice, the outcome is lost.

Cause: the periodic check finds a connection silent under the group's lock, and cancels the attempt after releasing it, after the checks of all other groups. A response that begins in between was passed on and cut. For an at-most-once request, which isn't cancelled before its response begins, the state was even looked at again without the lock, so that a response that had just begun got its request cancelled.

Change: the arrival of a response and the decision to cancel take the group's lock; whichever comes first holds. A response that begins in time is kept, also by later checks, and one of an attempt that was cancelled isn't passed on.

Not forced by a test: the second order, a response after the cancellation.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -32,10 +32,12 @@
 	roundTripAt      atomic.Int64
 	responseDueSince atomic.Int64
 	// connSilent is set once the periodic check has found the connection
-	// silent.
+	// silent, and cleared when a response arrives all the same.
 	connSilent atomic.Bool
-	// headerReceived is set when the header of the response has arrived.
-	headerReceived atomic.Bool
+	// hasResponse is set when the header of the response has arrived, unless
+	// isCancelledSilent was set before, which says that the attempt is cancelled
+	// because its connection is silent. The group's lock guards both.
+	hasResponse, isCancelledSilent bool
 	// stopCallerWatch ends the watch that calls onCallerDone.
 	stopCallerWatch func() bool
 	// cancelCallerCtx releases the context with the caller's deadline.
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -153,7 +153,15 @@
 	}
 	a.roundTripAt.Store(p.base.now())
 	a.responseDueSince.Store(p.base.now())
-	return a.lease.conns.transport(newConn).RoundTrip(request)
+	response, err := a.lease.conns.transport(newConn).RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	if !p.beginResponse(a) {
+		_ = response.Body.Close()
+		return nil, errConnSilent
+	}
+	return response, nil
 }
 
 // newHTTPRequest returns the HTTP request for the endpoint.
@@ -187,8 +195,6 @@
 // acceptResponse checks an HTTP response and converts it to the outcome of the
 // attempt.
 func (p *Pool) acceptResponse(a *attempt, response *http.Response) outcome {
-	a.headerReceived.Store(true)
-	p.verifyConn(a)
 	if response.StatusCode == http.StatusServiceUnavailable && response.Header.Get(savorystep.HeaderShed) == "1" {
 		// The connection can only be reused after the short body was read.
 		_, _ = io.CopyN(io.Discard, response.Body, maxLoadPageBytes)
@@ -227,12 +233,19 @@
 	return len(response.TransferEncoding) > 0 && response.TransferEncoding[0] == "chunked"
 }
 
-// verifyConn records that the attempt's connection returned a response.
-func (p *Pool) verifyConn(a *attempt) {
+// beginResponse records that the attempt's connection returned a response. It returns
+// false if the attempt was cancelled before that because its connection was silent.
+func (p *Pool) beginResponse(a *attempt) bool {
 	g := a.lease.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if a.isCancelledSilent {
+		return false
+	}
+	a.hasResponse = true
+	a.connSilent.Store(false)
 	a.lease.endpoint.markConnVerified(a.conn.Load(), p.base.now())
+	return true
 }
 
 // endAttempt ends an attempt: it releases the slot and the permits and records
--- a/upstream/watch.go
+++ b/upstream/watch.go
@@ -122,7 +122,7 @@
 func (p *Pool) endSilent(g *group, e *endpoint, a *attempt, now time.Time, superseded, hasPeers bool) []deferredAction {
 	a.connSilent.Store(true)
 	ejected := g.recordFailure(e, now, hasPeers)
-	id := e.info.ID
+	id, hadResponse := e.info.ID, a.hasResponse
 	var actions []deferredAction
 	if superseded && a.lease.conns == e.conns {
 		retired := e.conns
@@ -139,14 +139,28 @@
 		if ejected {
 			p.recordEjection(g, id)
 		}
-		if a.atMostOnce && !a.headerReceived.Load() {
-			a.lease.releaseSlot(0)
-			return
-		}
-		a.cancel()
+		a.cancelSilent(hadResponse)
 	})
 }
 
+// cancelSilent cancels an attempt whose connection was found silent, at a time when
+// its response had begun or not. A response that has begun since then is kept.
+func (a *attempt) cancelSilent(hadResponse bool) {
+	g := a.lease.group
+	g.mu.Lock()
+	hasBegun := a.hasResponse && !hadResponse
+	mustContinue := a.atMostOnce && !a.hasResponse
+	a.isCancelledSilent = !hasBegun && !mustContinue
+	g.mu.Unlock()
+	switch {
+	case hasBegun:
+	case mustContinue:
+		a.lease.releaseSlot(0)
+	default:
+		a.cancel()
+	}
+}
+
 // recordEjection logs an ejection and records its event.
 func (p *Pool) recordEjection(g *group, id savorystep.EndpointID) {
 	log.Infof("endpoint %s ejected after consecutive failures", id)
