Drain callers' connections from the goroutine that reads them

What callers saw: nothing is known of it. A request that was read from a kept connection just as a drain of serve began got no answer, and its connection was closed.

Cause: http.Server.Shutdown closes idle connections from the goroutine that calls it. Unlike an idle timer it is not LOST: net/http looks for a shutdown between reading a request and handling it, so the request isn't passed on. The comment of http1.Server said otherwise; corrected.

--- a/caller/server.go
+++ b/caller/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
 	"net/netip"
@@ -13,11 +14,16 @@
 	"golang.org/x/time/rate"
 
 	"savorystep"
+	"savorystep/http1"
 )
 
 // log writes the log lines of this package.
 const log = savorystep.Logger("caller")
 
+// idleTimeout is how long a caller's connection may be idle. It is above that of the
+// entry client, one minute.
+const idleTimeout = 2 * time.Minute
+
 var _ savorystep.Runner = &UnknownNamePublisher{}
 
 // A Server serves the callers of this instance on one listener.
@@ -83,31 +89,28 @@
 // after a complete drain, otherwise the error.
 func (s *Server) Serve(ctx context.Context, listener net.Listener) <-chan error {
 	done := make(chan error, 1)
-	server := &http.Server{
-		Handler:           s.Handler(),
-		MaxHeaderBytes:    s.Limits.MaxHeaderBytes,
-		ReadHeaderTimeout: s.Limits.StallTimeout,
-		IdleTimeout:       2 * time.Minute,
-		BaseContext:       func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
-	}
-	serveErr := make(chan error, 1)
-	go func() {
-		serveErr <- server.Serve(NewLimitListener(listener, s.Limits.MaxConnections))
-	}()
+	server := http1.NewServer(http1.ServerConfig{
+		BaseContext:    func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
+		Handler:        s.Handler(),
+		HeaderTimeout:  s.Limits.StallTimeout,
+		IdleTimeout:    func() time.Duration { return idleTimeout },
+		MaxHeaderBytes: s.Limits.MaxHeaderBytes,
+	})
+	served := server.Serve(NewLimitListener(listener, s.Limits.MaxConnections))
 	go func() {
 		select {
-		case err := <-serveErr:
+		case err := <-served:
 			done <- err
 		case <-ctx.Done():
-			done <- s.drain(server)
+			done <- errors.Join(s.drain(server), <-served)
 		}
 	}()
 	return done
 }
 
 // drain shuts the server down without interrupting requests that end within
-// Limits.DrainTimeout.
-func (s *Server) drain(server *http.Server) error {
+// Limits.DrainTimeout. Those that last longer continue.
+func (s *Server) drain(server *http1.Server) error {
 	s.draining.Store(true)
 	log.Infof("drain started with %d requests in flight", s.inFlight.Load())
 	time.Sleep(s.Limits.ShutdownDelay)
--- a/http1/server.go
+++ b/http1/server.go
@@ -39,8 +39,7 @@
 // request before the response is written. The goroutine that reads a connection also
 // ends its idleness, by a deadline of the read, so that a read returns either a request
 // or the end of the connection. http.Server closes idle connections from the goroutine
-// that calls Shutdown, and a request that is read at this moment is handled on a closed
-// connection.
+// that calls Shutdown, and drops a request that is read at this moment.
 type Server struct {
 	config     ServerConfig
 	httpServer *http.Server
