Let limited connections be read and half-closed like TCP

What callers saw: nothing is known of it. On connections of serve a request that arrives in time, while the process stands still until the idle timeout has passed, is closed unread, and an error response to a request whose body is not read to its end can be lost by the reset of the connection.

Cause: the wrapper that counts open connections hides SyscallConn and CloseWrite of the TCP connection, which http1.Server and net/http look for.

Evidence: by reading.

--- a/caller/limitlistener.go
+++ b/caller/limitlistener.go
@@ -1,8 +1,10 @@
 package caller
 
 import (
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 )
 
 // A LimitListener limits the number of open connections. Further connections wait in
@@ -52,6 +54,25 @@
 	release func()
 }
 
+// SyscallConn lets the server look for a request that has arrived before it closes an
+// idle connection.
+func (c *limitConn) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return inner.SyscallConn()
+}
+
+// CloseWrite shuts down the writing side of the connection.
+func (c *limitConn) CloseWrite() error {
+	inner, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return inner.CloseWrite()
+}
+
 // Close closes the connection and lets the listener accept another one.
 func (c *limitConn) Close() error {
 	defer c.release()
