Answer what is in flight when a gateway stops

What callers saw: nothing is known of it. When a gateway stopped, lookups, readiness checks and requests of peers in flight were cut off without an answer.

Cause: the gateway closed its internal servers and all their connections as soon as the callers' server had ended. serve shut its servers down one after the other, so that the second one had its own full timeout. Neither had an idle timeout, so idle connections stayed open for good.

Idle connections end after 3 minutes; the two clients without an idle timeout get one of 90 s. No test waits for these two limits.

--- a/cmd/container.go
+++ b/cmd/container.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
@@ -121,6 +122,10 @@
 	})
 }
 
+// peerIdleConnTimeout is how long an idle connection to a peer is kept. It is below the
+// internalIdleTimeout of the peer.
+const peerIdleConnTimeout = 90 * time.Second
+
 // newEndpointListCache returns the cache of the platform's endpoint list, which
 // falls back to the lists of peers.
 func newEndpointListCache(config instanceConfig, platformClient *store.Client, exchange *peer.Exchange) *peer.EndpointListCache {
@@ -131,7 +136,7 @@
 		Seeds:    config.Settings.Peer.Seeds,
 	}
 	if config.DialPeer != nil {
-		cacheConfig.Client = &http.Client{Transport: &http.Transport{DialContext: config.DialPeer}}
+		cacheConfig.Client = &http.Client{Transport: &http.Transport{DialContext: config.DialPeer, IdleConnTimeout: peerIdleConnTimeout}}
 	}
 	return peer.NewEndpointListCache(cacheConfig)
 }
--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -31,6 +31,9 @@
 	// graceMargin is the part of the grace period that remains for the rest of the
 	// shutdown after the last request is finished or aborted.
 	graceMargin = 500 * time.Millisecond
+	// internalShutdownTimeout is the part of graceMargin that is left to requests in
+	// flight of peers, lookups, metrics and readiness checks, which take milliseconds.
+	internalShutdownTimeout = 300 * time.Millisecond
 	// defaultGracePeriod applies if the settings have no grace period.
 	defaultGracePeriod = 6 * time.Second
 )
@@ -122,9 +125,7 @@
 		err = <-callersDone
 	}
 	cancel()
-	for _, internalServer := range internalServers {
-		_ = internalServer.Close()
-	}
+	shutdownServers(internalServers, internalShutdownTimeout)
 	err = errors.Join(err, group.Wait())
 	g.client.Close()
 	gatewayLogger.Infof("instance %s stopped", g.self.ID)
@@ -173,7 +174,7 @@
 
 // serveInternal starts the servers for peers, lookups, metrics and the platform's
 // readiness check, without those that have no address.
-func (g *gateway) serveInternal(ctx context.Context) ([]*http.Server, error) {
+func (g *gateway) serveInternal(ctx context.Context) ([]*http1.Server, error) {
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.WebSocketPath, g.exchange.Handler())
 	peerMux.Handle(peer.StatusesPath, g.exchange.Handler())
@@ -188,7 +189,7 @@
 		{address: g.metricsAddress(), handler: g.metricsHandler()},
 		{address: g.settings.ReadinessAddress, handler: platform.NewReadinessHandler(g.isReady)},
 	}
-	var servers []*http.Server
+	var servers []*http1.Server
 	for _, h := range handlers {
 		if h.address == "" {
 			continue
@@ -197,7 +198,7 @@
 		if err != nil {
 			return nil, err
 		}
-		servers = append(servers, serveHTTP(ctx, listener, h.handler))
+		servers = append(servers, serveHTTP(ctx, listener, h.handler, nil))
 	}
 	return servers, nil
 }
--- a/cmd/instance.go
+++ b/cmd/instance.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"errors"
 	"net/http"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 
 	"savorystep"
 	"savorystep/caller"
+	"savorystep/http1"
 	"savorystep/operator"
 	"savorystep/peer"
 	"savorystep/store"
@@ -129,9 +129,7 @@
 	i.drainRequests()
 	cancel()
 	close(i.operatorHandler.shutdown)
-	for _, server := range []*http.Server{operatorServer, peerServer} {
-		shutdownServer(server)
-	}
+	shutdownServers([]*http1.Server{operatorServer, peerServer}, shutdownTimeout)
 	err = errors.Join(err, group.Wait())
 	i.platformClient.Close()
 	serveLogger.Infof("instance %s stopped", i.self.ID)
@@ -258,23 +256,19 @@
 }
 
 // serveOperators starts the operators' server, with TLS if it is configured.
-func (i *instance) serveOperators(ctx context.Context) (*http.Server, error) {
+func (i *instance) serveOperators(ctx context.Context) (*http1.Server, error) {
 	config, err := operator.ServerTLSConfig(i.config.Settings.Operator)
 	if err != nil {
 		return nil, err
 	}
-	listener := i.config.Listeners.Operator
-	if config != nil {
-		listener = tls.NewListener(listener, config)
-	}
-	return serveHTTP(ctx, listener, i.operatorHandler), nil
+	return serveHTTP(ctx, i.config.Listeners.Operator, i.operatorHandler, config), nil
 }
 
 // servePeers starts the server for other instances.
-func (i *instance) servePeers(ctx context.Context) *http.Server {
+func (i *instance) servePeers(ctx context.Context) *http1.Server {
 	mux := http.NewServeMux()
 	mux.Handle(peer.WebSocketPath, i.exchange.Handler())
 	mux.Handle(peer.StatusesPath, i.exchange.Handler())
 	mux.Handle(peer.EndpointListPath, i.endpointLists)
-	return serveHTTP(ctx, i.config.Listeners.Peer, mux)
+	return serveHTTP(ctx, i.config.Listeners.Peer, mux, nil)
 }
--- a/operator/client.go
+++ b/operator/client.go
@@ -35,6 +35,10 @@
 // revision, which the client splits into shorter requests.
 const defaultAttemptTimeout = 10 * time.Second
 
+// idleConnTimeout is how long an idle connection is kept. It is below the idle timeout of
+// the operators' server, a few minutes.
+const idleConnTimeout = 90 * time.Second
+
 // maxResponseBytes bounds a response body. The longest, a history of records, has
 // a few hundred kilobytes.
 const maxResponseBytes = 16 << 20
@@ -60,7 +64,7 @@
 	}
 	c := &Client{
 		config:     config,
-		httpClient: &http.Client{Transport: &http.Transport{TLSClientConfig: config.TLS}},
+		httpClient: &http.Client{Transport: &http.Transport{TLSClientConfig: config.TLS, IdleConnTimeout: idleConnTimeout}},
 	}
 	for _, server := range config.Servers {
 		c.baseURLs = append(c.baseURLs, c.baseURL(server))
