Deliver a response that is ready at its deadline

What callers saw: nothing is known of it. A caller of serve whose request must not run twice is told that it continues without its caller, although its response is there, when the process stood still until the deadline.

Cause: a select between the response and the end of the caller's context picks one at random if both are ready. The response that is thrown away is complete (with a key) or has begun.

--- a/upstream/keyedforwarder.go
+++ b/upstream/keyedforwarder.go
@@ -87,10 +87,8 @@
 	}
 	result := make(chan outcome, 1)
 	k.background.Go(func() { result <- k.run(context.WithoutCancel(ctx), callerCtx, request, attempt) })
-	select {
-	case o := <-result:
+	if o, ok := awaitOutcome(callerCtx, result); ok {
 		return o.unpack()
-	case <-callerCtx.Done():
 	}
 	k.background.Go(func() {
 		if o := <-result; o.response != nil {
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -58,10 +58,8 @@
 	defer cancelWait()
 	result := make(chan outcome, 1)
 	p.background.Go(func() { result <- p.runAttempt(sendCtx, callerCtx, a) })
-	select {
-	case o := <-result:
+	if o, ok := awaitOutcome(waitCtx, result); ok {
 		return o.unpack()
-	case <-waitCtx.Done():
 	}
 	a.onCallerDone()
 	if !a.guard.Load().wasSent() {
@@ -76,6 +74,22 @@
 	return nil, savorystep.WrapError(savorystep.KindDeadlineExceeded, err, "request was sent and continues without its caller")
 }
 
+// awaitOutcome waits for an outcome. It returns false if ctx ends before there is one. If
+// the process stood still, both may have come since: then the outcome counts.
+func awaitOutcome(ctx context.Context, result <-chan outcome) (outcome, bool) {
+	select {
+	case o := <-result:
+		return o, true
+	case <-ctx.Done():
+	}
+	select {
+	case o := <-result:
+		return o, true
+	default:
+		return outcome{}, false
+	}
+}
+
 // unpack returns the fields of the outcome.
 func (o outcome) unpack() (*savorystep.Response, error) {
 	return o.response, o.err
