Count no silence while the process stands still

What callers saw: nothing is known of it. After serve stood still for 5 s (1 s on older connections), its requests in flight failed as silent, also those whose response had arrived meanwhile, and their endpoints counted a failure each.

Cause: the check of silent connections compares the time with that of the last byte. After a standstill it may run before the goroutines that read, on a state that says nothing about what has arrived.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -54,8 +54,9 @@
 }
 
 // silentFor returns for how long no byte was transferred while a response was
-// due. Time spent waiting for the caller's request body does not count.
-func (a *attempt) silentFor(now int64) time.Duration {
+// due. Time before since does not count, nor time spent waiting for the
+// caller's request body.
+func (a *attempt) silentFor(now, since int64) time.Duration {
 	dueSince := a.responseDueSince.Load()
 	c := a.conn.Load()
 	if dueSince == 0 || c == nil {
@@ -64,5 +65,5 @@
 	if body := a.body.Load(); body != nil && body.awaitingSource.Load() {
 		return 0
 	}
-	return time.Duration(now - max(dueSince, c.lastActivity.Load()))
+	return time.Duration(now - max(since, dueSince, c.lastActivity.Load()))
 }
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -33,6 +33,12 @@
 	refusedSinceEvent atomic.Int64
 	refusalEventAt    atomic.Int64
 
+	// lastTickAt is the time of the last tick, resumedAt that of the last one
+	// after a standstill of the process, in nanoseconds of base. Only tick uses
+	// them.
+	lastTickAt time.Time
+	resumedAt  int64
+
 	mu     sync.RWMutex
 	groups map[savorystep.Service][]*group
 	byID   map[savorystep.EndpointID]*group
--- a/upstream/watch.go
+++ b/upstream/watch.go
@@ -45,6 +45,7 @@
 // tick checks the connections and queues of all groups and publishes facts.
 func (p *Pool) tick(ctx context.Context) {
 	now := p.clock.Now()
+	p.detectStandstill(now)
 	hasPeers := p.hasPeers(now)
 	suspected := false
 	validAt := p.countsValidAt(now)
@@ -78,6 +79,17 @@
 	return "endpoints look alive again"
 }
 
+// detectStandstill detects from a late tick that the process stood still. What
+// arrived meanwhile may not have been read before the tick, so silence counts
+// from then on.
+func (p *Pool) detectStandstill(now time.Time) {
+	maxInterval := p.limits.TickInterval + min(p.limits.OldConnProgressTimeout, p.limits.ProgressTimeout)/2
+	if now.Sub(p.lastTickAt) > maxInterval {
+		p.resumedAt = p.base.nanosAt(now)
+	}
+	p.lastTickAt = now
+}
+
 // failStrandedWaiters ends the wait of all waiters if no endpoint is usable.
 // The caller holds mu.
 func (g *group) failStrandedWaiters(now time.Time) {
@@ -98,7 +110,7 @@
 	nowNanos := p.base.nanosAt(now)
 	oldConnTimeout := max(p.limits.OldConnProgressTimeout, silenceFactor*e.serviceTime)
 	for a := range e.attempts {
-		silence := a.silentFor(nowNanos)
+		silence := a.silentFor(nowNanos, p.resumedAt)
 		if silence < min(oldConnTimeout, p.limits.ProgressTimeout) || a.connSilent.Load() {
 			continue
 		}
