Let no answer of a reader hold a follower beyond its timeout

Gateways would see: a follower whose reader answers a read of the catalog with status 101 and the headers of a switch of protocols waits for good: the timeout of the read doesn't end it, so that it neither falls back to the store nor learns another change. Cause: as with the calls of the store, the body of such a response is the connection, which no context ends, and it is read before the status is looked at.

The relay's client fails such responses (http1.Transport). The clients for links, missing statuses and endpoint lists look at the status first and close the body of any that they don't expect.

--- a/peer/catalogrelay.go
+++ b/peer/catalogrelay.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"savorystep"
+	"savorystep/http1"
 )
 
 const (
@@ -84,7 +85,7 @@
 // NewCatalogRelay returns a relay that has not read the catalog yet.
 func NewCatalogRelay(config CatalogRelayConfig) *CatalogRelay {
 	if config.Client == nil {
-		config.Client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxPeerHeaderBytes, IdleConnTimeout: 10 * time.Second}}
+		config.Client = &http.Client{Transport: http1.Transport{RoundTripper: &http.Transport{MaxIdleConnsPerHost: 2, MaxResponseHeaderBytes: maxPeerHeaderBytes, IdleConnTimeout: 10 * time.Second}}}
 	}
 	if config.AgeClock == nil {
 		config.AgeClock = config.Clock
