Fail a caller's request whose entry answers without a valid status

The client of callers saw: a lookup or a request that an entry answers with status 101 and the headers of a switch of protocols doesn't end at its timeout; 000 and 600 are handed to the program as the results of requests. Cause and change: as with the calls of the store (http1.Transport).

Before: TestClientInvalidStatus 'no result after 20s' with a timeout of 500 ms for 101, lookup and request, and 'the request succeeded' for 000 and 600.

--- a/entry/client.go
+++ b/entry/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"savorystep"
+	"savorystep/http1"
 )
 
 const (
@@ -81,7 +82,7 @@
 	}
 	return &Client{
 		config:           config,
-		http:             &http.Client{Transport: transport},
+		http:             &http.Client{Transport: http1.Transport{RoundTripper: transport}},
 		unreachableUntil: make(map[savorystep.Address]time.Time),
 		cache:            make(map[savorystep.Name]cachedLookup),
 		knownAddresses:   append([]savorystep.Address(nil), config.SeedAddresses...),
