Let no answer of a server hold a command beyond its timeout

An operator's command that a server answers with status 101 and the headers of a switch of protocols doesn't end at its timeout. Cause and change: as with the calls of the store (http1.Transport).

Before: TestClientInvalidStatus, 101: 'the command has no result after 20s' with a timeout of 500 ms; 000 and 600 passed already. After: 3 of 3 runs pass, and package operator.

--- a/operator/client.go
+++ b/operator/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"savorystep"
+	"savorystep/http1"
 )
 
 // A ClientConfig holds the servers and credentials of a Client.
@@ -60,7 +61,7 @@
 	}
 	c := &Client{
 		config:     config,
-		httpClient: &http.Client{Transport: &http.Transport{TLSClientConfig: config.TLS}},
+		httpClient: &http.Client{Transport: http1.Transport{RoundTripper: &http.Transport{TLSClientConfig: config.TLS}}},
 	}
 	for _, server := range config.Servers {
 		c.baseURLs = append(c.baseURLs, c.baseURL(server))
