Answer a request whose handler panics before its answer has begun

Callers of a gateway saw: their connection closed without an answer when the handler panicked, also if nothing had been written yet.

The proxy now writes a reply with status 500, which doesn't say whether the request has run, closes the connection after it and records the request. A panic after the answer has begun closes the connection as before. What the panic skipped in the router, such as the end of the attempt, stays skipped.

Before: TestPanicIsAnswered 'no answer after a panic: unexpected EOF'. After: 50 of 50 runs pass with the race detector.

--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -92,8 +92,13 @@
 func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
-	defer p.reportPanic(r)
 	receivedAt := p.config.Clock.Now()
+	isAnswerBegun := false
+	defer func() {
+		if cause := recover(); cause != nil {
+			p.endPanic(w, r, cause, requestOutcome{receivedAt: receivedAt}, isAnswerBegun)
+		}
+	}()
 	reservation := p.bodyBudget.NewReservation()
 	defer reservation.Release()
 	pr, reply := p.accept(receivedAt, w, r, reservation)
@@ -101,6 +106,7 @@
 		var response *http1.Response
 		if response, reply = p.forwarder.forward(r.Context(), pr); reply == nil {
 			defer response.Release()
+			isAnswerBegun = true
 			err := p.writeResponse(w, r, response)
 			p.recordRequest(r, requestOutcome{receivedAt: receivedAt, proxied: pr, status: response.Status, text: "answered", writeErr: err})
 			return
@@ -110,6 +116,7 @@
 		w.Header()[p.config.HeaderNames.AttemptID] = []string{id}
 	}
 	p.closeIfDraining(w)
+	isAnswerBegun = true
 	// A caller whose connection seems closed may have closed only its sending
 	// side. Without a reply, the server would send it an empty 200.
 	outcome := requestOutcome{receivedAt: receivedAt, proxied: pr, status: reply.status, text: reply.reason, writeErr: reply.write(w)}
@@ -119,18 +126,26 @@
 	p.recordRequest(r, outcome)
 }
 
-// reportPanic logs and counts a panic of the handler, and lets the server close the
-// connection.
-func (p *Proxy) reportPanic(r *http.Request) {
-	cause := recover()
-	if cause == nil {
-		return
+// endPanic logs and counts a panic of the handler, and ends its request. If the answer has
+// not begun, the caller gets a reply, which doesn't say whether the request has run;
+// otherwise the server closes the connection.
+func (p *Proxy) endPanic(w http.ResponseWriter, r *http.Request, cause any, outcome requestOutcome, isAnswerBegun bool) {
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+	p.metrics.panics.Inc()
+	id := r.Header.Get(p.config.HeaderNames.AttemptID)
+	log.Errorf("request id=%s host=%s target=%s panicked: %v\n%s", id, r.Host, r.RequestURI, cause, debug.Stack())
+	if isAnswerBegun {
+		panic(http.ErrAbortHandler)
 	}
-	if err, ok := cause.(error); !ok || !errors.Is(err, http.ErrAbortHandler) {
-		p.metrics.panics.Inc()
-		log.Errorf("request id=%s host=%s target=%s panicked: %v\n%s", r.Header.Get(p.config.HeaderNames.AttemptID), r.Host, r.RequestURI, cause, debug.Stack())
+	if id != "" {
+		w.Header()[p.config.HeaderNames.AttemptID] = []string{id}
 	}
-	panic(http.ErrAbortHandler)
+	w.Header().Set("Connection", "close")
+	reply := &localReply{status: http.StatusInternalServerError, reason: "internal error"}
+	outcome.status, outcome.text, outcome.writeErr = reply.status, reply.reason, reply.write(w)
+	p.recordRequest(r, outcome)
 }
 
 // accept validates a request, matches its route and reads its body into
