Refuse a stored response whose status can't be written

Cause: new responses are checked when they come, stored ones are not. The server now checks each response before it writes one, and refuses with UpstreamFailed, which says that the outcome is unknown.

Before: TestServerInvalidStatus 'no answer: EOF' for 0, 99, 101 and 1000, and 'status 600'. After: packages caller, http1 and upstream pass.

--- a/caller/request.go
+++ b/caller/request.go
@@ -14,6 +14,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"savorystep"
+	"savorystep/http1"
 )
 
 // serveRequest forwards a caller's request to an upstream and streams the response
@@ -44,6 +45,12 @@
 		s.refuseRequest(w, r, request, err)
 		return
 	}
+	if err := http1.CheckFinalStatus(response.Status); err != nil {
+		// A response that was stored earlier may have such a status.
+		_ = response.Body.Close()
+		s.refuseRequest(w, r, request, err)
+		return
+	}
 	s.requestMeter.Add(now)
 	s.metrics.requests.Inc()
 	s.copyResponse(w, response)
--- a/http1/conn.go
+++ b/http1/conn.go
@@ -300,7 +300,7 @@
 		if isSkippedInterim(head.StatusCode) {
 			continue
 		}
-		if err := checkFinalStatus(head.StatusCode); err != nil {
+		if err := CheckFinalStatus(head.StatusCode); err != nil {
 			return nil, err
 		}
 		return head, nil
--- a/http1/status.go
+++ b/http1/status.go
@@ -9,9 +9,9 @@
 // maxStatus is the largest status that HTTP allows.
 const maxStatus = 599
 
-// checkFinalStatus returns an error if no final response may have a status: HTTP does not
+// CheckFinalStatus returns an error if no final response may have a status: HTTP does not
 // allow it, or it is that of an interim response.
-func checkFinalStatus(status int) error {
+func CheckFinalStatus(status int) error {
 	if status < http.StatusOK || status > maxStatus {
 		return savorystep.NewError(savorystep.KindUpstreamFailed, "answer has status %03d, want %d to %d", status, http.StatusOK, maxStatus)
 	}
--- a/http1/transport.go
+++ b/http1/transport.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := checkFinalStatus(response.StatusCode); err != nil {
+	if err := CheckFinalStatus(response.StatusCode); err != nil {
 		_ = response.Body.Close()
 		// After a response without a body the connection is idle already.
 		t.CloseIdleConnections()
