Refuse a caller's request whose handler panics before its answer has begun

Callers of 'serve' saw: their connection closed without an answer when the handler panicked, also if nothing had been written yet, and nothing in the log but net/http's line.

The server now logs and counts the panic, refuses the request as internal error with an unknown outcome, and closes the connection after that. A panic within an answer cuts the connection as before. A panic in a goroutine of an attempt or a keyed request still ends the process.

--- a/caller/metrics.go
+++ b/caller/metrics.go
@@ -10,6 +10,7 @@
 type Metrics struct {
 	inFlight        prometheus.Gauge
 	lookups         prometheus.Counter
+	panics          prometheus.Counter
 	refusals        *prometheus.CounterVec
 	requestDuration prometheus.Histogram
 	requests        prometheus.Counter
@@ -26,6 +27,10 @@
 			Name: "savorystep_caller_lookups_total",
 			Help: "Lookups answered.",
 		}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "savorystep_caller_panics_total",
+			Help: "Requests whose handler panicked.",
+		}),
 		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "savorystep_caller_refused_total",
 			Help: "Lookups and requests refused, by error kind.",
@@ -41,7 +46,7 @@
 		}),
 	}
 	if registerer != nil {
-		registerer.MustRegister(metrics.inFlight, metrics.lookups, metrics.refusals, metrics.requestDuration, metrics.requests)
+		registerer.MustRegister(metrics.inFlight, metrics.lookups, metrics.panics, metrics.refusals, metrics.requestDuration, metrics.requests)
 	}
 	return metrics
 }
--- a/caller/request.go
+++ b/caller/request.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -28,6 +29,12 @@
 		s.metrics.inFlight.Dec()
 		s.metrics.requestDuration.Observe(s.Clock.Now().Sub(now).Seconds())
 	}()
+	isAnswerBegun := false
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.endPanic(w, r, cause, isAnswerBegun)
+		}
+	}()
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -53,9 +60,26 @@
 	}
 	s.requestMeter.Add(now)
 	s.metrics.requests.Inc()
+	isAnswerBegun = true
 	s.copyResponse(w, response)
 }
 
+// endPanic logs and counts a panic of the handler, and ends its request. If the answer has
+// not begun, the caller gets a refusal, which doesn't say whether the request has run;
+// otherwise the server closes the connection.
+func (s *Server) endPanic(w http.ResponseWriter, r *http.Request, cause any, isAnswerBegun bool) {
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+	s.metrics.panics.Inc()
+	log.Errorf("request %s to %s panicked: %v\n%s", r.Header.Get(savorystep.HeaderRequest), r.URL.Path, cause, debug.Stack())
+	if isAnswerBegun {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Connection", "close")
+	s.refuse(w, savorystep.NewError(savorystep.KindInternal, "internal error while handling the request"))
+}
+
 // newRequest validates the caller's HTTP request and returns the request to forward.
 // Its body is read up to the end of the part that the fingerprint covers.
 func (s *Server) newRequest(w http.ResponseWriter, r *http.Request, now time.Time) (*savorystep.Request, error) {
