Reset the connection of an HTTP/1.0 caller whose response ends early

Callers of 'serve' with HTTP/1.0 saw: a response without a length that an endpoint breaks off is complete for them.

Cause: HTTP/1.0 has no chunks, so that net/http ends such a body by closing the connection, and it closes it the same way when the handler aborts.

While such a response is being written, the connection is set to end with a reset, which is taken back once the response is complete. So it also holds for a panic, for the end of a drain and for the end of the process. Gateways send each response with its length.

--- a/caller/limitlistener.go
+++ b/caller/limitlistener.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"context"
 	"net"
 	"sync"
 )
@@ -46,12 +47,33 @@
 	return l.Listener.Close()
 }
 
+// connKey is the context key of a request's connection.
+type connKey struct{}
+
+// withConn returns the context of the requests on a caller's connection.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // A limitConn is a connection that counts toward the limit until it is closed.
 type limitConn struct {
 	net.Conn
 	release func()
 }
 
+// resetOnClose sets whether the end of the connection is a reset, even if the process ends.
+func (c *limitConn) resetOnClose(isReset bool) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	const reset, inBackground = 0, -1
+	if isReset {
+		return tcp.SetLinger(reset)
+	}
+	return tcp.SetLinger(inBackground)
+}
+
 // Close closes the connection and lets the listener accept another one.
 func (c *limitConn) Close() error {
 	defer c.release()
--- a/caller/request.go
+++ b/caller/request.go
@@ -61,7 +61,7 @@
 	s.requestMeter.Add(now)
 	s.metrics.requests.Inc()
 	isAnswerBegun = true
-	s.copyResponse(w, response)
+	s.copyResponse(w, r, response)
 }
 
 // endPanic logs and counts a panic of the handler, and ends its request. If the answer has
@@ -190,7 +190,7 @@
 // copyResponse streams an upstream's response to the caller. If the body ends early,
 // the caller's connection is aborted, so that a truncated body can't be taken for a
 // complete one.
-func (s *Server) copyResponse(w http.ResponseWriter, response *savorystep.Response) {
+func (s *Server) copyResponse(w http.ResponseWriter, r *http.Request, response *savorystep.Response) {
 	defer func() { _ = response.Body.Close() }()
 	copyResponseHeader(w.Header(), response.Header)
 	header := w.Header()
@@ -200,12 +200,31 @@
 	if response.BodyLength >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(response.BodyLength, 10))
 	}
+	// HTTP/1.0 has no chunks: the end of the connection is that of a body without a length.
+	endsWithConn := response.BodyLength < 0 && !r.ProtoAtLeast(1, 1)
+	if endsWithConn {
+		setResetOnClose(r.Context(), true)
+	}
 	w.WriteHeader(response.Status)
 	writer := &stallWriter{Writer: w, controller: http.NewResponseController(w), timeout: s.Limits.StallTimeout}
 	if _, err := io.Copy(writer, response.Body); err != nil {
 		log.Debugf("copy response of endpoint %s to the caller: %v", response.Endpoint, err)
 		panic(http.ErrAbortHandler)
 	}
+	if endsWithConn {
+		setResetOnClose(r.Context(), false)
+	}
+}
+
+// setResetOnClose sets whether the end of a request's connection is a reset.
+func setResetOnClose(ctx context.Context, isReset bool) {
+	c, ok := ctx.Value(connKey{}).(*limitConn)
+	if !ok {
+		return
+	}
+	if err := c.resetOnClose(isReset); err != nil {
+		log.Debugf("set reset of the connection to %s to %t: %v", c.RemoteAddr(), isReset, err)
+	}
 }
 
 // upstreamPath returns the path and query that r is forwarded with: those of the URL
--- a/caller/server.go
+++ b/caller/server.go
@@ -89,6 +89,7 @@
 		ReadHeaderTimeout: s.Limits.StallTimeout,
 		IdleTimeout:       2 * time.Minute,
 		BaseContext:       func(net.Listener) context.Context { return context.WithoutCancel(ctx) },
+		ConnContext:       withConn,
 	}
 	serveErr := make(chan error, 1)
 	go func() {
