--- a/store/registrar.go
+++ b/store/registrar.go
@@ -13,12 +13,17 @@
 	"github.com/cenkalti/backoff/v5"
 
 	"savorystep"
+	"savorystep/http1"
 )
 
 // errListedAsEnded means that the platform refused a registration because it
 // lists the ID as ended.
 var errListedAsEnded = errors.New("registration refused: the platform lists the ID as ended")
 
+// errConfirmedLate means that the platform confirmed a registration when its request was
+// being cancelled.
+var errConfirmedLate = errors.New("registration confirmed after its time")
+
 // A registrar keeps registrations open. Each has its own connection; when it
 // closes, the platform lists the member as ended.
 type registrar struct {
@@ -42,7 +47,7 @@
 func newRegistrar(client *Client) *registrar {
 	return &registrar{
 		client:           client,
-		http:             &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		http:             &http.Client{Transport: http1.Transport{RoundTripper: &http.Transport{DisableKeepAlives: true}}},
 		registrationLost: make(chan error, 1),
 		byID:             make(map[string]*registration),
 	}
@@ -88,7 +93,8 @@
 	requestCtx, cancel := context.WithCancel(requestCtx)
 	timer := time.AfterFunc(r.client.config.Timeout, cancel)
 	defer timer.Stop()
-	defer context.AfterFunc(ctx, cancel)()
+	stopWatch := context.AfterFunc(ctx, cancel)
+	defer stopWatch()
 	request, err := http.NewRequestWithContext(requestCtx, http.MethodPost, r.client.base+path, bytes.NewReader(body))
 	if err != nil {
 		cancel()
@@ -99,11 +105,15 @@
 		cancel()
 		return nil, err
 	}
-	if response.StatusCode == http.StatusOK {
+	// Once both are stopped, only the end of requestCtx can close the registration.
+	if response.StatusCode == http.StatusOK && timer.Stop() && stopWatch() {
 		return response, nil
 	}
 	defer cancel()
 	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode == http.StatusOK {
+		return nil, errConfirmedLate
+	}
 	if response.StatusCode == http.StatusConflict {
 		return nil, errListedAsEnded
 	}
