--- a/peer/ended_test.go
+++ b/peer/ended_test.go
@@ -47,6 +47,62 @@
 	}
 }
 
+// TestEndingsOfManyEndpointsAreNotDelayed guards against the news that endpoints have
+// ended which waits for its budget, so that most instances send the endpoints as much as
+// warm ones when they run again, because two fifths of a large service end at once and
+// again a second later. More instances then find the same endings by themselves and use up
+// the budget even earlier.
+func TestEndingsOfManyEndpointsAreNotDelayed(t *testing.T) {
+	const links, endings, own, rounds = 24, 102, 4, 3
+	now := time.Unix(1000, 0)
+	e, from := newBusyLink(now)
+	for i := range links {
+		id := savorystep.InstanceID(fmt.Sprint("instance-", i))
+		e.links[id] = &link{exchange: e, peer: savorystep.Instance{ID: id}, pending: make(map[factKey]bool), sentNames: make(map[string]uint64), writeSignal: make(chan struct{}, 1)}
+		// A fleet that is no full mesh.
+		e.store.members[id] = &member{}
+	}
+	e.store.members["another"] = &member{}
+	for round := range rounds {
+		body := savorystep.EndedFact{StartedAtMillis: 1_791_317_950_729 + int64(round), Number: uint64(round + 1)} //nolint:gosec // It is not negative.
+		encoded, err := endedCodec.Encode(body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range own {
+			e.Publish(savorystep.FactEnded, fmt.Sprintf("i-%010x", i), body)
+		}
+		e.mu.Lock()
+		for i := own; i < endings; i++ {
+			fact := savorystep.Fact{Instance: "finder", Sequence: uint64(round*endings + i), Kind: savorystep.FactEnded, Subject: fmt.Sprintf("i-%010x", i), Body: encoded} //nolint:gosec // It is not negative.
+			e.disseminate(e.store.merge(now, fact, now), from)
+		}
+		queued, left := 0, 0
+		for _, l := range e.links {
+			queued += len(l.pending)
+			for {
+				facts := l.nextGossip(now)
+				if facts == nil {
+					break
+				}
+				if _, err := l.encodeFrame(now, frame{Facts: facts}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			left += len(l.pending)
+		}
+		e.mu.Unlock()
+		if want := 2*own*urgentForwardCount + (endings-own)*urgentForwardCount; queued != want {
+			t.Fatalf("round %d: %d reports are queued, want %d", round, queued, want)
+		}
+		if left > 0 {
+			t.Fatalf("round %d: %d of %d reports wait for the budget, want none", round, left, queued)
+		}
+		now = now.Add(time.Second)
+		e.config.Clock = fixedClock(now)
+	}
+}
+
 // TestRepeatedEndingIsNotForwarded guards against reports of several instances that the
 // same endpoint has ended, each of which is forwarded to all instances.
 func TestRepeatedEndingIsNotForwarded(t *testing.T) {
