Ask endpoints that broke off a request how long they are cold

Cause: only a refused connection proved that an incarnation had ended. One that listens again when its address is checked, after a short loss of power or a short restart, gives no proof.

An endpoint that closed a connection under a request and listens, or was silent, is now asked for its warm-up with one health check. One that is cold for longer than listed has ended, for all instances.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -51,6 +51,7 @@
 	quarantine   *ingress.Quarantine
 	keeper       *ingress.QuarantineKeeper
 	router       *ingress.Router
+	warmups      *ingress.WarmupChecker
 	watcher      *ingress.Watcher
 	clock        savorystep.Clock
 	logWriter    *stdout.Writer
@@ -73,6 +74,7 @@
 	quarantine *ingress.Quarantine,
 	keeper *ingress.QuarantineKeeper,
 	router *ingress.Router,
+	warmups *ingress.WarmupChecker,
 	watcher *ingress.Watcher,
 	clock savorystep.Clock,
 	options gatewayOptions,
@@ -81,7 +83,7 @@
 	g := &gateway{
 		settings: settings, self: self, client: client, directory: directory, exchange: exchange,
 		proxy: proxy, pool: pool, catalogRelay: catalogRelay, quarantine: quarantine, keeper: keeper,
-		router: router, watcher: watcher,
+		router: router, warmups: warmups, watcher: watcher,
 		clock: clock, logWriter: stdout.New(os.Stdout), options: options, registry: registry,
 	}
 	g.registerMetrics()
@@ -95,7 +97,7 @@
 	var group errgroup.Group
 	stopLogWriter := g.startLogWriter()
 	defer stopLogWriter()
-	for _, runner := range []savorystep.Runner{g.exchange, g.watcher, g.keeper} {
+	for _, runner := range []savorystep.Runner{g.exchange, g.watcher, g.keeper, g.warmups} {
 		done := runner.Start(backgroundCtx)
 		group.Go(func() error { return ignoreCanceled(<-done) })
 	}
--- a/cmd/gatewaycontainer.go
+++ b/cmd/gatewaycontainer.go
@@ -27,6 +27,7 @@
 		newGatewayClient,
 		newGatewayCrashLog,
 		newGatewayDirectory,
+		newGatewayEndings,
 		newGatewayExchange,
 		newGatewayProxy,
 		newGatewayQuarantine,
@@ -36,6 +37,7 @@
 		newGatewayRelay,
 		newGatewaySelf,
 		newGatewayRouter,
+		newGatewayWarmupChecker,
 		newGatewayWatcher,
 	} {
 		if err := container.Provide(constructor); err != nil {
@@ -138,8 +140,16 @@
 	return ingress.NewQuarantineKeeper(ingress.QuarantineKeeperConfig{Clock: clock, CrashLog: crashLog, Quarantine: quarantine, StoreEra: client.Era, FirstStart: settings.FirstStart})
 }
 
-func newGatewayProxy(settings platform.Settings, clock savorystep.Clock, exchange *peer.Exchange, pool *http1.Pool, quarantine *ingress.Quarantine, registry *prometheus.Registry, router *ingress.Router) *ingress.Proxy {
+func newGatewayEndings(exchange *peer.Exchange, router *ingress.Router) *ingress.Endings {
+	return ingress.NewEndings(exchange, router)
+}
+
+func newGatewayWarmupChecker(clock savorystep.Clock, endings *ingress.Endings, pool *http1.Pool, router *ingress.Router) *ingress.WarmupChecker {
+	return ingress.NewWarmupChecker(ingress.WarmupCheckerConfig{Clock: clock, Endings: endings, HeaderNames: platform.HeaderNames(), Router: router, Transport: pool})
+}
+
+func newGatewayProxy(settings platform.Settings, clock savorystep.Clock, endings *ingress.Endings, exchange *peer.Exchange, pool *http1.Pool, quarantine *ingress.Quarantine, registry *prometheus.Registry, router *ingress.Router, warmups *ingress.WarmupChecker) *ingress.Proxy {
 	return ingress.NewProxy(ingress.ProxyConfig{
-		Clock: clock, MemoryLimitBytes: settings.MemoryLimitBytes, HeaderNames: platform.HeaderNames(), Endings: ingress.NewEndings(exchange, router), Leavings: ingress.NewLeavings(exchange, router), Notices: platform.NoticeDecoder{}, Place: settings.Place, Quarantine: quarantine, RateLimits: ingress.NewRateLimits(exchange, router), Registerer: registry, Transport: pool, Router: router,
+		Clock: clock, MemoryLimitBytes: settings.MemoryLimitBytes, HeaderNames: platform.HeaderNames(), Endings: endings, Leavings: ingress.NewLeavings(exchange, router), Notices: platform.NoticeDecoder{}, Place: settings.Place, Quarantine: quarantine, RateLimits: ingress.NewRateLimits(exchange, router), Registerer: registry, Transport: pool, Router: router, WarmupChecker: warmups,
 	})
 }
--- a/endpoint/ending.go
+++ b/endpoint/ending.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"strconv"
 	"time"
 
 	"savorystep"
@@ -67,6 +68,51 @@
 	return true
 }
 
+// NeedsWarmupCheck reports whether an endpoint that closed a connection under a request
+// may have started again without being known to have ended. One that has answered since
+// its last known end may have ended once more.
+func (t *Table) NeedsWarmupCheck(now time.Time, e savorystep.Endpoint) bool {
+	s := t.byID[e.ID]
+	if s == nil || s.StartedAtMillis != e.StartedAtMillis || t.IsStopping(e) {
+		return false
+	}
+	return s.ending == nil || !s.ending.answeredAt.IsZero() || !now.Before(t.endingUntil(s))
+}
+
+// RecordCold records that an endpoint stated that it stays cold for remaining. If that is
+// longer than its entry says, the listed incarnation has ended, or is cold once more. It
+// returns true if the other instances are to be told.
+func (t *Table) RecordCold(now time.Time, e savorystep.Endpoint, remaining time.Duration) bool {
+	s := t.byID[e.ID]
+	if s == nil || s.StartedAtMillis != e.StartedAtMillis || !now.Add(remaining).After(t.knownWarmAt(s)) {
+		return false
+	}
+	isDue := t.RecordEnded(now, e)
+	if s.ending != nil {
+		s.ending.answeredAt = now
+	}
+	return isDue
+}
+
+// knownWarmAt returns when the latest warm-up of an endpoint that is known ends, by its
+// entry or by its first answer since it ended.
+func (t *Table) knownWarmAt(s *endpointState) time.Time {
+	if s.ending == nil || s.ending.answeredAt.IsZero() {
+		return s.warmAt
+	}
+	if answered := t.endingUntil(s); answered.After(s.warmAt) {
+		return answered
+	}
+	return s.warmAt
+}
+
+// ParseColdRemaining parses the remaining warm-up time in a response to a health check, in
+// milliseconds. It returns false for one that is not positive.
+func ParseColdRemaining(text string) (time.Duration, bool) {
+	millis, err := strconv.ParseUint(text, 10, 31)
+	return time.Duration(millis) * time.Millisecond, err == nil && millis > 0
+}
+
 // ApplyEnded records that another instance found, an age ago, that the incarnation of an
 // endpoint that started at startedAtMillis has ended. It returns false if that was known,
 // or if that incarnation is no longer the latest. An old report of a known ending changes
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -91,6 +91,8 @@
 			return "to be reported\n"
 		}
 		return "not to be reported\n"
+	case "cold":
+		return s.cold(t, d)
 	case "silent":
 		id, started := savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))
 		if s.table.RecordSilent(s.now, savorystep.Endpoint{ID: id, StartedAtMillis: started}) {
@@ -124,6 +126,25 @@
 	return ""
 }
 
+// cold records the response of an endpoint to a health check, with its header value in
+// milliseconds. It returns whether the check was due and what became of it.
+func (s *script) cold(t *testing.T, d *datadriven.TestData) string {
+	t.Helper()
+	e := savorystep.Endpoint{ID: savorystep.EndpointID(arg(t, d, "id")), StartedAtMillis: int64(intArg(t, d, "started"))}
+	if !s.table.NeedsWarmupCheck(s.now, e) {
+		return "not checked\n"
+	}
+	remaining, ok := endpoint.ParseColdRemaining(arg(t, d, "for"))
+	switch {
+	case !ok:
+		return "warm\n"
+	case s.table.RecordCold(s.now, e, remaining):
+		return "to be reported\n"
+	default:
+		return "not to be reported\n"
+	}
+}
+
 // createTable replaces the table by one without endpoints.
 func (s *script) createTable(d *datadriven.TestData) {
 	config := endpoint.Config{Self: "self", ColdFactor: 1.5, ColdSlack: 5, RetryRatio: 0.2, RetrySlack: 56, RetryWindow: 10 * time.Second, MayReplace: d.HasArg("replaces")}
--- a/ingress/config.go
+++ b/ingress/config.go
@@ -32,4 +32,7 @@
 	Registerer prometheus.Registerer
 	Transport  Transport
 	Router     *Router
+	// WarmupChecker finds endpoints that started again before they refused a connection.
+	// It is optional.
+	WarmupChecker *WarmupChecker
 }
--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -21,6 +21,9 @@
 	"savorystep/ingress"
 )
 
+// healthPath is the path of health checks in the tests.
+const healthPath = "/health"
+
 // A mortalEndpoint is an endpoint on a real socket that crashes when it runs a request
 // for a path that contains "poison".
 type mortalEndpoint struct {
@@ -29,7 +32,9 @@
 	dying string
 	// survives is true if the endpoint closes the connection instead of crashing.
 	survives bool
-	runs     *atomic.Int64
+	// health is the header of its responses to health checks.
+	health string
+	runs   *atomic.Int64
 }
 
 // startMortalEndpoint starts an endpoint and returns its address.
@@ -61,6 +66,10 @@
 		if err != nil {
 			return
 		}
+		if r.URL.Path == healthPath {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%sContent-Length: 0\r\n\r\n", e.health)
+			continue
+		}
 		if !strings.Contains(r.URL.Path, "poison") {
 			_, _ = reader.Discard(int(max(0, r.ContentLength)))
 			_, _ = fmt.Fprint(c, "HTTP/1.1 200 OK\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok")
--- a/ingress/endings.go
+++ b/ingress/endings.go
@@ -46,6 +46,18 @@
 	e.facts.Publish(savorystep.FactEnded, string(ended.ID), savorystep.EndedFact{StartedAtMillis: ended.StartedAtMillis, Number: e.reports.Add(1)})
 }
 
+// recordCold records that an endpoint stated in a health check that it stays cold for
+// remaining. If that is longer than listed, its listed incarnation has ended.
+func (e *Endings) recordCold(now time.Time, cold savorystep.Endpoint, remaining time.Duration) {
+	var isDue bool
+	e.router.WithTable(func(t *endpoint.Table) { isDue = t.RecordCold(now, cold, remaining) })
+	if !isDue {
+		return
+	}
+	log.Infof("endpoint %s, started at %d, has ended: it stays cold for %v according to a health check", cold.ID, cold.StartedAtMillis, remaining)
+	e.facts.Publish(savorystep.FactEnded, string(cold.ID), savorystep.EndedFact{StartedAtMillis: cold.StartedAtMillis, Number: e.reports.Add(1)})
+}
+
 // recordSilent records that an endpoint was silent: it accepted no connection in time, or
 // acknowledged nothing. It publishes that if the other instances are to be told.
 func (e *Endings) recordSilent(now time.Time, silent savorystep.Endpoint) {
--- a/ingress/fakes_test.go
+++ b/ingress/fakes_test.go
@@ -18,7 +18,7 @@
 
 // names are the header names in the tests.
 var names = savorystep.HeaderNames{
-	AffinityKey: "Affinity", AttemptID: "Attempt", Deadline: "Deadline", ExpectedEndpoint: "Expected",
+	AffinityKey: "Affinity", AttemptID: "Attempt", ColdRemaining: "Cold", Deadline: "Deadline", EndpointID: "ID", ExpectedEndpoint: "Expected",
 	Load: "Load", NotExecuted: "Not-Run", RateLimit: "Limit", Signature: "Signature",
 }
 
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -224,14 +224,24 @@
 		f.config.Endings.record(endedAt, choice.Endpoint, "a connection was refused")
 	case isSilent(ctx, err):
 		f.config.Endings.recordSilent(endedAt, choice.Endpoint)
+		f.checkWarmup(endedAt, choice.Endpoint)
 	case !f.config.Router.isStopping(choice.Endpoint) && crashed(ctx, err, choice.Endpoint.Address):
 		f.config.Endings.record(f.config.Clock.Now(), choice.Endpoint, "a request broke off")
 		f.config.Quarantine.recordCrash(endedAt, pr, choice.Endpoint)
+	case isClosedByEndpoint(err):
+		f.checkWarmup(endedAt, choice.Endpoint)
 	}
 	pr.addStep(fmt.Sprintf("%s: %s in %v", describeChoice(choice), describeResult(result, err), endedAt.Sub(now).Round(time.Millisecond)))
 	return result
 }
 
+// checkWarmup lets an endpoint that gave no response be asked for how long it is cold.
+func (f *Forwarder) checkWarmup(now time.Time, e savorystep.Endpoint) {
+	if f.config.WarmupChecker != nil {
+		f.config.WarmupChecker.add(now, e)
+	}
+}
+
 // rateLimitStatement returns what a response says about the rate limit of its
 // endpoint. It returns false if the response may come from another endpoint, if its
 // limit is not valid, or if it has none and an intermediary may have made it.
--- a/ingress/quarantine.go
+++ b/ingress/quarantine.go
@@ -295,6 +295,13 @@
 	q.facts.Publish(savorystep.FactCrash, key.String(), fact)
 }
 
+// isClosedByEndpoint reports whether an endpoint ended the connection of an exchange
+// before it had sent a complete response.
+func isClosedByEndpoint(err error) bool {
+	var exchangeErr *http1.ExchangeError
+	return errors.As(err, &exchangeErr) && exchangeErr.ClosedByEndpoint
+}
+
 // crashed reports whether an exchange that ended with an error shows that its endpoint
 // crashed while it ran the request: the endpoint ended the connection before it had sent
 // a complete response, whether in the head or in the body, and nothing listens at its
--- a/ingress/router.go
+++ b/ingress/router.go
@@ -178,6 +178,16 @@
 	return r.table.Excluded(now)
 }
 
+// spec returns the configuration of a service, false if there is none.
+func (r *Router) spec(service savorystep.Service) (savorystep.ServiceSpec, bool) {
+	routing := r.routing.Load()
+	if routing == nil {
+		return savorystep.ServiceSpec{}, false
+	}
+	spec, ok := routing.Services[service]
+	return spec, ok
+}
+
 // isStopping reports whether an endpoint stops as planned, or may.
 func (r *Router) isStopping(e savorystep.Endpoint) bool {
 	r.mu.Lock()
