--- a/http1/server.go
+++ b/http1/server.go
@@ -39,8 +39,7 @@
 // request before the response is written. The goroutine that reads a connection also
 // ends its idleness, by a deadline of the read, so that a read returns either a request
 // or the end of the connection. http.Server closes idle connections from the goroutine
-// that calls Shutdown, and a request that is read at this moment is handled on a closed
-// connection.
+// that calls Shutdown, and drops a request that is read at this moment.
 type Server struct {
 	config     ServerConfig
 	httpServer *http.Server
@@ -258,20 +257,3 @@
 		s.config.OnClose(cause)
 	}
 }
-
-// A serverListener accepts connections as serverConns.
-type serverListener struct {
-	net.Listener
-	server *Server
-}
-
-// Accept implements net.Listener.
-func (l *serverListener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	c := &serverConn{Conn: accepted, server: l.server, since: time.Now()}
-	l.server.track(c)
-	return c, nil
-}
--- a/http1/server_test.go
+++ b/http1/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -186,6 +187,36 @@
 	}
 }
 
+// A failingListener fails its first Accept calls with err.
+type failingListener struct {
+	net.Listener
+	err   error
+	count int
+}
+
+func (l *failingListener) Accept() (net.Conn, error) {
+	if l.count > 0 {
+		l.count--
+		return nil, l.err
+	}
+	return l.Listener.Accept()
+}
+
+// TestAcceptErrors guards against a server that ends, with all its connections, because a
+// connection could not be accepted.
+func TestAcceptErrors(t *testing.T) {
+	for _, errno := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EHOSTUNREACH, syscall.EPROTO, syscall.EMFILE} {
+		t.Run(errno.Error(), func(t *testing.T) {
+			s := startTestServer(t, time.Hour, func(l net.Listener) net.Listener {
+				return &failingListener{Listener: l, count: 3, err: &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", errno)}}
+			})
+			c := s.dial(t)
+			c.send(t)
+			c.receive(t)
+		})
+	}
+}
+
 // TestIdleTimeoutChanges guards against connections that keep the idle timeout of the time
 // at which they became idle: a lower one closes them, and a higher one keeps them open.
 func TestIdleTimeoutChanges(t *testing.T) {
@@ -319,16 +350,16 @@
 	}
 }
 
-// TestIdleTimeoutOfPipelinedRequest guards against an idle timeout that ends a connection
-// whose pipelined request is handled, and against a server that waits for its own read of
-// that connection.
+// TestIdleTimeoutOfPipelinedRequest guards against an idle timeout that passes while a
+// pipelined request is handled, and makes its caller count as gone.
 func TestIdleTimeoutOfPipelinedRequest(t *testing.T) {
 	s := startTestServer(t, time.Millisecond, nil)
-	entered, release := make(chan struct{}), make(chan struct{})
+	entered, release, callerErr := make(chan struct{}), make(chan struct{}), make(chan error, 1)
 	s.config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/block" {
 			close(entered)
 			<-release
+			callerErr <- r.Context().Err()
 		}
 		w.WriteHeader(http.StatusOK)
 	})
@@ -345,6 +376,9 @@
 		witness.waitForEnd(t)
 	}
 	close(release)
+	if err := <-callerErr; err != nil {
+		t.Errorf("the caller counts as gone while its request is handled: %v", err)
+	}
 	if status, _ := c.receive(t); status != http.StatusOK {
 		t.Errorf("status %d, want 200", status)
 	}
