Bound the reading of a request body that no handler reads

Callers saw: a request that is refused before its body is read, such as a POST to no route or to a stopping instance, got no answer as long as its body didn't come, and its connection was never closed. Such a connection also held a shutdown up until its timeout.

Cause: net/http reads up to 256 KiB of the body that a handler leaves, before it writes the header of the response or, with Connection: close, after the response. The server has no ReadTimeout, so that these reads had no deadline.

The server sets one, HeaderTimeout after the header, and a handler that reads the body may replace it. net/http removes it at the end of the body, before it reads on in the background, so the next request isn't affected.

Before: TestUnreadBodyEnds 'length', 'chunks' and 'continue' each wait for an answer or for the shutdown until the test's timeout of 8 s, with a limit of 50 ms. After: 20 of 20 runs pass with the race detector, and so does TestReadBodyKeepsConnection, which also passed before. Packages http1, ingress and caller pass.

--- a/http1/server.go
+++ b/http1/server.go
@@ -19,7 +19,8 @@
 	// BaseContext is that of http.Server. It is optional.
 	BaseContext func(net.Listener) context.Context
 	Handler     http.Handler
-	// HeaderTimeout bounds the reading of a request's header.
+	// HeaderTimeout bounds the reading of a request's header, and that of its body unless
+	// the handler sets another deadline.
 	HeaderTimeout time.Duration
 	// IdleTimeout returns how long a connection may be idle, zero for no limit. It is
 	// asked each time a connection becomes idle.
@@ -152,6 +153,11 @@
 	if s.isClosing.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.Body != http.NoBody {
+		// net/http reads the body that the handler leaves, before or after the response. It
+		// removes the deadline at the end of the body.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(s.config.HeaderTimeout))
+	}
 	s.config.Handler.ServeHTTP(w, r)
 }
 
