Close the connection of a caller that stops in a body

Callers saw: after the 408 of a gateway, or the 400 of 'serve', for a body that stopped, the connection stayed open for as long as they kept it open. It is no idle connection, so the idle timeout didn't apply, and a stop waited for it until its timeout.

Cause: both removed the read deadline after any error of the body. net/http then reads the rest of the body before it closes the connection, without a deadline.

The deadline is removed only at the end of the body.

--- a/caller/stall.go
+++ b/caller/stall.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -19,14 +20,15 @@
 	released bool
 }
 
-// Read reads with a new deadline. After an error or the end of the body it removes the
-// deadline from the connection, which may serve further requests.
+// Read reads with a new deadline. At the end of the body it removes the deadline from the
+// connection, which may serve further requests. After an error the deadline holds for the
+// rest of the body, which the server reads.
 func (r *stallReader) Read(p []byte) (int, error) {
 	if err := r.setDeadline(time.Now().Add(r.timeout)); err != nil {
 		return 0, err
 	}
 	n, err := r.Reader.Read(p)
-	if err != nil {
+	if errors.Is(err, io.EOF) {
 		_ = r.setDeadline(time.Time{})
 	}
 	return n, err
--- a/caller/stall_test.go
+++ b/caller/stall_test.go
@@ -1,9 +1,11 @@
 package caller_test
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -51,3 +53,45 @@
 		t.Errorf("%d read deadlines set after the response, want none", after-before)
 	}
 }
+
+// TestStalledBodyEndsConnection guards against connections that are never closed because
+// their caller stopped in the middle of a body.
+func TestStalledBodyEndsConnection(t *testing.T) {
+	server := newServer(echo, nil)
+	server.Limits.StallTimeout = 50 * time.Millisecond
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := server.Serve(ctx, listener)
+	defer func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	}()
+	c, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	if _, err := io.WriteString(c, "PUT /s/status/x HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx"); err != nil {
+		t.Fatal(err)
+	}
+	reader := bufio.NewReader(c)
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusBadRequest {
+		t.Errorf("status %d, want 400", response.StatusCode)
+	}
+	if b, err := reader.ReadByte(); err == nil {
+		t.Errorf("read byte %q, want the end of the connection", b)
+	}
+}
--- a/ingress/requestbody.go
+++ b/ingress/requestbody.go
@@ -37,9 +37,11 @@
 	controller := http.NewResponseController(w)
 	setDeadline(controller.SetReadDeadline, limit.deadline)
 	body, err := reservation.ReadAll(http.MaxBytesReader(w, r.Body, maxBytes), r.ContentLength)
-	// From now on the server reads from the connection to detect when the caller
-	// closes it.
-	setDeadline(controller.SetReadDeadline, time.Time{})
+	if err == nil {
+		// From now on the server reads from the connection to detect when the caller
+		// closes it. After an error it reads the rest of the body, until the deadline.
+		setDeadline(controller.SetReadDeadline, time.Time{})
+	}
 	var tooLargeErr *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLargeErr):
