Apply each change of the idle timeout to connections that are idle

Operators saw: a connection that became idle while the idle timeout was another one for a moment kept that one, and was closed late, or never if it was no limit.

Cause: the watcher compared the timeout with the one that it had applied last. One value stands for several changes, so a timeout that was raised and put back before the watcher ran looked unchanged, though connections had become idle under it. The same held for a change while the server started.

The watcher updates the deadlines after each value.

--- a/http1/server.go
+++ b/http1/server.go
@@ -25,7 +25,7 @@
 	// IdleTimeout returns how long a connection may be idle, zero for no limit. It is
 	// asked each time a connection becomes idle.
 	IdleTimeout func() time.Duration
-	// IdleTimeoutChanged receives a value when the idle timeout has changed for the
+	// IdleTimeoutChanged receives a value when the idle timeout may have changed for the
 	// connections that are idle already. It is optional.
 	IdleTimeoutChanged <-chan struct{}
 	MaxHeaderBytes     int
@@ -233,15 +233,11 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		applied := s.idleTimeout()
 		for {
 			select {
 			case <-ctx.Done():
 				return
 			case <-s.config.IdleTimeoutChanged:
-			}
-			if current := s.idleTimeout(); current != applied {
-				applied = current
 				s.updateDeadlines()
 			}
 		}
--- a/http1/server_test.go
+++ b/http1/server_test.go
@@ -435,3 +435,20 @@
 		t.Fatal(err)
 	}
 }
+
+// TestIdleTimeoutChangesBack guards against connections that are closed late or never,
+// because they became idle while the timeout was another one for a moment.
+func TestIdleTimeoutChangesBack(t *testing.T) {
+	s := startTestServer(t, 50*time.Millisecond, nil)
+	witness := s.dial(t)
+	witness.send(t)
+	witness.receive(t)
+	witness.waitForEnd(t)
+	s.timeout.Store(0)
+	c := s.dial(t)
+	c.send(t)
+	c.receive(t)
+	s.waitUntilIdle(1)
+	s.setTimeout(50 * time.Millisecond)
+	c.waitForEnd(t)
+}
