Look for an arrived request whatever becomes of the deadline

Callers saw: a request that arrived in time on an idle connection, at an instance that stood still until the idle timeout had passed, was closed unread.

Cause: before the server closes an idle connection it looks for a request that has arrived. It removed the deadline of the read for that, in a step of its own. A shutdown or a change of the idle timeout that came in between moved the deadline back to the past, and the read failed.

The server now reads from the descriptor by RawConn.Control, which knows no deadline. The goroutine is the only one that reads the connection.

--- a/http1/server_test.go
+++ b/http1/server_test.go
@@ -452,3 +452,53 @@
 	s.setTimeout(50 * time.Millisecond)
 	c.waitForEnd(t)
 }
+
+// A movedConn is a connection whose read deadline another goroutine moves to the past
+// whenever it is removed.
+type movedConn struct {
+	*net.TCPConn
+}
+
+func (c movedConn) SetReadDeadline(deadline time.Time) error {
+	if deadline.IsZero() {
+		deadline = time.Unix(1, 0)
+	}
+	return c.TCPConn.SetReadDeadline(deadline)
+}
+
+// TestArrivedRequestDuringUpdate guards against a request that arrived in time and is closed
+// unread, because a shutdown or a change of the idle timeout moves the deadline of its
+// connection while the server looks for the request.
+func TestArrivedRequestDuringUpdate(t *testing.T) {
+	s := startTestServer(t, time.Minute, nil)
+	client, accepted := connect(t)
+	if _, err := io.WriteString(client, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	waitForArrival(t, accepted)
+	c := &serverConn{Conn: movedConn{TCPConn: accepted}, server: s.Server, state: connIdle, since: time.Now().Add(-time.Hour)}
+	if n, err := c.Read(make([]byte, 16)); n != 3 || err != nil {
+		t.Errorf("read %d bytes, error %v, want 3 bytes", n, err)
+	}
+}
+
+// connect returns both ends of a connection.
+func connect(t *testing.T) (client net.Conn, accepted *net.TCPConn) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	client, err = (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = client.Close() })
+	accepted, err = listener.(*net.TCPListener).AcceptTCP()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = accepted.Close() })
+	return client, accepted
+}
--- a/http1/serverconn.go
+++ b/http1/serverconn.go
@@ -238,13 +238,13 @@
 		return 0
 	}
 	raw, err := syscallConn.SyscallConn()
-	if err != nil || c.SetReadDeadline(time.Time{}) != nil {
+	if err != nil {
 		return 0
 	}
 	n := 0
-	err = raw.Read(func(fd uintptr) bool {
+	// Unlike Read, Control doesn't fail after the deadline, which other goroutines may move.
+	err = raw.Control(func(fd uintptr) {
 		n, _ = syscall.Read(int(fd), p) //nolint:gosec // Descriptors are small.
-		return true
 	})
 	if err != nil {
 		return 0
