Take no response of the platform that is reset during a call for a whole one

'serve' would see the same as gateways at the store: a part of a response without a length counts as the whole one if its connection is reset while the call is being written; a commit whose part can be decoded counts as made.

--- a/store/client.go
+++ b/store/client.go
@@ -52,7 +52,7 @@
 	config = config.withDefaults()
 	dialer := &net.Dialer{Timeout: config.Timeout, KeepAlive: 10 * time.Second}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
+		DialContext:         http1.DialWithBreaks(dialer.DialContext),
 		MaxIdleConns:        maxIdleConns,
 		MaxIdleConnsPerHost: maxIdleConns,
 		IdleConnTimeout:     90 * time.Second,
