Take no response of an entry that is reset during an upload for a whole one

The client of callers saw: an entry, or what has its address, answers an upload at once without a length, sends a part and resets the connection; the program gets the part as the whole response.

Before: TestSendCutOff fails in 3 of 3 runs at its first request: 'body "part" is taken for a whole response'. After: 5 of 5 runs of package entry with 100 requests each, 3 of 3 with GOMAXPROCS=1.

--- a/entry/client.go
+++ b/entry/client.go
@@ -74,7 +74,7 @@
 		dial = dialer.DialContext
 	}
 	transport := &http.Transport{
-		DialContext:         dial,
+		DialContext:         http1.DialWithBreaks(dial),
 		MaxIdleConns:        0,
 		MaxIdleConnsPerHost: config.MaxIdleConnectionsPerEntry,
 		IdleConnTimeout:     time.Minute,
