--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -78,10 +78,23 @@
 	}
 }
 
+// extendTimeouts gives the routes timeouts that no busy machine misses.
+func extendTimeouts(router *ingress.Router) {
+	current := router.Routing()
+	routes := make([]*savorystep.Route, 0, len(current.Routes))
+	for _, route := range current.Routes {
+		extended := *route
+		extended.Timeout = 20 * time.Second
+		routes = append(routes, &extended)
+	}
+	router.SetRouting(savorystep.NewRouting(current.Revision+1, routes, current.Services, current.Limits))
+}
+
 // newMortalProxy returns a proxy with eight endpoints.
 func newMortalProxy(t *testing.T, e mortalEndpoint) *ingress.Proxy {
 	t.Helper()
 	_, _, router := newTestProxy(t, "ok")
+	extendTimeouts(router)
 	router.WithTable(func(table *endpoint.Table) {
 		for _, id := range []savorystep.EndpointID{"a", "b", "c", "d", "e", "f", "g", "h"} {
 			table.Put(time.Now(), savorystep.Endpoint{
