Keep a process running whose keyed request panics

Callers of 'serve' saw: a panic while a request with an idempotency key is forwarded ends the process, and all requests in flight get no answer.

Cause: such a request runs in a goroutine of its own, because it outlives its caller, and net/http's server recovers only its own goroutines.

The request now fails with KindInternal, which says that the outcome is unknown; its key stays in use, since it may have run. What the panic skipped in the pool, such as the release of the slot, stays skipped. A panic in the goroutine of a request that may run once and has no key, or in one of net/http's transport, still ends the process.

Before: TestKeyedPanic ends the test's process ('panic: a fault of the forwarder').

--- a/upstream/keyedforwarder.go
+++ b/upstream/keyedforwarder.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"io"
+	"runtime/debug"
 	"time"
 
 	"savorystep"
@@ -86,7 +87,9 @@
 		return storedResponse(storedResult), nil
 	}
 	result := make(chan outcome, 1)
-	k.background.Go(func() { result <- k.run(context.WithoutCancel(ctx), callerCtx, request, attempt) })
+	k.background.Go(func() {
+		result <- recoverOutcome(request, func() outcome { return k.run(context.WithoutCancel(ctx), callerCtx, request, attempt) })
+	})
 	select {
 	case o := <-result:
 		return o.unpack()
@@ -100,6 +103,18 @@
 	return nil, savorystep.WrapError(savorystep.KindDeadlineExceeded, callerCtx.Err(), "request with an idempotency key continues without its caller")
 }
 
+// recoverOutcome returns the outcome of run. If run panics, the request fails with an
+// unknown execution, and its key remains used.
+func recoverOutcome(request *savorystep.Request, run func() outcome) (o outcome) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			log.Errorf("request %s to service %s panicked: %v\n%s", request.ID, request.Service, cause, debug.Stack())
+			o = outcome{err: savorystep.NewError(savorystep.KindInternal, "internal error while the request was forwarded")}
+		}
+	}()
+	return run()
+}
+
 // storedResponse converts a stored response to a Response.
 func storedResponse(storedResult *savorystep.StoredResponse) *savorystep.Response {
 	return &savorystep.Response{
