Check whether an endpoint is warm if the list was not read since

Cause: the end of a warm-up was computed from the start that was known. Few requests go to a cold endpoint, so nobody finds that it ends once more, and while the store is slow or away the list says nothing.

Where the list was not read since about the end of a warm-up, an endpoint now stays cold, and is asked for its warm-up by a health check when it should be over. Without an answer it counts as warm after 1 s, or a warm-up later if it was cold by the list.

--- a/endpoint/ending.go
+++ b/endpoint/ending.go
@@ -15,6 +15,13 @@
 	// endpoint list can't be read. Endpoints start again within some seconds, and warm up
 	// in 3 s.
 	maxEndingTime = 30 * time.Second
+	// maxListAge is how long before the end of a warm-up the last read of the list has
+	// begun at the latest, for a restart within it to be listed: the interval between
+	// reads, 0.8 s, and the time of a read.
+	maxListAge = time.Second
+	// maxWarmupCheckDelay is how much longer an endpoint counts as cold that may have
+	// started again in its warm-up and is asked for it: two checks that time out.
+	maxWarmupCheckDelay = time.Second
 	// endingReportInterval is the time between two reports of the same ending to the other
 	// instances. A second ending of an endpoint that is not listed in between is reported
 	// with the next one.
@@ -79,6 +86,37 @@
 	return s.ending == nil || !s.ending.answeredAt.IsZero() || !now.Before(t.endingUntil(s))
 }
 
+// mayRestartUnread reports whether an endpoint whose warm-up ends at warmAt may have started
+// again in it. Few requests go to a cold endpoint, so its end may not be found, and the
+// endpoint list was not read since.
+func (t *Table) mayRestartUnread(s *endpointState, warmAt time.Time) bool {
+	if !s.checkedWarmAt.Before(warmAt) {
+		return false
+	}
+	return t.isListFailing || !t.lastListRead.IsZero() && warmAt.Sub(t.lastListRead) > maxListAge
+}
+
+// DueWarmupChecks returns the endpoints whose warm-up is over, unless they started again in
+// it without being found to have ended.
+func (t *Table) DueWarmupChecks(now time.Time) []savorystep.Endpoint {
+	var due []savorystep.Endpoint
+	for _, s := range t.byID {
+		warmAt := t.knownWarmAt(s)
+		isCold := now.Before(t.unreadWarmupEnd(s)) || s.ending != nil && !s.ending.answeredAt.IsZero() && now.Before(t.endingUntil(s))
+		if isCold && !now.Before(warmAt) && t.mayRestartUnread(s, warmAt) {
+			due = append(due, s.Endpoint)
+		}
+	}
+	return due
+}
+
+// RecordWarm records that an endpoint stated that it is warm.
+func (t *Table) RecordWarm(now time.Time, e savorystep.Endpoint) {
+	if s := t.byID[e.ID]; s != nil && s.StartedAtMillis == e.StartedAtMillis {
+		s.checkedWarmAt = now
+	}
+}
+
 // RecordCold records that an endpoint stated that it stays cold for remaining. If that is
 // longer than its entry says, the listed incarnation has ended, or is cold once more. It
 // returns true if the other instances are to be told.
@@ -100,7 +138,7 @@
 	if s.ending == nil || s.ending.answeredAt.IsZero() {
 		return s.warmAt
 	}
-	if answered := t.endingUntil(s); answered.After(s.warmAt) {
+	if answered := s.ending.answeredAt.Add(t.specs[s.Service].Warmup); answered.After(s.warmAt) {
 		return answered
 	}
 	return s.warmAt
@@ -196,7 +234,11 @@
 	case e == nil:
 		return time.Time{}
 	case !e.answeredAt.IsZero():
-		return e.answeredAt.Add(t.specs[s.Service].Warmup)
+		warmAt := e.answeredAt.Add(t.specs[s.Service].Warmup)
+		if t.mayRestartUnread(s, warmAt) {
+			return warmAt.Add(maxWarmupCheckDelay)
+		}
+		return warmAt
 	case t.isListFailing || !t.lastListRead.After(e.expiresAt):
 		// The list was not read since then.
 		return e.heardAt.Add(maxEndingTime)
--- a/endpoint/endpointstate.go
+++ b/endpoint/endpointstate.go
@@ -50,6 +50,8 @@
 	suspectSince time.Time
 	// answeredAt is when it last answered a request of this instance.
 	answeredAt time.Time
+	// checkedWarmAt is when it last stated in a health check that it is warm.
+	checkedWarmAt time.Time
 	// ending is the end of this incarnation or of a later one, nil if none is known.
 	ending *ending
 	// shedsInRow and failuresInRow count outcomes since the last success.
--- a/endpoint/standstill.go
+++ b/endpoint/standstill.go
@@ -56,13 +56,27 @@
 
 // isCold reports whether an endpoint is or may be cold.
 func (t *Table) isCold(now time.Time, s *endpointState) bool {
-	return s.isCold(now) || now.Before(t.endingUntil(s)) || t.standstill.isUnread(now)
+	return s.isCold(now) || now.Before(t.unreadWarmupEnd(s)) || now.Before(t.endingUntil(s)) || t.standstill.isUnread(now)
+}
+
+// unreadWarmupEnd returns when an endpoint is warm that may have started again in its listed
+// warm-up, which the list that was read last can't tell. It is the zero time if that list is
+// from about the end of the warm-up. Few requests go to a cold endpoint, so its end may not
+// be found.
+func (t *Table) unreadWarmupEnd(s *endpointState) time.Time {
+	if s.ColdRemaining <= 0 || !t.mayRestartUnread(s, s.warmAt) {
+		return time.Time{}
+	}
+	return s.warmAt.Add(t.specs[s.Service].Warmup)
 }
 
 // coldUntil returns when a cold endpoint no longer counts as cold, unless it or the
 // endpoint list says something else before.
 func (t *Table) coldUntil(now time.Time, s *endpointState) time.Time {
 	until := s.coldUntil(now)
+	if warmAt := t.unreadWarmupEnd(s); warmAt.After(until) && !now.Before(s.warmAt) {
+		until = warmAt
+	}
 	if endingUntil := t.endingUntil(s); endingUntil.After(until) {
 		until = endingUntil
 	}
--- a/endpoint/table_test.go
+++ b/endpoint/table_test.go
@@ -93,6 +93,13 @@
 		return "not to be reported\n"
 	case "cold":
 		return s.cold(t, d)
+	case "due":
+		var ids []string
+		for _, e := range s.table.DueWarmupChecks(s.now) {
+			ids = append(ids, string(e.ID))
+		}
+		slices.Sort(ids)
+		return fmt.Sprintf("due %q\n", ids)
 	case "silent":
 		id, started := savorystep.EndpointID(arg(t, d, "id")), int64(intArg(t, d, "started"))
 		if s.table.RecordSilent(s.now, savorystep.Endpoint{ID: id, StartedAtMillis: started}) {
@@ -137,6 +144,7 @@
 	remaining, ok := endpoint.ParseColdRemaining(arg(t, d, "for"))
 	switch {
 	case !ok:
+		s.table.RecordWarm(s.now, e)
 		return "warm\n"
 	case s.table.RecordCold(s.now, e, remaining):
 		return "to be reported\n"
--- a/ingress/warmupchecker.go
+++ b/ingress/warmupchecker.go
@@ -18,6 +18,8 @@
 	warmupCheckTimeout = 500 * time.Millisecond
 	// warmupCheckWorkers is the number of health checks at the same time.
 	warmupCheckWorkers = 8
+	// warmupCheckInterval is how often endpoints are looked for whose warm-up is over.
+	warmupCheckInterval = 100 * time.Millisecond
 	// maxPendingWarmupChecks bounds the health checks that wait. The largest deployment in
 	// use has 777 endpoints.
 	maxPendingWarmupChecks = 1024
@@ -60,6 +62,7 @@
 	for range warmupCheckWorkers {
 		workers.Go(func() { c.run(ctx) })
 	}
+	workers.Go(func() { c.addDue(ctx) })
 	go func() {
 		workers.Wait()
 		done <- nil
@@ -80,6 +83,25 @@
 	}
 }
 
+// addDue lets the endpoints be checked whose warm-up is over, until ctx ends.
+func (c *WarmupChecker) addDue(ctx context.Context) {
+	ticker := time.NewTicker(warmupCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		now := c.config.Clock.Now()
+		var due []savorystep.Endpoint
+		c.config.Router.WithTable(func(t *endpoint.Table) { due = t.DueWarmupChecks(now) })
+		for _, e := range due {
+			c.add(now, e)
+		}
+	}
+}
+
 // add lets an endpoint be checked, unless it is about to be or is known to have ended.
 func (c *WarmupChecker) add(now time.Time, e savorystep.Endpoint) {
 	var isDue bool
@@ -129,8 +151,12 @@
 		log.Debugf("health check of endpoint %s at %s: response of endpoint %q", e.ID, e.Address, got)
 		return
 	}
-	remaining, ok := endpoint.ParseColdRemaining(response.Header.Get(c.config.HeaderNames.ColdRemaining))
-	if ok {
-		c.config.Endings.recordCold(c.config.Clock.Now(), e, remaining)
+	now := c.config.Clock.Now()
+	if remaining, ok := endpoint.ParseColdRemaining(response.Header.Get(c.config.HeaderNames.ColdRemaining)); ok {
+		c.config.Endings.recordCold(now, e, remaining)
+		return
+	}
+	if response.Status == http.StatusOK {
+		c.config.Router.WithTable(func(t *endpoint.Table) { t.RecordWarm(now, e) })
 	}
 }
--- a/ingress/warmupchecker_test.go
+++ b/ingress/warmupchecker_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"savorystep"
+	"savorystep/endpoint"
 	"savorystep/http1"
 	"savorystep/ingress"
 )
@@ -101,3 +102,54 @@
 		})
 	}
 }
+
+// TestEndOfWarmupIsChecked guards against an endpoint that starts again in its warm-up
+// without anyone noticing, and gets as much as a warm one when that warm-up would have been
+// over, while the endpoint list can't be read.
+func TestEndOfWarmupIsChecked(t *testing.T) {
+	for _, c := range []struct {
+		name, health string
+		want         int
+	}{
+		{name: "started again", health: "ID: d\r\nCold: 3000\r\n", want: 1},
+		{name: "warm", health: "ID: d\r\n", want: 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var runs atomic.Int64
+			address := startMortalEndpoint(t, mortalEndpoint{runs: &runs, health: c.health})
+			facts := &fakeFacts{}
+			reports := countReports(facts)
+			_, routers, _ := newWarmupProxies(t, facts, http1.NewPool(http1.Config{HeaderNames: names}), address)
+			ctx, cancel := context.WithCancel(t.Context())
+			t.Cleanup(cancel)
+			now := time.Now()
+			e := savorystep.Endpoint{ID: "d", Service: "s", StartedAtMillis: 7, Address: address}
+			routers[0].WithTable(func(table *endpoint.Table) {
+				table.SetListFailing(now, true)
+				table.RecordEnded(now.Add(-2*time.Minute), e)
+				// It answers a warm-up of a minute ago.
+				table.RecordCold(now.Add(-time.Minute), e, time.Minute)
+			})
+			checker := ingress.NewWarmupChecker(ingress.WarmupCheckerConfig{
+				Clock: stoppedClock(now), Endings: ingress.NewEndings(facts, routers[0]), HeaderNames: names, Router: routers[0],
+				Transport: checkTransport{pool: http1.NewPool(http1.Config{HeaderNames: names}), stop: cancel},
+			})
+			select {
+			case err := <-checker.Start(ctx):
+				if err != nil {
+					t.Fatal(err)
+				}
+			case <-time.After(30 * time.Second):
+				t.Fatal("the endpoint was not checked")
+			}
+			if got := reports(); got != c.want {
+				t.Errorf("%d endings reported, want %d", got, c.want)
+			}
+			routers[0].WithTable(func(table *endpoint.Table) {
+				if due := table.DueWarmupChecks(now); len(due) > 0 {
+					t.Errorf("%d endpoints are still to be checked, want none", len(due))
+				}
+			})
+		})
+	}
+}
