Count a relayed endpoint list from when its reader has read it

Cause: a follower took the endpoint list that it got from its reader for as new as its own read, though the reader may have read it up to 1.7 s before. The endpoint had ended in between and was back, cold, and the follower trusted its listed warm-up. After a standstill, such a list also ended the caution too early.

Changes of the endpoint list now carry their age, and the table counts from when the list was read from the store.

TestFollowerKnowsAgeOfEndpointList (virtual time): without the age the follower is 100 ms to 1.2 s off.

--- a/catalog.go
+++ b/catalog.go
@@ -75,6 +75,18 @@
 	// Endpoints are the added and updated endpoints.
 	Endpoints []Endpoint `cbor:"Listed"`
 	Removed   []EndpointID
+	// Age is for how long the list has been known that these changes lead to. It is zero
+	// if that is the time that the read took.
+	Age time.Duration `cbor:"-"`
+}
+
+// ReadAt returns when the list was read that the changes lead to, if the read began at
+// startedAt and ended now.
+func (c EndpointChanges) ReadAt(startedAt, now time.Time) time.Time {
+	if readAt := now.Add(-c.Age); c.Age > 0 && readAt.Before(startedAt) {
+		return readAt
+	}
+	return startedAt
 }
 
 // HasWaited implements the method of OperatorChanges. A read of the endpoint list does
--- a/ingress/watcher.go
+++ b/ingress/watcher.go
@@ -194,7 +194,7 @@
 		}
 		version = changes.Version
 		w.applyList(now, changes, isRestored)
-		w.config.Router.WithTable(func(t *endpoint.Table) { t.ListRead(startedAt) })
+		w.config.Router.WithTable(func(t *endpoint.Table) { t.ListRead(changes.ReadAt(startedAt, now)) })
 		if !isFirst {
 			// The first list may come from a peer and be a second old, so the
 			// second read follows at once.
--- a/peer/catalogheldup_test.go
+++ b/peer/catalogheldup_test.go
@@ -167,3 +167,46 @@
 	}
 	return followerCatalog.startedAt.Load().Sub(*readerCatalog.madeAt.Load()) + times.suspension
 }
+
+// TestFollowerKnowsAgeOfEndpointList guards against a follower that takes the endpoint list
+// of a reader for as new as its own read, and endpoints for warm that have restarted since
+// the reader's.
+func TestFollowerKnowsAgeOfEndpointList(t *testing.T) {
+	for lastWord := time.Duration(0); lastWord <= 1200*time.Millisecond; lastWord += 100 * time.Millisecond {
+		synctest.Test(t, func(t *testing.T) {
+			var members []savorystep.Member
+			for _, name := range []string{"a", "b"} {
+				members = append(members, savorystep.Member{StatusFact: savorystep.StatusFact{Ready: true, Instance: savorystep.Instance{ID: savorystep.InstanceID(name), PeerAddress: savorystep.Address(name)}}})
+			}
+			if xxh3.HashString("a") > xxh3.HashString("b") {
+				members[0], members[1] = members[1], members[0]
+			}
+			transport := &heldUpTransport{after: func(context.Context) {}}
+			readerCatalog, followerCatalog := &heldUpCatalog{}, &heldUpCatalog{}
+			newRelay := func(member savorystep.Member, catalog savorystep.Catalog) *peer.CatalogRelay {
+				return peer.NewCatalogRelay(peer.CatalogRelayConfig{
+					Catalog: catalog, Client: &http.Client{Transport: transport}, Clock: savorystep.SystemClock{}, Members: &fakeMembers{self: member.Instance, members: members}, Secret: "a shared secret",
+				})
+			}
+			reader, follower := newRelay(members[0], readerCatalog), newRelay(members[1], followerCatalog)
+			transport.handler = reader.Handler()
+			for _, relay := range []*peer.CatalogRelay{follower, reader} {
+				if _, err := relay.EndpointChanges(t.Context(), 0, 0); err != nil {
+					t.Fatal(err)
+				}
+			}
+			savorystep.Sleep(t.Context(), lastWord)
+			reads, startedAt := followerCatalog.reads.Load(), time.Now()
+			changes, err := follower.EndpointChanges(t.Context(), 4, 0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if followerCatalog.reads.Load() != reads {
+				t.Fatal("the follower has read the store, want the reader")
+			}
+			if got, readAt := changes.ReadAt(startedAt, time.Now()), *readerCatalog.startedAt.Load(); got.After(readAt) {
+				t.Errorf("follower takes the list for read at %v, %v after the reader has read it", got, got.Sub(readAt))
+			}
+		})
+	}
+}
--- a/peer/catalogrelay.go
+++ b/peer/catalogrelay.go
@@ -112,6 +112,9 @@
 		freshness:      &r.mirror.endpoints.freshness,
 		maxAge:         maxEndpointsAge,
 	})
+	if err == nil {
+		reading.changes.Age = r.config.AgeClock.Now().Sub(reading.upToDateAt)
+	}
 	return reading.changes, err
 }
 
