--- a/caller/limitlistener.go
+++ b/caller/limitlistener.go
@@ -73,6 +73,19 @@
 	return inner.CloseWrite()
 }
 
+// resetOnClose sets whether the end of the connection is a reset, even if the process ends.
+func (c *limitConn) resetOnClose(isReset bool) error {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	const reset, inBackground = 0, -1
+	if isReset {
+		return tcp.SetLinger(reset)
+	}
+	return tcp.SetLinger(inBackground)
+}
+
 // Close closes the connection and lets the listener accept another one.
 func (c *limitConn) Close() error {
 	defer c.release()
--- a/caller/request.go
+++ b/caller/request.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"runtime/debug"
 	"strconv"
 	"strings"
 	"time"
@@ -14,6 +15,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"savorystep"
+	"savorystep/http1"
 )
 
 // serveRequest forwards a caller's request to an upstream and streams the response
@@ -27,6 +29,12 @@
 		s.metrics.inFlight.Dec()
 		s.metrics.requestDuration.Observe(s.Clock.Now().Sub(now).Seconds())
 	}()
+	isAnswerBegun := false
+	defer func() {
+		if cause := recover(); cause != nil {
+			s.endPanic(w, r, cause, isAnswerBegun)
+		}
+	}()
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
@@ -50,9 +58,32 @@
 		s.refuseRequest(w, r, request, err)
 		return
 	}
+	if err := http1.CheckFinalStatus(response.Status); err != nil {
+		// A response that was stored earlier may have such a status.
+		_ = response.Body.Close()
+		s.refuseRequest(w, r, request, err)
+		return
+	}
 	s.requestMeter.Add(now)
 	s.metrics.requests.Inc()
-	s.copyResponse(w, response)
+	isAnswerBegun = true
+	s.copyResponse(w, r, response)
+}
+
+// endPanic logs and counts a panic of the handler, and ends its request. If the answer has
+// not begun, the caller gets a refusal, which doesn't say whether the request has run;
+// otherwise the server closes the connection.
+func (s *Server) endPanic(w http.ResponseWriter, r *http.Request, cause any, isAnswerBegun bool) {
+	if err, ok := cause.(error); ok && errors.Is(err, http.ErrAbortHandler) {
+		panic(http.ErrAbortHandler)
+	}
+	s.metrics.panics.Inc()
+	log.Errorf("request %s to %s panicked: %v\n%s", r.Header.Get(savorystep.HeaderRequest), r.URL.Path, cause, debug.Stack())
+	if isAnswerBegun {
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Connection", "close")
+	s.refuse(w, savorystep.NewError(savorystep.KindInternal, "internal error while handling the request"))
 }
 
 // newRequest validates the caller's HTTP request and returns the request to forward.
@@ -160,7 +191,7 @@
 // copyResponse streams an upstream's response to the caller. If the body ends early,
 // the caller's connection is aborted, so that a truncated body can't be taken for a
 // complete one.
-func (s *Server) copyResponse(w http.ResponseWriter, response *savorystep.Response) {
+func (s *Server) copyResponse(w http.ResponseWriter, r *http.Request, response *savorystep.Response) {
 	defer func() { _ = response.Body.Close() }()
 	copyResponseHeader(w.Header(), response.Header)
 	header := w.Header()
@@ -170,12 +201,31 @@
 	if response.BodyLength >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(response.BodyLength, 10))
 	}
+	// HTTP/1.0 has no chunks: the end of the connection is that of a body without a length.
+	endsWithConn := response.BodyLength < 0 && !r.ProtoAtLeast(1, 1)
+	if endsWithConn {
+		setResetOnClose(r.Context(), true)
+	}
 	w.WriteHeader(response.Status)
 	writer := &stallWriter{Writer: w, controller: http.NewResponseController(w), timeout: s.Limits.StallTimeout}
 	if _, err := io.Copy(writer, response.Body); err != nil {
 		log.Debugf("copy response of endpoint %s to the caller: %v", response.Endpoint, err)
 		panic(http.ErrAbortHandler)
 	}
+	if endsWithConn {
+		setResetOnClose(r.Context(), false)
+	}
+}
+
+// setResetOnClose sets whether the end of a request's connection is a reset.
+func setResetOnClose(ctx context.Context, isReset bool) {
+	c, ok := http1.AcceptedConn(ctx).(*limitConn)
+	if !ok {
+		return
+	}
+	if err := c.resetOnClose(isReset); err != nil {
+		log.Debugf("set reset of the connection to %s to %t: %v", c.RemoteAddr(), isReset, err)
+	}
 }
 
 // upstreamPath returns the path and query that r is forwarded with: those of the URL
