Leave a request unread that crosses the close of an idle connection

A close for idleness or a shutdown leaves unread what comes, so that the kernel resets the connection, and hijacked connections don't wait.

--- a/http1/server.go
+++ b/http1/server.go
@@ -161,7 +161,7 @@
 	}
 	s.config.Handler.ServeHTTP(w, r)
 	if c, ok := r.Context().Value(connKey{}).(net.Conn); ok {
-		if owned := serverConnOf(c); owned != nil {
+		if owned := serverConnOf(c); owned != nil && s.isTracked(owned) {
 			owned.isAnswered.Store(true)
 		}
 	}
@@ -192,6 +192,14 @@
 	s.conns[c] = struct{}{}
 }
 
+// isTracked reports whether a connection is one of HTTP and has not ended.
+func (s *Server) isTracked(c *serverConn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.conns[c]
+	return ok
+}
+
 // forget removes a connection that has ended or is no longer one of HTTP.
 func (s *Server) forget(c *serverConn) {
 	s.mu.Lock()
--- a/http1/server_test.go
+++ b/http1/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -385,6 +386,70 @@
 	c.waitForEnd(t)
 }
 
+// TestCrossingRequestStaysUnread guards against a close of an idle connection that reads
+// and drops the request which crosses it. Its caller could not tell that it has not run, and
+// would not send it again.
+func TestCrossingRequestStaysUnread(t *testing.T) {
+	s := startTestServer(t, time.Minute, nil)
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	client, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = client.Close() }()
+	accepted, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &serverConn{Conn: accepted, server: s.Server}
+	c.isAnswered.Store(true)
+	c.becomeIdle(time.Now().Add(-time.Hour))
+	if n, err := c.Read(make([]byte, 16)); n != 0 || err == nil {
+		t.Fatalf("read %d bytes, error %v, want the end of the idle connection", n, err)
+	}
+	if _, err := io.WriteString(client, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	if err := accepted.SetReadDeadline(time.Time{}); err != nil {
+		t.Fatal(err)
+	}
+	waitForArrival(t, accepted)
+	if err := c.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := client.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the caller reads %v, want %v", err, syscall.ECONNRESET)
+	}
+}
+
+// TestHijackedConnDoesNotLinger guards against a server that reads from a connection which a
+// handler has taken over and returned from.
+func TestHijackedConnDoesNotLinger(t *testing.T) {
+	s := startTestServer(t, 0, nil)
+	hijacked := make(chan net.Conn, 1)
+	s.config.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+		}
+		hijacked <- c
+	})
+	c := s.dial(t)
+	c.send(t)
+	taken := <-hijacked
+	for s.OpenConns() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if owned := serverConnOf(taken); owned.isAnswered.Load() {
+		t.Error("the server counts a hijacked connection as answered, and reads from it when it is closed")
+	}
+	_ = taken.Close()
+}
+
 // TestArrivedRequestAfterIdleTimeout guards against a request that arrived in time on an
 // idle connection and is closed unread, because the process stood still until the idle
 // timeout had passed.
--- a/http1/serverconn.go
+++ b/http1/serverconn.go
@@ -132,6 +132,9 @@
 		}
 		c.recordClosing(now, cause)
 		c.server.closing(cause)
+		// A request that crosses the close stays unread, which tells its caller that it
+		// has not run.
+		c.isAnswered.Store(false)
 		return 0, err
 	}
 }
