Pass on no request whose caller has left before it is read

Cause: net/http finds out that a caller has closed in a goroutine which runs only once the handler waits for something. With a connection to the endpoint at hand, the request is sent before that.

The forwarder looks at the caller's connection before each attempt. A caller that has closed only its sending side gets a 503, which says that the request has not run.

TestRequestOfGoneCaller failed in 5 of 5 runs (passed on, 200), and passes.

--- a/http1/serverconn.go
+++ b/http1/serverconn.go
@@ -98,6 +98,26 @@
 	return nil
 }
 
+// IsClosedByCaller reports whether the caller of a request has closed its connection or its
+// sending side, given the request's context. net/http finds out in a goroutine that runs
+// only after the handler first waits.
+func IsClosedByCaller(ctx context.Context) bool {
+	syscallConn, ok := AcceptedConn(ctx).(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	isClosed := false
+	err = raw.Control(func(fd uintptr) {
+		n, _, err := syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT) //nolint:gosec // Descriptors are small.
+		isClosed = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
+	})
+	return err == nil && isClosed
+}
+
 // serverConnOf returns the serverConn that a connection of net/http is or wraps, nil if
 // there is none.
 func serverConnOf(c net.Conn) *serverConn {
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -83,6 +83,9 @@
 			pr.addStep("the instance stops before the deadline")
 			break
 		}
+		if http1.IsClosedByCaller(ctx) {
+			return f.failureResponseToGoneCaller(pr)
+		}
 		if !f.passesQuarantine(ctx, now, pr) {
 			break
 		}
@@ -176,6 +179,16 @@
 	}
 }
 
+// failureResponseToGoneCaller is failureResponse for a request whose caller has closed its
+// connection before the next attempt. It may have closed only its sending side.
+func (f *Forwarder) failureResponseToGoneCaller(pr *proxiedRequest) (*http1.Response, *localReply) {
+	pr.addStep("the caller left before the attempt")
+	if pr.possibleRuns == 0 && pr.failedResponse == nil {
+		return nil, unavailable("the request did not run, its caller has left")
+	}
+	return f.failureResponse(pr)
+}
+
 // noRoom returns the reply to a request that did not run because no endpoint has room.
 // If all of them want no requests, the caller may come back when the first one does.
 func (f *Forwarder) noRoom(pr *proxiedRequest) *localReply {
