--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -31,6 +31,9 @@
 	// graceMargin is the part of the grace period that remains for the rest of the
 	// shutdown after the last request is finished or aborted.
 	graceMargin = 500 * time.Millisecond
+	// internalShutdownTimeout is the part of graceMargin that is left to requests in
+	// flight of peers, lookups, metrics and readiness checks, which take milliseconds.
+	internalShutdownTimeout = 300 * time.Millisecond
 	// defaultGracePeriod applies if the settings have no grace period.
 	defaultGracePeriod = 6 * time.Second
 )
@@ -51,6 +54,7 @@
 	quarantine   *ingress.Quarantine
 	keeper       *ingress.QuarantineKeeper
 	router       *ingress.Router
+	warmups      *ingress.WarmupChecker
 	watcher      *ingress.Watcher
 	clock        savorystep.Clock
 	logWriter    *stdout.Writer
@@ -73,6 +77,7 @@
 	quarantine *ingress.Quarantine,
 	keeper *ingress.QuarantineKeeper,
 	router *ingress.Router,
+	warmups *ingress.WarmupChecker,
 	watcher *ingress.Watcher,
 	clock savorystep.Clock,
 	options gatewayOptions,
@@ -81,7 +86,7 @@
 	g := &gateway{
 		settings: settings, self: self, client: client, directory: directory, exchange: exchange,
 		proxy: proxy, pool: pool, catalogRelay: catalogRelay, quarantine: quarantine, keeper: keeper,
-		router: router, watcher: watcher,
+		router: router, warmups: warmups, watcher: watcher,
 		clock: clock, logWriter: stdout.New(os.Stdout), options: options, registry: registry,
 	}
 	g.registerMetrics()
@@ -96,7 +101,7 @@
 	var group errgroup.Group
 	stopLogWriter := g.startLogWriter()
 	defer stopLogWriter()
-	for _, runner := range []savorystep.Runner{g.exchange, g.watcher, g.keeper} {
+	for _, runner := range []savorystep.Runner{g.exchange, g.watcher, g.keeper, g.warmups} {
 		done := runner.Start(backgroundCtx)
 		group.Go(func() error { return ignoreCanceled(<-done) })
 	}
@@ -123,9 +128,7 @@
 		err = <-callersDone
 	}
 	cancel()
-	for _, internalServer := range internalServers {
-		_ = internalServer.Close()
-	}
+	shutdownServers(internalServers, internalShutdownTimeout)
 	err = errors.Join(err, group.Wait())
 	g.client.Close()
 	gatewayLogger.Infof("instance %s stopped", g.self.ID)
@@ -174,7 +177,7 @@
 
 // serveInternal starts the servers for peers, lookups, metrics and the platform's
 // readiness check, without those that have no address.
-func (g *gateway) serveInternal(ctx context.Context) ([]*http.Server, error) {
+func (g *gateway) serveInternal(ctx context.Context) ([]*http1.Server, error) {
 	peerMux := http.NewServeMux()
 	peerMux.Handle(peer.WebSocketPath, g.exchange.Handler())
 	peerMux.Handle(peer.StatusesPath, g.exchange.Handler())
@@ -189,7 +192,7 @@
 		{address: g.metricsAddress(), handler: g.metricsHandler()},
 		{address: g.settings.ReadinessAddress, handler: platform.NewReadinessHandler(g.isReady)},
 	}
-	var servers []*http.Server
+	var servers []*http1.Server
 	for _, h := range handlers {
 		if h.address == "" {
 			continue
@@ -198,7 +201,7 @@
 		if err != nil {
 			return nil, err
 		}
-		servers = append(servers, serveHTTP(ctx, listener, h.handler))
+		servers = append(servers, serveHTTP(ctx, listener, h.handler, nil))
 	}
 	return servers, nil
 }
--- a/http1/serverconn.go
+++ b/http1/serverconn.go
@@ -78,6 +78,19 @@
 	return nil
 }
 
+// AcceptedConn returns the connection of a request as the listener of a Server accepted it,
+// given the request's context. It is nil if there is none.
+func AcceptedConn(ctx context.Context) net.Conn {
+	c, ok := ctx.Value(connKey{}).(net.Conn)
+	if !ok {
+		return nil
+	}
+	if owned := serverConnOf(c); owned != nil {
+		return owned.Conn
+	}
+	return nil
+}
+
 // serverConnOf returns the serverConn that a connection of net/http is or wraps, nil if
 // there is none.
 func serverConnOf(c net.Conn) *serverConn {
