Ask for warm-ups in the model, and restart endpoints again and again

The model had no restarts that are over before the connections are checked, and none within a warm-up.

--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -165,6 +165,7 @@
 			i.table.Tick(f.now(), f.now())
 		}
 		i.table.SetInstances(f.now(), visible)
+		f.checkDueWarmups(i)
 	}
 	if !f.isOver() {
 		f.scheduler.after(membershipPeriod, func() { f.pollMembership(i) })
@@ -221,8 +222,8 @@
 }
 
 // checkEnding lets an instance find out whether an endpoint has ended after an attempt got
-// no response: at once if no connection could be opened, else by opening another one. It
-// tells the others if they are to be told.
+// no response: at once if no connection could be opened, else by opening another one and
+// asking for its warm-up. It tells the others if they are to be told.
 func (f *fleet) checkEnding(from *instance, e *simulatedEndpoint, choice endpoint.Choice, outcome endpoint.Outcome) {
 	var delay time.Duration
 	switch outcome {
@@ -234,16 +235,48 @@
 	}
 	f.scheduler.after(delay, func() {
 		if !e.isDown && delay > 0 {
+			f.scheduler.after(from.delay(f.scheduler.now, delay), func() { f.checkWarmup(from, e, choice.Endpoint) })
 			return
 		}
-		f.scheduler.after(from.delay(f.scheduler.now, delay), func() { f.recordEnding(from, choice.Endpoint) })
+		f.scheduler.after(from.delay(f.scheduler.now, delay), func() {
+			if !f.policy.IgnoresEndings && from.table.RecordEnded(f.now(), choice.Endpoint) {
+				f.shareEnding(from, choice.Endpoint)
+			}
+		})
 	})
 }
 
-// recordEnding records at an instance that an endpoint has ended, and at the others if
-// they are to be told.
-func (f *fleet) recordEnding(from *instance, ended savorystep.Endpoint) {
-	if f.policy.IgnoresEndings || !from.table.RecordEnded(f.now(), ended) || f.policy.IgnoresPeers {
+// checkWarmup lets an instance ask an endpoint for how long it is cold.
+func (f *fleet) checkWarmup(from *instance, e *simulatedEndpoint, target savorystep.Endpoint) {
+	if f.policy.IgnoresEndings || f.policy.IgnoresWarmups || !from.table.NeedsWarmupCheck(f.now(), target) {
+		return
+	}
+	delay := networkDelay(from.place, e)
+	f.scheduler.after(delay, func() {
+		if e.isDown {
+			return
+		}
+		remaining := e.warmAt - f.scheduler.now
+		f.scheduler.after(from.delay(f.scheduler.now, delay), func() {
+			if remaining <= 0 {
+				from.table.RecordWarm(f.now(), target)
+			} else if from.table.RecordCold(f.now(), target, remaining) {
+				f.shareEnding(from, target)
+			}
+		})
+	})
+}
+
+// checkDueWarmups lets an instance ask the endpoints whose warm-up is over.
+func (f *fleet) checkDueWarmups(from *instance) {
+	for _, due := range from.table.DueWarmupChecks(f.now()) {
+		f.checkWarmup(from, f.endpoint(due.ID), due)
+	}
+}
+
+// shareEnding tells the other instances that an endpoint has ended.
+func (f *fleet) shareEnding(from *instance, ended savorystep.Endpoint) {
+	if f.policy.IgnoresPeers {
 		return
 	}
 	for _, other := range f.instances {
--- a/simulation/restart_test.go
+++ b/simulation/restart_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -14,9 +15,8 @@
 	return simulation.Event{Kind: simulation.EventCrash, Start: start, Duration: duration, Share: share}
 }
 
-// restartCases are series of events under which endpoints that start again under their
-// ids must get no more requests than they bear while they are cold.
-var restartCases = []struct {
+// A restartCase is a series of events in which endpoints start again under their ids.
+type restartCase struct {
 	name string
 	// needsNews is true if instances that hear nothing of the end of endpoints exceed the
 	// bound. In the other cases each of them finds it out by itself.
@@ -25,7 +25,14 @@
 	// has nobody to hear from.
 	minInstances int
 	events       []simulation.Event
-}{
+	// needsWarmups is true if instances that don't ask endpoints for their warm-up exceed
+	// the bound.
+	needsWarmups bool
+}
+
+// restartCases are series of events under which endpoints that start again under their
+// ids must get no more requests than they bear while they are cold.
+var restartCases = []restartCase{
 	{name: "restarted within a second", needsNews: true, events: []simulation.Event{
 		{Kind: simulation.EventBurst, Start: 5 * time.Second, Duration: 12 * time.Second, Factor: 2},
 		crashOf(6*time.Second, 600*time.Millisecond, 0.3), crashOf(11*time.Second, 1200*time.Millisecond, 0.3),
@@ -54,6 +61,11 @@
 		crashOf(6*time.Second, 1200*time.Millisecond, 0.4),
 		{Kind: simulation.EventBurst, Start: 7 * time.Second, Duration: 8 * time.Second, Factor: 2},
 	}},
+	{name: "restarted again and again before connections are checked while the list is away", needsNews: true, needsWarmups: true, events: []simulation.Event{
+		{Kind: simulation.EventBurst, Start: 5 * time.Second, Duration: 6 * time.Second, Factor: 2.5},
+		{Kind: simulation.EventOutage, Start: 5 * time.Second, Duration: 9 * time.Second, Share: 1},
+		crashOf(6*time.Second, 20*time.Millisecond, 0.4), crashOf(7*time.Second, 50*time.Millisecond, 0.4), crashOf(8*time.Second, 20*time.Millisecond, 0.4),
+	}},
 	{name: "restarted while half of the instances are without the list", needsNews: true, events: []simulation.Event{
 		{Kind: simulation.EventOutage, Start: 5 * time.Second, Duration: 10 * time.Second, Share: 0.5},
 		crashOf(6*time.Second, 1200*time.Millisecond, 0.4),
@@ -107,3 +119,23 @@
 		}
 	}
 }
+
+// TestWarmupChecksCanFail shows that TestRestartedEndpointsAreCold can fail: an instance
+// that doesn't ask endpoints for how long they are cold exceeds the bound when they start
+// again before their connections are checked.
+func TestWarmupChecksCanFail(t *testing.T) {
+	policy := simulation.DefaultPolicy()
+	policy.IgnoresWarmups = true
+	index := slices.IndexFunc(restartCases, func(c restartCase) bool { return c.needsWarmups })
+	worst, bound := 0, 0.0
+	for seed := range seedCount() {
+		scenario := siteScenario(seed)
+		scenario.Instances, scenario.Events = 1, restartCases[index].events
+		result := simulation.Run(scenario, policy)
+		worst, bound = max(worst, result.MaxColdPerSecond), result.ColdBound
+	}
+	t.Logf("%s, one instance that doesn't ask for warm-ups: %d requests at a cold endpoint in a second, bound %.1f", restartCases[index].name, worst, bound)
+	if float64(worst) <= bound {
+		t.Errorf("%s: %d requests at a cold endpoint in a second although the instance doesn't ask for warm-ups, want more than the bound %.1f", restartCases[index].name, worst, bound)
+	}
+}
--- a/simulation/scenario.go
+++ b/simulation/scenario.go
@@ -79,6 +79,9 @@
 	// IgnoresEndings makes instances go on as if they had not found that an endpoint has
 	// ended, nor heard of it. It shows that the check of it can fail.
 	IgnoresEndings bool
+	// IgnoresWarmups makes instances not ask endpoints for how long they are cold. It shows
+	// that the check of it can fail.
+	IgnoresWarmups bool
 }
 
 // Policies returns the policies that an experiment compares, the default policy
