Forward the endings of endpoints to eight peers

Cause: two of 77 instances were told by nobody that the endpoint had ended; the list named its new start 0.9 s later ("not known before"). One of them sent six requests as to a warm endpoint. In a fleet that is no full mesh an instance forwarded an ending to four of about 16 peers, which leaves about one in 100 instances to anti-entropy.

Endings and silences now go to eight peers, and their budget fits that.

--- a/peer/ended_test.go
+++ b/peer/ended_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -92,7 +94,7 @@
 			left += len(l.pending)
 		}
 		e.mu.Unlock()
-		if want := 2*own*urgentForwardCount + (endings-own)*urgentForwardCount; queued != want {
+		if want := 2*own*endingForwardCount + (endings-own)*endingForwardCount; queued != want {
 			t.Fatalf("round %d: %d reports are queued, want %d", round, queued, want)
 		}
 		if left > 0 {
@@ -103,6 +105,47 @@
 	}
 }
 
+// TestEndingsReachNearlyAllInstances guards against single instances that are not told that
+// an endpoint has ended until anti-entropy does, and meanwhile send it as much as a warm one.
+// When two fifths of a large service end, all instances have to be told of nearly all of
+// these endings.
+func TestEndingsReachNearlyAllInstances(t *testing.T) {
+	const instances, endings, rounds = 83, 102, 10
+	random := rand.New(rand.NewPCG(1, 1)) //nolint:gosec // A run must be repeatable.
+	neighbours := make([][]int, instances)
+	for i := range neighbours {
+		for _, other := range random.Perm(instances) {
+			if len(neighbours[i]) >= (Config{MaxConnections: defaultMaxConnections}).neighbourCount() {
+				break
+			}
+			if other != i && !slices.Contains(neighbours[i], other) {
+				neighbours[i] = append(neighbours[i], other)
+				neighbours[other] = append(neighbours[other], i)
+			}
+		}
+	}
+	count := forwardCountOf(savorystep.FactEnded)
+	untold := 0
+	for range rounds * endings {
+		finder := random.IntN(instances)
+		told := map[int]bool{finder: true}
+		for queue, copies := []int{finder}, 2*count; len(queue) > 0; queue, copies = queue[1:], count {
+			links := slices.Clone(neighbours[queue[0]])
+			random.Shuffle(len(links), func(i, j int) { links[i], links[j] = links[j], links[i] })
+			for _, next := range links[:min(copies, len(links))] {
+				if !told[next] {
+					told[next] = true
+					queue = append(queue, next)
+				}
+			}
+		}
+		untold += instances - len(told)
+	}
+	if untold > rounds {
+		t.Errorf("%d reports did not arrive in %d rounds of %d endings at %d instances, want at most one in a round", untold, rounds, endings, instances)
+	}
+}
+
 // TestRepeatedEndingIsNotForwarded guards against reports of several instances that the
 // same endpoint has ended, each of which is forwarded to all instances.
 func TestRepeatedEndingIsNotForwarded(t *testing.T) {
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -18,14 +18,20 @@
 	forwardCount          = 2
 	suspicionForwardCount = 3
 	urgentForwardCount    = 4
+	// endingForwardCount is that for endings and silences of endpoints. An instance that is
+	// told late sends a cold endpoint as much as a warm one, and may alone exceed what all
+	// instances together may send. With eight peers, 99.97% are reached.
+	endingForwardCount = 8
 )
 
 // forwardCountOf returns the number of peers to which facts of a kind are
 // forwarded.
 func forwardCountOf(kind savorystep.FactKind) int {
 	switch kind {
-	case savorystep.FactDraining, savorystep.FactCrash, savorystep.FactRateLimit, savorystep.FactLeaving, savorystep.FactEnded, savorystep.FactSilent:
+	case savorystep.FactDraining, savorystep.FactCrash, savorystep.FactRateLimit, savorystep.FactLeaving:
 		return urgentForwardCount
+	case savorystep.FactEnded, savorystep.FactSilent:
+		return endingForwardCount
 	case factSuspicion:
 		return suspicionForwardCount
 	default:
--- a/peer/limits.go
+++ b/peer/limits.go
@@ -46,11 +46,11 @@
 	// long instances use them.
 	endedRetention = 30 * time.Second
 	// endingBurstBytes and endingBytesPerSecond are a budget of sent bytes besides the byte
-	// budget, for reports that endpoints have ended. An instance sends about 400 bytes for
+	// budget, for reports that endpoints have ended. An instance sends about 800 bytes for
 	// each ending. All 777 endpoints of the largest deployment in use may end at once, and
 	// again in each warm-up of 3 s.
-	endingBurstBytes     = 310_000
-	endingBytesPerSecond = 100_000
+	endingBurstBytes     = 620_000
+	endingBytesPerSecond = 200_000
 	// endingForwardInterval is the time in which further reports of the same ending are not
 	// forwarded. Instances repeat a report after that time at the earliest.
 	endingForwardInterval = time.Second
