Don't trust the first reads of the list after an outage about restarts

Cause: an endpoint that ended in its warm-up while the store was away was taken for warm when that warm-up was over, since the list had been read 70 ms before. That read was the first one after the outage; the new start was not in it yet, and was listed 0.8 s later.

Reads within 2 s of the end of an outage, the time in which endpoints are back in the list, no longer count as telling of restarts: the endpoint is asked.

table/restartduringoutage fails without it (the check isn't due).

--- a/endpoint/ending.go
+++ b/endpoint/ending.go
@@ -19,6 +19,9 @@
 	// begun at the latest, for a restart within it to be listed: the interval between
 	// reads, 0.8 s, and the time of a read.
 	maxListAge = time.Second
+	// entryReturnTime is how long after an outage of the list all endpoints that run have
+	// written their entries. A start during the outage may be missing until then.
+	entryReturnTime = 2 * time.Second
 	// maxWarmupCheckDelay is how much longer an endpoint counts as cold that may have
 	// started again in its warm-up and is asked for it: two checks that time out.
 	maxWarmupCheckDelay = time.Second
@@ -88,12 +91,15 @@
 
 // mayRestartUnread reports whether an endpoint whose warm-up ends at warmAt may have started
 // again in it. Few requests go to a cold endpoint, so its end may not be found, and the
-// endpoint list was not read since.
+// endpoint list was not read since, or not after all endpoints could write to it again.
 func (t *Table) mayRestartUnread(s *endpointState, warmAt time.Time) bool {
 	if !s.checkedWarmAt.Before(warmAt) {
 		return false
 	}
-	return t.isListFailing || !t.lastListRead.IsZero() && warmAt.Sub(t.lastListRead) > maxListAge
+	if t.isListFailing || !t.listBackAt.IsZero() && warmAt.Before(t.listBackAt.Add(entryReturnTime)) {
+		return true
+	}
+	return !t.lastListRead.IsZero() && warmAt.Sub(t.lastListRead) > maxListAge
 }
 
 // DueWarmupChecks returns the endpoints whose warm-up is over, unless they started again in
@@ -260,6 +266,7 @@
 // not have counted the silence of endpoints meanwhile.
 func (t *Table) SetListFailing(now time.Time, isFailing bool) {
 	if t.isListFailing && !isFailing {
+		t.listBackAt = now
 		t.evictEndings(now)
 		for _, e := range t.endings {
 			if latest := e.heardAt.Add(maxEndingTime); e.expiresAt.Before(latest) {
--- a/endpoint/table.go
+++ b/endpoint/table.go
@@ -33,6 +33,8 @@
 	silences         map[savorystep.EndpointID]*silence
 	// isListFailing is true while the endpoint list can't be read.
 	isListFailing bool
+	// listBackAt is when the list could be read again after it last could not.
+	listBackAt time.Time
 	// lastListRead is when the last successful read of the endpoint list began.
 	lastListRead time.Time
 	// startedAt is when the first endpoint was put. It counts as the start of this
