Keep the read of TestCrashLogKeepsAllWrites from being refused

Cause: a fault of the test. Twelve writers of one row try again until each has written it, without a pause, and so use up the stand-in's rate of calls. The read that then looks whether all crashes are there was made once. If it came within the second it was refused, and the test took that for its result. The product tries again after a pause (CrashKeeper, QuarantineKeeper).

Change: the stand-in lifts its rates before the check's read; a refused call tells nothing about the row. The writers still meet the rates. They now fail by the error if they can't write within a minute, where before they tried until the package's time was over. What is asked for is the same: all twelve.

--- a/store/crashlog_test.go
+++ b/store/crashlog_test.go
@@ -6,6 +6,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"savorystep"
 	"savorystep/standin"
@@ -32,20 +33,35 @@
 	return list
 }
 
+// addCrashWithin adds the crash of a request to a log within the time of the context. The
+// platform refuses calls beyond its rate, which are made again.
+func addCrashWithin(ctx context.Context, log *store.CrashLog, crashes savorystep.RequestCrashes) error {
+	for {
+		err := addCrash(ctx, log, crashes)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
 // TestCrashLogKeepsAllWrites guards against a crash that is lost because several
 // instances write the row at the same time.
 func TestCrashLogKeepsAllWrites(t *testing.T) {
-	_, client := startStandin(t, standin.PlatformFaults{})
+	platform, client := startStandin(t, standin.PlatformFaults{})
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
 	var group sync.WaitGroup
 	for i := range 12 {
 		group.Go(func() {
 			crashes := savorystep.RequestCrashes{Fingerprint: savorystep.Fingerprint(i), Streak: 3}
-			// The platform refuses calls beyond its rate.
-			for addCrash(t.Context(), store.NewCrashLog(client), crashes) != nil && t.Context().Err() == nil {
+			if err := addCrashWithin(ctx, store.NewCrashLog(client), crashes); err != nil {
+				t.Error(err)
 			}
 		})
 	}
 	group.Wait()
+	// The read that follows must not be refused for the calls before it.
+	platform.SetFaults(standin.PlatformFaults{MaxReadsPerSecond: -1, MaxWritesPerSecond: -1})
 	if got := len(readCrashes(t, store.NewCrashLog(client))); got != 12 {
 		t.Errorf("%d requests in the log, want 12", got)
 	}
