Keep the lines of undelivered answers during an overload

What operators saw: in an overload the line of a request whose connection this instance had closed, or whose answer could not be written, was left out like that of any failure, 50 a second.

Cause: all failures shared one limit. Now requests with closed= or undelivered= have one of their own, 10 lines a second and 40 at once, so that a failure has at most 60 lines a second and its cost hardly grows. "request lines left out" counts them apart.

--- a/ingress/requestlog.go
+++ b/ingress/requestlog.go
@@ -16,58 +16,94 @@
 	// failureLinesPerSecond limits the lines for requests that failed or have more
 	// than one step, and successLinesPerSecond those for other requests. A line
 	// costs about 20 µs, so the limit keeps the cost at 0.1% of a core during a
-	// thousand failures per second.
-	failureLinesPerSecond = 50
-	successLinesPerSecond = 2
-	// burstSeconds is the burst of both limits, in seconds of their rate.
+	// thousand failures per second. undeliveredLinesPerSecond limits the lines for
+	// requests whose answer did not reach the caller, which an overload must not hide.
+	failureLinesPerSecond     = 50
+	successLinesPerSecond     = 2
+	undeliveredLinesPerSecond = 10
+	// burstSeconds is the burst of the limits, in seconds of their rate.
 	burstSeconds = 4
 	// omittedReportInterval is the minimum interval between lines that report the
 	// number of omitted lines.
 	omittedReportInterval = 5 * time.Second
 )
 
-// A requestLog logs a line per request. It limits the rate of the lines, with a
-// higher limit for failures, and reports how many lines were omitted.
-type requestLog struct {
-	failureLimiter, successLimiter *rate.Limiter
+// A lineLimit limits the rate of the lines for one kind of requests.
+type lineLimit struct {
+	*rate.Limiter
+	// omitted counts the lines omitted since the last report.
+	omitted int
+}
+
+// newLineLimit returns a limit of a number of lines per second.
+func newLineLimit(linesPerSecond int) *lineLimit {
+	return &lineLimit{Limiter: rate.NewLimiter(rate.Limit(linesPerSecond), linesPerSecond*burstSeconds)}
+}
 
-	mu sync.Mutex
-	// omittedFailures and omittedSuccesses count the lines omitted since
-	// omittedReportedAt.
-	omittedFailures, omittedSuccesses int
-	omittedReportedAt                 time.Time
+// A requestLog logs a line per request. It limits the rate of the lines for each kind of
+// requests, and reports how many lines were omitted.
+type requestLog struct {
+	mu                               sync.Mutex
+	successes, failures, undelivered *lineLimit
+	omittedReportedAt                time.Time
 }
 
 func newRequestLog() *requestLog {
 	return &requestLog{
-		failureLimiter: rate.NewLimiter(failureLinesPerSecond, failureLinesPerSecond*burstSeconds),
-		successLimiter: rate.NewLimiter(successLinesPerSecond, successLinesPerSecond*burstSeconds),
+		successes:   newLineLimit(successLinesPerSecond),
+		failures:    newLineLimit(failureLinesPerSecond),
+		undelivered: newLineLimit(undeliveredLinesPerSecond),
+	}
+}
+
+// limitOf returns the limit for the line of a request.
+func (l *requestLog) limitOf(e logEntry) *lineLimit {
+	switch {
+	case e.closing != nil || e.writeErr != nil:
+		return l.undelivered
+	case e.status == 0 || e.status >= http.StatusInternalServerError:
+		return l.failures
+	case e.proxied != nil && len(e.proxied.steps) > 1:
+		return l.failures
 	}
+	return l.successes
 }
 
 // write logs a request, or counts its line as omitted.
 func (l *requestLog) write(now time.Time, e logEntry) {
-	failed := e.status == 0 || e.status >= http.StatusInternalServerError || e.writeErr != nil || e.closing != nil
-	limiter, omitted := l.successLimiter, &l.omittedSuccesses
-	if failed || (e.proxied != nil && len(e.proxied.steps) > 1) {
-		limiter, omitted = l.failureLimiter, &l.omittedFailures
-	}
-	allowed := limiter.AllowN(now, 1)
-	if allowed {
+	if l.allows(now, e) {
 		log.Infof("%s", e)
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !allowed {
-		*omitted++
+	l.reportOmitted(now)
+}
+
+// allows reports whether the line of a request is within its limit, and counts it as
+// omitted if not.
+func (l *requestLog) allows(now time.Time, e logEntry) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	limit := l.limitOf(e)
+	if limit.AllowN(now, 1) {
+		return true
 	}
+	limit.omitted++
+	return false
+}
+
+// reportOmitted logs how many lines were omitted since the last report, if it is due. The
+// caller holds mu.
+func (l *requestLog) reportOmitted(now time.Time) {
 	if l.omittedReportedAt.IsZero() {
 		l.omittedReportedAt = now
 	}
-	if count := l.omittedFailures + l.omittedSuccesses; count > 0 && now.Sub(l.omittedReportedAt) >= omittedReportInterval {
-		log.Infof("request lines left out: failures=%d answers=%d", l.omittedFailures, l.omittedSuccesses)
-		l.omittedFailures, l.omittedSuccesses, l.omittedReportedAt = 0, 0, now
+	if l.successes.omitted+l.failures.omitted+l.undelivered.omitted == 0 || now.Sub(l.omittedReportedAt) < omittedReportInterval {
+		return
 	}
+	log.Infof("request lines left out: failures=%d answers=%d undelivered=%d", l.failures.omitted, l.successes.omitted, l.undelivered.omitted)
+	l.successes.omitted, l.failures.omitted, l.undelivered.omitted = 0, 0, 0
+	l.omittedReportedAt = now
 }
 
 // A logEntry is the log line of a request.
