Log each warning and error of a gateway once

What operators saw: each warning stood twice in a gateway's log, and each error three times. Beside the noise, they took room in the queue of 4,096 lines, which an outage fills, and counted twice in every count of log lines.

Cause: klog writes a line to the outputs of all severities up to its own, and the gateway sets one output for all. With one_output a line goes to that of its own severity only. `serve` logs to standard error, which klog does once.

--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -141,7 +141,7 @@
 func (g *gateway) startLogWriter() func() {
 	flags := flag.NewFlagSet("klog", flag.ContinueOnError)
 	klog.InitFlags(flags)
-	for name, value := range map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL"} {
+	for name, value := range map[string]string{"logtostderr": "false", "stderrthreshold": "FATAL", "one_output": "true"} {
 		if err := flags.Set(name, value); err != nil {
 			gatewayLogger.Errorf("set log flag %s: %v", name, err)
 		}
