End TLS connections without a request with a stop

A client that had connected to a TLS server and sent no request, or only a part of its handshake, held the server's stop up for the timeout of a header instead of 5 s; a caller that waited for the stop saw it time out.

The first bytes of the handshake counted as those of a request, so the shutdown moved no deadline of the connection any more.

Now the handshake leaves a connection new. net/http removes the deadline of the handshake at its end; what is read after that is a request.

--- a/http1/server_test.go
+++ b/http1/server_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
 	"errors"
 	"io"
 	"net"
@@ -28,6 +29,12 @@
 
 // startTestServer starts a server. wrap may replace its listener.
 func startTestServer(t *testing.T, timeout time.Duration, wrap func(net.Listener) net.Listener) *testServer {
+	t.Helper()
+	return startTestServerWith(t, timeout, wrap, nil)
+}
+
+// startTestServerWith is startTestServer for a server with TLS, unless tlsConfig is nil.
+func startTestServerWith(t *testing.T, timeout time.Duration, wrap func(net.Listener) net.Listener, tlsConfig *tls.Config) *testServer {
 	t.Helper()
 	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
 	if err != nil {
@@ -38,6 +45,7 @@
 	s.Server = NewServer(ServerConfig{
 		Handler:            http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { s.requests.Add(1); w.WriteHeader(http.StatusOK) }),
 		HeaderTimeout:      time.Minute,
+		TLS:                tlsConfig,
 		IdleTimeout:        func() time.Duration { return time.Duration(s.timeout.Load()) },
 		IdleTimeoutChanged: s.changed,
 		MaxHeaderBytes:     1 << 10,
--- a/http1/serverconn.go
+++ b/http1/serverconn.go
@@ -38,7 +38,7 @@
 type connState int
 
 const (
-	// connNew means that nothing has arrived yet.
+	// connNew means that nothing has arrived yet, but for the handshake of TLS.
 	connNew connState = iota
 	// connActive means that a request is being read or handled.
 	connActive
@@ -62,6 +62,8 @@
 	since time.Time
 	// isWaiting is true while a read waits for the first byte of a request.
 	isWaiting bool
+	// inHandshake is true until the handshake of TLS is over.
+	inHandshake bool
 }
 
 // connKey is the context key of a request's connection.
@@ -159,6 +161,15 @@
 	}
 }
 
+// SetReadDeadline implements net.Conn. net/http removes the deadline of a handshake of TLS
+// when it is over.
+func (c *serverConn) SetReadDeadline(deadline time.Time) error {
+	if deadline.IsZero() {
+		c.endHandshake()
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
 // CloseWrite shuts down the writing side of the connection. net/http calls it so that
 // the caller reads a last response before the connection is closed.
 func (c *serverConn) CloseWrite() error {
@@ -183,7 +194,7 @@
 func (c *serverConn) linger() {
 	// No other goroutine moves the deadline of an active connection.
 	c.becomeActive()
-	if c.CloseWrite() == nil && c.SetReadDeadline(time.Now().Add(maxLinger)) == nil {
+	if c.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(maxLinger)) == nil {
 		_, _ = io.Copy(io.Discard, c.Conn)
 	}
 }
@@ -215,6 +226,13 @@
 	c.setDeadline()
 }
 
+// endHandshake records that what is read from now on belongs to a request.
+func (c *serverConn) endHandshake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHandshake = false
+}
+
 // endWaiting records that a read has returned n bytes or failed. The first bytes of a
 // request replace the deadline of the wait by that of the header.
 func (c *serverConn) endWaiting(now time.Time, n int) {
@@ -224,9 +242,9 @@
 		return
 	}
 	c.isWaiting = false
-	if n > 0 {
+	if n > 0 && !c.inHandshake {
 		c.state = connActive
-		_ = c.SetReadDeadline(now.Add(c.server.config.HeaderTimeout))
+		_ = c.Conn.SetReadDeadline(now.Add(c.server.config.HeaderTimeout))
 	}
 }
 
@@ -243,7 +261,7 @@
 // that of the header, which net/http sets. The caller holds mu.
 func (c *serverConn) setDeadline() {
 	if c.state == connIdle || c.server.isClosing.Load() {
-		_ = c.SetReadDeadline(c.waitEnd())
+		_ = c.Conn.SetReadDeadline(c.waitEnd())
 	}
 }
 
--- a/http1/serverlistener.go
+++ b/http1/serverlistener.go
@@ -26,7 +26,7 @@
 	for delay := minAcceptDelay; ; delay = min(2*delay, maxAcceptDelay) {
 		accepted, err := l.Listener.Accept()
 		if err == nil {
-			c := &serverConn{Conn: accepted, server: l.server, since: time.Now()}
+			c := &serverConn{Conn: accepted, server: l.server, since: time.Now(), inHandshake: l.server.config.TLS != nil}
 			l.server.track(c)
 			return c, nil
 		}
