Fail a change whose response was reset within its upload

Operators saw a change of several megabytes succeed with an empty outcome, or fail with "unexpected end of JSON input" though another server could have answered, when a server or something on the way answered without a length before it had read the change, and reset the connection.

The kernel reports a reset to one call only. If that was the write of the request, the reader of the response got an end of file, which ends a response without a length.

The client now dials like the other ones, with http1.DialWithBreaks.

--- a/operator/client.go
+++ b/operator/client.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -63,10 +64,12 @@
 	if config.AttemptTimeout == 0 {
 		config.AttemptTimeout = defaultAttemptTimeout
 	}
-	c := &Client{
-		config:     config,
-		httpClient: &http.Client{Transport: http1.Transport{RoundTripper: &http.Transport{TLSClientConfig: config.TLS, IdleConnTimeout: idleConnTimeout}}},
+	transport := &http.Transport{
+		DialContext:     http1.DialWithBreaks((&net.Dialer{}).DialContext),
+		TLSClientConfig: config.TLS,
+		IdleConnTimeout: idleConnTimeout,
 	}
+	c := &Client{config: config, httpClient: &http.Client{Transport: http1.Transport{RoundTripper: transport}}}
 	for _, server := range config.Servers {
 		c.baseURLs = append(c.baseURLs, c.baseURL(server))
 	}
