Take no statuses from a response that was reset

A catch-up response without a length that was reset within the upload of the request counted as whole if its bytes were, and its statuses were taken over. A part of it did not: the encoding is strict, so that no prefix decodes.

The kernel told the reset to the write of the request, and the reader got an end of file. The exchange now dials with http1.DialWithBreaks.

--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"savorystep"
+	"savorystep/http1"
 )
 
 var (
@@ -119,7 +120,7 @@
 		catchUpSignal:         make(chan struct{}, 1),
 	}
 	e.client = &http.Client{Transport: &http.Transport{
-		DialContext:            config.Dial,
+		DialContext:            http1.DialWithBreaks(config.Dial),
 		TLSClientConfig:        config.TLS,
 		DisableKeepAlives:      true,
 		MaxResponseHeaderBytes: maxPeerHeaderBytes,
