Fail responses whose head isn't one of HTTP/1

A caller of a gateway got a part of a response as a complete one if the endpoint wrote a space before the colon of its length: "Content-Length : 9" and a body that ended after 4 bytes. With "Transfer-Encoding : chunked" it got the sizes of the chunks as well. A response of HTTP/2.0, 3.0 or 0.9 was delivered as one of HTTP/1.

http.ReadResponse keeps a field name with a space as it is, so that such a response has no length and ends with its connection, and it takes any version. Nothing looked at either.

Gateways, and the clients that use http1.Transport, now fail such a response as soon as its head is complete.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -297,6 +297,9 @@
 		if hasSecondStatusLine(head) {
 			return nil, savorystep.NewError(savorystep.KindUpstreamFailed, "head of the answer has a second status line, the first one is %.60q", head.Status)
 		}
+		if err := checkHead(head); err != nil {
+			return nil, err
+		}
 		if isSkippedInterim(head.StatusCode) {
 			continue
 		}
