Give a request that has arrived in part the time of its header

A caller that pipelined requests got 400 for a proper one if a part of it had arrived with the request before, and the server stopped, or the idle timeout was shorter than the rest took.

net/http had a part of the next request in its buffer, and read on. The connection still counted as idle, so that this read got the deadline of an idle connection, which a stop moves to the past. The part of a request line was then parsed as a whole one.

When net/http sets the deadline of a header, the connection is no longer idle. At most three bytes of a request that were read before the last response was written still count as none; such a connection ends without an answer.

TestPartOfPipelinedRequest, idle timeout and shutdown.

--- a/http1/serverconn.go
+++ b/http1/serverconn.go
@@ -162,11 +162,17 @@
 }
 
 // SetReadDeadline implements net.Conn. net/http removes the deadline of a handshake of TLS
-// when it is over.
+// when it is over. On an idle connection it sets that of a header once it has a part of the
+// next request, which it may have read together with the one before.
 func (c *serverConn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
 	if deadline.IsZero() {
-		c.endHandshake()
+		c.inHandshake = false
+	} else if c.state == connIdle {
+		c.state = connActive
+		c.isAnswered.Store(false)
 	}
+	c.mu.Unlock()
 	return c.Conn.SetReadDeadline(deadline)
 }
 
@@ -226,13 +232,6 @@
 	c.setDeadline()
 }
 
-// endHandshake records that what is read from now on belongs to a request.
-func (c *serverConn) endHandshake() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.inHandshake = false
-}
-
 // endWaiting records that a read has returned n bytes or failed. The first bytes of a
 // request replace the deadline of the wait by that of the header.
 func (c *serverConn) endWaiting(now time.Time, n int) {
