Count the choices of endpoints by region

No metric and no line told in which region requests run, so that traffic that moves between regions left no trace. The counter has service, region and whether the request prefers endpoints nearby, which tells the two ways apart in which a burst may move it.

--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -102,6 +102,7 @@
 			pr.addStep(f.describeNoEndpoint(now, query, choice))
 			break
 		}
+		f.metrics.countRegionChoice(&query, choice.Endpoint)
 		result := f.attempt(ctx, now, pr, choice)
 		if done, response := f.recordResult(pr, result); done {
 			pr.setFailedResponse(nil)
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"savorystep"
 	"savorystep/endpoint"
 	"savorystep/http1"
 )
@@ -19,6 +20,9 @@
 	latency  *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
 	choices  *prometheus.CounterVec
+	// regionChoices counts the choices by service and region, so that traffic that moves
+	// between regions is seen.
+	regionChoices *prometheus.CounterVec
 	// limitedAttempts counts the attempts at endpoints that state a rate limit.
 	limitedAttempts prometheus.Counter
 	// closedConns counts the connections of callers that this instance closed, and
@@ -54,6 +58,9 @@
 			Name: "savorystep_ingress_limited_attempts_total", Help: "Attempts at endpoints that state a rate limit.",
 		}),
 	}
+	m.regionChoices = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "savorystep_ingress_region_choices_total", Help: "Choices of endpoints by service and region of the endpoint; body is large for requests that prefer endpoints nearby.",
+	}, []string{"service", "region", "body"})
 	m.closedConns = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "savorystep_ingress_connections_closed_total", Help: "Connections of callers that this instance closed, by cause.",
 	}, []string{"cause"})
@@ -67,7 +74,7 @@
 		Name: "savorystep_ingress_panics_total", Help: "Requests whose handler panicked.",
 	})
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.latency, m.attempts, m.choices, m.limitedAttempts, m.closedConns, m.requestsOnClosedConns, m.undelivered, m.panics)
+		registerer.MustRegister(m.requests, m.latency, m.attempts, m.choices, m.regionChoices, m.limitedAttempts, m.closedConns, m.requestsOnClosedConns, m.undelivered, m.panics)
 	}
 	return m
 }
@@ -101,6 +108,15 @@
 	m.choices.WithLabelValues(string(reason)).Inc()
 }
 
+// countRegionChoice counts the region of a chosen endpoint.
+func (m *metrics) countRegionChoice(query *endpoint.Query, chosen savorystep.Endpoint) {
+	body := "small"
+	if query.PreferLocal {
+		body = "large"
+	}
+	m.regionChoices.WithLabelValues(string(query.Service), string(chosen.Place.Region), body).Inc()
+}
+
 // countClosedConn counts a caller's connection that this instance closed.
 func (m *metrics) countClosedConn(cause http1.CloseCause) {
 	m.closedConns.WithLabelValues(string(cause)).Inc()
