Count the revision in force with every status that a starting instance gets

Callers could be routed by an old revision of the configuration, or by none: an instance that starts while the platform does not answer becomes ready once it has the greatest revision that its peers report. TestProofConfiguration found a new entry ready at revision 0 with 224 in force.

Cause: a status holds the revision of the time at which it was published. The revision in force comes beside it, and four orders gave the status without it: - a running peer asks the starting instance for statuses: its request holds its own status and nothing says which revision it has in force since; - the connection of a peer that reported its revision ends before the peer's status arrives: the report ended with the connection; - a peer reports a revision that it has from an instance whose status is missing: the report was dropped, in a frame and in a response to a request for statuses; - reports and members were read one after the other, and a frame could arrive in between.

All ways in which a status arrives now bring the greatest revision that the sender knows, under the lock under which the status is stored.

Change: a request for statuses names the greatest revision in force that its sender knows, in the header that responses have already; older builds ignore it. A revision that is reported before the status counts until the status arrives, or until a silent instance would be lost. A report at second hand counts only if it is new, so that two instances can't keep one alive that is from an instance that has gone. Members and reports are read under one lock.

Open: a running peer of an older build sends no header with its request.

--- a/cmd/peerrevision_test.go
+++ b/cmd/peerrevision_test.go
@@ -13,12 +13,12 @@
 	reported savorystep.Revision
 }
 
-func (f *fakePeerRevisions) Members(time.Time) []savorystep.Member { return f.members }
+func (f *fakePeerRevisions) MembersAndReported(time.Time) ([]savorystep.Member, savorystep.Revision) {
+	return f.members, f.reported
+}
 
 func (*fakePeerRevisions) Self() savorystep.Instance { return savorystep.Instance{ID: "self"} }
 
-func (f *fakePeerRevisions) ReportedRevision() savorystep.Revision { return f.reported }
-
 // TestPeerRevisionBeforeStatus guards against an instance that becomes ready at an old
 // revision because the status of the peer that reported a later one has not arrived.
 func TestPeerRevisionBeforeStatus(t *testing.T) {
--- a/peer/catchup.go
+++ b/peer/catchup.go
@@ -115,14 +115,15 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	merged := e.mergeStatuses(e.config.Clock.Now(), response.Statuses)
-	e.raiseMemberRevision(response.latest)
+	e.recordForwardedRevision(e.config.Clock.Now(), response.latest)
 	if merged > 0 {
 		e.wakeOverlay()
 	}
 	return merged
 }
 
-// latestMemberRevision returns the greatest revision in force at a live member.
+// latestMemberRevision returns the greatest revision in force at a live member or at an
+// instance whose status has not arrived.
 func (e *Exchange) latestMemberRevision(now time.Time) memberRevision {
 	var latest memberRevision
 	for id, m := range e.store.members {
@@ -130,14 +131,12 @@
 			latest = memberRevision{revision: m.revision, instance: id}
 		}
 	}
-	return latest
-}
-
-// raiseMemberRevision records the revision in force at a member that a peer reported.
-func (e *Exchange) raiseMemberRevision(reported memberRevision) {
-	if m := e.store.members[reported.instance]; m != nil && reported.instance != e.config.Self.ID && e.store.revisions.raise(m, reported.revision) {
-		e.notify(revisionFact(reported.instance, m))
+	for id, report := range e.store.reported {
+		if report.revision > latest.revision && !e.store.isReportExpired(now, report) {
+			latest = memberRevision{revision: report.revision, instance: id}
+		}
 	}
+	return latest
 }
 
 // chooseCatchUpPeer returns the address of a random member, closer ones with a
@@ -169,7 +168,7 @@
 // newCatchUpRequest returns a request with the local status and the keys of all
 // known ones.
 func (e *Exchange) newCatchUpRequest(now time.Time) catchUpRequest {
-	var request catchUpRequest
+	request := catchUpRequest{latest: e.latestMemberRevision(now)}
 	for key, entry := range e.store.facts[savorystep.FactStatus] {
 		if key.instance == e.config.Self.ID {
 			request.Self = wireStatus(now, entry)
@@ -225,5 +224,6 @@
 		e.stats.NewFacts++
 		e.notify(savorystep.ReceivedFact{Fact: fact, ReceivedAt: now})
 	}
+	e.applyReportedRevisions(now)
 	return merged
 }
--- a/peer/catchupwire.go
+++ b/peer/catchupwire.go
@@ -23,6 +23,8 @@
 	Self catchUpStatus `cbor:"1,keyasint"`
 	// Known identifies the statuses that the sender has.
 	Known []summaryEntry `cbor:"2,keyasint,omitempty"`
+	// latest is sent in revisionHeader, as that of a catchUpResponse.
+	latest memberRevision
 }
 
 // A catchUpResponse is the response to a catchUpRequest.
@@ -33,7 +35,7 @@
 	latest memberRevision
 }
 
-// revisionHeader is the header of a response with the greatest revision in force at
+// revisionHeader is the header of a request and of a response with the greatest revision in force at
 // a live member and the ID of the member, separated by a space. A status contains
 // only the revision of the time at which it was published.
 const revisionHeader = "Savorystep-Revision"
@@ -105,6 +107,7 @@
 		return decoded, savorystep.WrapError(savorystep.KindBadRequest, err, "create request to peer %s", address)
 	}
 	request.Header.Set("Authorization", peerAuthorization(e.config.Secret))
+	request.Header.Set(revisionHeader, statuses.latest.String())
 	response, err := e.client.Do(request)
 	if err != nil {
 		return decoded, savorystep.WrapError(savorystep.KindNotReady, err, "request statuses from peer %s", address)
@@ -141,6 +144,7 @@
 	e.mu.Lock()
 	now := e.config.Clock.Now()
 	e.mergeStatuses(now, []catchUpStatus{request.Self})
+	e.recordForwardedRevision(now, parseMemberRevision(r.Header.Get(revisionHeader)))
 	response := e.newCatchUpResponse(now, request.Known)
 	response.latest = e.latestMemberRevision(now)
 	e.mu.Unlock()
--- a/peer/exchange.go
+++ b/peer/exchange.go
@@ -282,6 +282,19 @@
 func (e *Exchange) Members(now time.Time) []savorystep.Member {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	return e.members(now)
+}
+
+// MembersAndReported returns Members and the greatest revision that was reported of
+// instances whose status has not arrived. Both are of the same moment, since a report
+// moves to the member when its status arrives.
+func (e *Exchange) MembersAndReported(now time.Time) ([]savorystep.Member, savorystep.Revision) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.members(now), e.store.reportedRevision(now)
+}
+
+func (e *Exchange) members(now time.Time) []savorystep.Member {
 	if e.snapshot.version == e.store.version() && now.Before(e.snapshot.expiresAt) {
 		return e.snapshot.members
 	}
@@ -307,18 +320,6 @@
 	return now.Sub(e.disconnectedAt) >= e.config.PeerTimeout+refutationTimeout(0)
 }
 
-// ReportedRevision returns the greatest revision that a connected peer has reported to be
-// in force at itself. Until the peer's status arrives, Members lacks the peer.
-func (e *Exchange) ReportedRevision() savorystep.Revision {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	var reported savorystep.Revision
-	for _, l := range e.links {
-		reported = max(reported, l.receivedRevision)
-	}
-	return reported
-}
-
 // LatestRevision returns the greatest revision known to be in force at any
 // instance, including lost ones.
 func (e *Exchange) LatestRevision() savorystep.Revision {
--- a/peer/facts.go
+++ b/peer/facts.go
@@ -296,5 +296,6 @@
 		e.disseminate(entry, from)
 		e.notify(savorystep.ReceivedFact{Fact: fact, ReceivedAt: now, Age: time.Duration(wireFacts[i].AgeSeconds) * time.Second})
 	}
+	e.applyReportedRevisions(now)
 	e.refute(now)
 }
--- a/peer/receive.go
+++ b/peer/receive.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"time"
+
 	"savorystep"
 )
 
@@ -30,7 +32,7 @@
 	case f.Facts != nil:
 		l.neededByPeer = f.Facts.Needed
 		e.mergeFacts(now, l, facts, f.Facts.Facts)
-		e.mergeRevisions(l, f.Facts)
+		e.mergeRevisions(now, l, f.Facts)
 		e.reconcile(l, f.Facts)
 		if f.Facts.AckID != 0 {
 			e.acknowledge(l, f.Facts.AckID)
@@ -60,14 +62,13 @@
 }
 
 // mergeRevisions takes the revisions in force from a peer's frame.
-func (e *Exchange) mergeRevisions(l *link, f *factsFrame) {
+func (e *Exchange) mergeRevisions(now time.Time, l *link, f *factsFrame) {
 	latest := e.store.revisions.latest
-	if m := e.store.members[l.peer.ID]; m != nil && e.store.revisions.raise(m, max(f.Revision, l.receivedRevision)) {
-		e.notify(revisionFact(l.peer.ID, m))
-	}
-	// The status that makes the peer a member may arrive after its revision.
 	l.receivedRevision = max(l.receivedRevision, f.Revision)
+	e.recordRevision(now, memberRevision{revision: l.receivedRevision, instance: l.peer.ID})
 	if f.Vector != nil {
+		// The status of the instance that has it in force may be missing.
+		e.recordForwardedRevision(now, memberRevision{revision: f.Vector.Revision})
 		l.announcedRevision = max(l.announcedRevision, f.Vector.Revision)
 		for _, o := range e.store.revisions.merge(f.Vector) {
 			e.notify(revisionFact(o.id, o.member))
--- a/peer/revisiontable.go
+++ b/peer/revisiontable.go
@@ -67,6 +67,14 @@
 	return true
 }
 
+// raiseLatest records that an instance that may be no member has a revision in force.
+func (t *revisionTable) raiseLatest(revision savorystep.Revision) {
+	if revision > t.latest {
+		t.latest = revision
+		t.version++
+	}
+}
+
 // vectorParts is the number of parts in which a revision vector is sent, and
 // groupsPerPart the number of groups in one part. With 2,500 members all groups
 // together would not fit into the burst of the byte budget.
@@ -139,10 +147,7 @@
 // merge merges a peer's vector and returns the members whose revision has
 // increased.
 func (t *revisionTable) merge(v *revisionVector) []orderedMember {
-	if v.Revision > t.latest {
-		t.latest = v.Revision
-		t.version++
-	}
+	t.raiseLatest(v.Revision)
 	var raised []orderedMember
 	for _, group := range v.Groups {
 		members := t.groupMembers(group.Index, v.GroupCount)
--- a/peer/store.go
+++ b/peer/store.go
@@ -24,6 +24,9 @@
 	digest  [bucketCount]uint32
 
 	revisions revisionTable
+	// reported holds the revisions of instances whose status has not arrived, and those
+	// of unnamed instances under "".
+	reported map[savorystep.InstanceID]reportedRevision
 	// membershipVersion counts the changes of the membership.
 	membershipVersion uint64
 }
@@ -52,6 +55,7 @@
 		members:     make(map[savorystep.InstanceID]*member),
 		suspicions:  make(map[savorystep.InstanceID]*suspicion),
 		tombstones:  make(map[savorystep.InstanceID]tombstone),
+		reported:    make(map[savorystep.InstanceID]reportedRevision),
 	}
 	for i := range s.buckets {
 		s.buckets[i] = make(map[factKey]*entry)
@@ -153,6 +157,7 @@
 	}
 	s.removeInstance(instance.ID)
 	s.clearSuspicion(instance.ID)
+	delete(s.reported, instance.ID)
 	s.addTombstone(instance.ID, tombstone{instance: instance, sequence: endedSequence, expiresAt: now.Add(tombstoneRetention)})
 }
 
@@ -201,6 +206,11 @@
 			}
 		}
 	}
+	for id, report := range s.reported {
+		if s.isReportExpired(now, report) {
+			delete(s.reported, id)
+		}
+	}
 	for id, stone := range s.tombstones {
 		if !now.Before(stone.expiresAt) {
 			delete(s.tombstones, id)
--- a/peer/wire_test.go
+++ b/peer/wire_test.go
@@ -348,28 +348,3 @@
 		}
 	}
 }
-
-// TestReportedRevisionBeforeStatus guards against the loss of a revision that a peer
-// reports next to another member's status and before its own.
-func TestReportedRevisionBeforeStatus(t *testing.T) {
-	e, url := startExchange(t, Config{Self: savorystep.Instance{ID: "self"}})
-	p := dialRaw(t, url)
-	p.hello("raw")
-	body, err := statusCodec.Encode(savorystep.StatusFact{Instance: savorystep.Instance{ID: "other"}, Ready: true})
-	if err != nil {
-		t.Fatal(err)
-	}
-	p.send(frame{Facts: &factsFrame{
-		Names: []string{"other"}, Revision: 224, AckID: 1,
-		Facts: []wireFact{{Instance: 1, Sequence: 1, Kind: savorystep.FactStatus, Body: body}},
-	}})
-	p.receive(func(f frame) bool { return f.Ack != nil })
-	for _, m := range e.Members(time.Now()) {
-		if m.Revision != 0 {
-			t.Errorf("member %s has revision %d, want 0", m.Instance.ID, m.Revision)
-		}
-	}
-	if got := e.ReportedRevision(); got != 224 {
-		t.Errorf("reported revision %d, want 224", got)
-	}
-}
