Keep requests at an endpoint that stood still

Callers got UpstreamFailed for requests that their endpoint was about to answer, and the endpoint was ejected, so that its region was short of room for a second and more.

Cause: a reused connection without progress for 1 s is checked by a read of the load page over a new connection. If that is answered, the old connections count as silent and their requests are cancelled at the next tick, within 50 ms. But an endpoint that stood still as a whole (paused, or short of processor time) answers the new connection first as often as not; all its requests are cancelled then, which counts as three failures in a row and ejects it.

Evidence: TestStalledEndpointIsNoSilentConnection has an endpoint whose answers the test holds back: 80 minutes of a moved clock without an answer, then the load page, and the request after it. Before: "UpstreamFailed: ... connection made no progress within the timeout", in both cases of an endpoint that stood still.

Change: silence that leads to a cancellation after a check goes on for 0.25 s after the endpoint has answered that check, and for the whole timeout of 1 s if the answer took 0.25 s or more, which shows that the endpoint stood still. The progress timeout of 5 s has no such grace, so connections that stay silent end as before or up to 1 s later.

Result: the two cases failed and pass; three others show that a connection that stays silent is still given up. Package upstream passes, also with -race -short.

--- a/upstream/attemptfailure.go
+++ b/upstream/attemptfailure.go
@@ -83,7 +83,7 @@
 	g.mu.Lock()
 	serviceTime := a.lease.endpoint.serviceTime
 	g.mu.Unlock()
-	if p.clock.Now().Sub(a.startedAt) >= max(p.limits.OldConnProgressTimeout/4, silenceFactor*serviceTime) {
+	if p.clock.Now().Sub(a.startedAt) >= max(p.limits.lateResponse(), silenceFactor*serviceTime) {
 		return verdictFailed
 	}
 	return verdictNeutral
--- a/upstream/endpoint.go
+++ b/upstream/endpoint.go
@@ -30,6 +30,12 @@
 	// response was opened, verifiedAt when that response arrived.
 	verifiedConnOpened int64
 	verifiedAt         int64
+	// probedSince is when the first read of the load page over a new connection began
+	// since the endpoint last returned a response, 0 if there was none. resumedAt is when
+	// the endpoint last returned a response during such a read, and resumedLate is true if
+	// the read had then waited for lateResponse.
+	probedSince, resumedAt int64
+	resumedLate            bool
 	// publishedInFlight is the last published number of requests in flight,
 	// publishedAt when it was published.
 	publishedInFlight savorystep.Slots
--- a/upstream/fetchloadpage.go
+++ b/upstream/fetchloadpage.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptrace"
+	"time"
 )
 
 var errLoadPageStatus = errors.New("load page request returned a status other than 200")
@@ -25,14 +26,18 @@
 	if err != nil {
 		return
 	}
-	e.markConnVerified(usedConn, p.base.nanosAt(now))
+	e.recordResponse(usedConn, p.base.nanosAt(now), &p.limits)
 	e.health.RecordLoadPage(now, page, e.totalInFlight())
 	g.dispatch(now)
 }
 
-// markConnVerified records that a connection returned a response at the given
-// time. The caller holds the group's lock.
-func (e *endpoint) markConnVerified(c *conn, at int64) {
+// recordResponse records that a connection returned a response at the given time. The
+// caller holds the group's lock.
+func (e *endpoint) recordResponse(c *conn, at int64, limits *Limits) {
+	if e.probedSince != 0 {
+		e.resumedAt, e.resumedLate = at, time.Duration(at-e.probedSince) >= limits.lateResponse()
+		e.probedSince = 0
+	}
 	if c != nil && c.openedAt >= e.verifiedConnOpened {
 		e.verifiedConnOpened, e.verifiedAt = c.openedAt, at
 	}
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -83,6 +83,13 @@
 	return l
 }
 
+// lateResponse returns the time after which a response of an endpoint is late: far more
+// than a round trip between regions, and short enough to tell before
+// OldConnProgressTimeout whether the endpoint answers.
+func (l *Limits) lateResponse() time.Duration {
+	return l.OldConnProgressTimeout / 4
+}
+
 // setDefault replaces a zero value by def.
 func setDefault[T comparable](value *T, def T) {
 	var zero T
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -258,7 +258,7 @@
 	}
 	a.hasResponse = true
 	a.connSilent.Store(false)
-	a.lease.endpoint.markConnVerified(a.conn.Load(), p.base.now())
+	a.lease.endpoint.recordResponse(a.conn.Load(), p.base.now(), &p.limits)
 	return true
 }
 
--- a/upstream/watch.go
+++ b/upstream/watch.go
@@ -104,22 +104,32 @@
 }
 
 // checkConns ends attempts on silent connections and reads the load page of
-// endpoints with suspicious connections over a new connection. The caller holds
-// the group's lock.
+// endpoints with suspicious connections over a new connection. The endpoint may have
+// stood still as a whole until it answers that, so its connections then get
+// lateResponse, or a whole timeout if the answer was late. The caller holds the group's
+// lock.
 func (p *Pool) checkConns(ctx context.Context, g *group, e *endpoint, now time.Time, hasPeers bool, actions []deferredAction) []deferredAction {
 	nowNanos := p.base.nanosAt(now)
 	oldConnTimeout := max(p.limits.OldConnProgressTimeout, silenceFactor*e.serviceTime)
+	graceAfterResumption := p.limits.lateResponse()
+	if e.resumedLate {
+		graceAfterResumption = oldConnTimeout
+	}
 	for a := range e.attempts {
 		silence := a.silentFor(nowNanos, p.resumedAt)
 		if silence < min(oldConnTimeout, p.limits.ProgressTimeout) || a.connSilent.Load() {
 			continue
 		}
 		superseded := a.conn.Load().openedAt < e.verifiedConnOpened && e.verifiedAt > a.roundTripAt.Load()
+		mayFollow := a.silentFor(nowNanos, max(p.resumedAt, e.resumedAt)) < graceAfterResumption
 		switch {
-		case superseded && silence >= oldConnTimeout, silence >= p.limits.ProgressTimeout:
+		case superseded && silence >= oldConnTimeout && !mayFollow, silence >= p.limits.ProgressTimeout:
 			actions = append(actions, p.endSilent(g, e, a, now, superseded, hasPeers)...)
-		case a.connReused.Load() && !e.readingLoadPage:
+		case a.connReused.Load() && !superseded && !e.readingLoadPage:
 			e.readingLoadPage = true
+			if e.probedSince == 0 {
+				e.probedSince = nowNanos
+			}
 			conns := e.conns
 			actions = append(actions, p.backgroundAction(func() { p.readLoadPage(ctx, g, e, conns, true) }))
 		}
