Let a request that may have run wait for room until its deadline

A caller of an idempotent request with 30 s to go got UpstreamFailed after 2.4 s, while the region had no room for a retry: its endpoint had failed under the request, and its region's share moved to the others, which admit it gradually.

Cause: a retry that finds no room waits and tries again, but eight times at most, 2.35 s in total. A request that has not run is then refused, which is true; one that may have run gets UpstreamFailed, although it can be served a little later.

Change: the bound of eight waits stays for requests that have not run. One that may have run waits until the end of its time. The budget of retries bounds how many wait: each takes its token before its first wait.

--- a/upstream/retrier.go
+++ b/upstream/retrier.go
@@ -31,8 +31,8 @@
 	// overload. It doubles up to maxBackoffDoublings times.
 	overloadBackoff     = 50 * time.Millisecond
 	maxBackoffDoublings = 3
-	// maxOverloadWaits bounds the number of these waits per request, 2.3 s in
-	// total. A region admits failover again within a second or two.
+	// maxOverloadWaits bounds the number of these waits for a request that has not
+	// run, 2.3 s in total. A region admits failover again within a second or two.
 	maxOverloadWaits = 8
 )
 
@@ -60,7 +60,7 @@
 			// A retry that is rejected because of overload was not executed.
 			// Since an earlier attempt has already failed, the request waits
 			// and tries again.
-			if attempt > 1 && savorystep.KindOf(err) == savorystep.KindOverloaded && overloadWaits < maxOverloadWaits &&
+			if attempt > 1 && savorystep.KindOf(err) == savorystep.KindOverloaded && mayAwaitRoom(ctx, reported, overloadWaits) &&
 				savorystep.Sleep(ctx, overloadBackoff<<min(overloadWaits, maxBackoffDoublings)) {
 				overloadWaits++
 				attempt--
@@ -79,6 +79,14 @@
 	}
 }
 
+// mayAwaitRoom reports whether a request may wait for room again after the given number of
+// waits. One that may have run can't be refused as not executed any more, so that it waits
+// until its deadline.
+func mayAwaitRoom(ctx context.Context, reported error, waits int) bool {
+	_, hasDeadline := ctx.Deadline()
+	return waits < maxOverloadWaits || hasDeadline && executionOf(reported) != savorystep.NotExecuted
+}
+
 // mostExecuted returns the error of two attempts that holds for both: once an
 // attempt may have executed the request, no later error may report it as not
 // executed.
--- a/upstream/retrier_test.go
+++ b/upstream/retrier_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"savorystep"
 	"savorystep/standin"
@@ -107,6 +110,43 @@
 	}
 }
 
+// TestRetryWaitsForRoomUntilDeadline guards against losing a request that may have run
+// because no other endpoint has room for its retry during the first seconds of its time.
+func TestRetryWaitsForRoomUntilDeadline(t *testing.T) {
+	silent := savorystep.WrapError(savorystep.KindUpstreamFailed, &upstream.AttemptError{Endpoint: "a", Sent: true}, "silent")
+	refused := savorystep.WrapError(savorystep.KindNoUpstream, &upstream.AttemptError{Endpoint: "a"}, "refused")
+	full := savorystep.NewError(savorystep.KindOverloaded, "failover limit is reached")
+	const deadline = 30 * time.Second
+	tests := []struct {
+		name  string
+		first error
+		// fullAttempts is the number of attempts without room before one with a response.
+		fullAttempts int
+		kind         savorystep.Kind
+		minWait      time.Duration
+		maxWait      time.Duration
+	}{
+		{name: "room after 7 s", first: silent, fullAttempts: 20, minWait: 7 * time.Second, maxWait: 8 * time.Second},
+		{name: "no room in time", first: silent, fullAttempts: 1000, kind: savorystep.KindUpstreamFailed, minWait: deadline, maxWait: deadline},
+		{name: "not executed", first: refused, fullAttempts: 1000, kind: savorystep.KindOverloaded, maxWait: 3 * time.Second},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithTimeout(t.Context(), deadline)
+				defer cancel()
+				errs := append([]error{test.first}, slices.Repeat([]error{full}, test.fullAttempts)...)
+				begin := time.Now()
+				_, err := upstream.NewRetrier(&scriptedForwarder{errs: append(errs, nil)}, upstream.RetrierConfig{}).Forward(ctx, get("r", "/x"))
+				wantError(t, err, test.kind)
+				if wait := time.Since(begin); wait < test.minWait || wait > test.maxWait {
+					t.Errorf("the request ended after %v, want %v to %v", wait, test.minWait, test.maxWait)
+				}
+			})
+		})
+	}
+}
+
 // TestRetryReportsPossibleExecution guards against reporting a request as not
 // executed after an earlier attempt may have executed it.
 func TestRetryReportsPossibleExecution(t *testing.T) {
