Check a connection that falls silent after a newer one was verified

Callers got a response that broke off, or UpstreamFailed, from an endpoint that stood still for a second.

Cause: a connection without progress for 1 s counts as silent at once if a newer one has returned a response since its request was sent, also if that was before the silence began. A long response lost its connection so without a check, while nothing came from the endpoint on any connection.

Evidence: TestVerifiedBeforeSilence has half of a response after one on a newer connection, and then an hour of a moved clock without any answer.

Change: only a response that arrived during the silence counts.

--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -26,10 +26,8 @@
 	conn       atomic.Pointer[conn]
 	guard      atomic.Pointer[writeGuard]
 	connReused atomic.Bool
-	// roundTripAt is when the request was last passed to a transport.
 	// responseDueSince is the time since which bytes of the response are due,
-	// or 0 while none are. Both are in nanoseconds of the Pool's timebase.
-	roundTripAt      atomic.Int64
+	// or 0 while none are, in nanoseconds of the Pool's timebase.
 	responseDueSince atomic.Int64
 	// connSilent is set once the periodic check has found the connection
 	// silent, and cleared when a response arrives all the same.
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -165,7 +165,6 @@
 	if err != nil {
 		return nil, err
 	}
-	a.roundTripAt.Store(p.base.now())
 	a.responseDueSince.Store(p.base.now())
 	response, err := a.lease.conns.transport(newConn).RoundTrip(request)
 	if err != nil {
--- a/upstream/stalledendpoint_test.go
+++ b/upstream/stalledendpoint_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -12,18 +13,18 @@
 	"savorystep/upstream"
 )
 
-// A stalledEndpoint is an endpoint that answers /held and its load page only once the test
-// allows it.
+// A stalledEndpoint is an endpoint that answers /held, the two parts of /partial and its load
+// page only once the test allows it.
 type stalledEndpoint struct {
-	heldArrived, loadArrived chan struct{}
-	allowHeld, allowLoad     chan struct{}
+	heldArrived, partialArrived, loadArrived chan struct{}
+	allowHeld, allowPart, allowLoad          chan struct{}
 }
 
 // startStalledEndpoint starts an endpoint and adds it to the testbed's registry.
 func startStalledEndpoint(tb *testbed) *stalledEndpoint {
 	s := &stalledEndpoint{
-		heldArrived: make(chan struct{}, 1), loadArrived: make(chan struct{}, 1),
-		allowHeld: make(chan struct{}), allowLoad: make(chan struct{}),
+		heldArrived: make(chan struct{}, 1), partialArrived: make(chan struct{}, 1), loadArrived: make(chan struct{}, 1),
+		allowHeld: make(chan struct{}), allowPart: make(chan struct{}), allowLoad: make(chan struct{}),
 	}
 	server := httptest.NewServer(s)
 	tb.t.Cleanup(server.Close)
@@ -43,6 +44,12 @@
 	case "/held":
 		awaitPermission(r.Context(), s.heldArrived, s.allowHeld)
 		_, _ = w.Write([]byte("held"))
+	case "/partial":
+		awaitPermission(r.Context(), s.partialArrived, s.allowPart)
+		_, _ = w.Write([]byte("part"))
+		_ = http.NewResponseController(w).Flush()
+		awaitPermission(r.Context(), s.heldArrived, s.allowHeld)
+		_, _ = w.Write([]byte("rest"))
 	default:
 		_, _ = w.Write([]byte("ready"))
 	}
@@ -60,6 +67,33 @@
 	}
 }
 
+// newHourlyPool returns a pool that reads load pages only to check connections, after an hour
+// without progress, and ends a connection after five.
+func newHourlyPool(tb *testbed, clock *jumpingClock) *upstream.Pool {
+	return tb.newPool(func(config *upstream.Config) {
+		config.Clock = clock
+		config.Limits.LoadPageInterval = -1
+		config.Limits.LoadPageTimeout = 24 * time.Hour
+		config.Limits.OldConnProgressTimeout = time.Hour
+		config.Limits.ProgressTimeout = 5 * time.Hour
+	})
+}
+
+// awaitChecks waits until a pool has checked its connections.
+func awaitChecks(tb *testbed, clock *jumpingClock) {
+	calls := clock.calls.Load()
+	tb.eventually("the connections are checked", func() bool { return clock.calls.Load() > calls+50 })
+}
+
+// advance moves a clock forward, in steps that are shorter than a standstill of the instance
+// itself.
+func advance(tb *testbed, clock *jumpingClock, d time.Duration) {
+	for ; d > 0; d -= 20 * time.Minute {
+		clock.ahead.Add(int64(20 * time.Minute))
+		awaitChecks(tb, clock)
+	}
+}
+
 // TestStalledEndpointIsNoSilentConnection guards against requests that are cancelled because
 // their connections are taken for silent, although the whole endpoint stood still and answers
 // them a moment after its load page.
@@ -83,24 +117,7 @@
 			tb := newTestbed(t)
 			s := startStalledEndpoint(tb)
 			clock := &jumpingClock{}
-			p := tb.newPool(func(config *upstream.Config) {
-				config.Clock = clock
-				config.Limits.LoadPageInterval = -1
-				config.Limits.LoadPageTimeout = 24 * time.Hour
-				config.Limits.OldConnProgressTimeout = time.Hour
-				config.Limits.ProgressTimeout = 5 * time.Hour
-			})
-			awaitChecks := func() {
-				calls := clock.calls.Load()
-				tb.eventually("the connections are checked", func() bool { return clock.calls.Load() > calls+50 })
-			}
-			// Steps are shorter than a standstill of the instance itself.
-			advance := func(d time.Duration) {
-				for ; d > 0; d -= 20 * time.Minute {
-					clock.ahead.Add(int64(20 * time.Minute))
-					awaitChecks()
-				}
-			}
+			p := newHourlyPool(tb, clock)
 			results := make(chan forwardResult, 1)
 			tb.forwardAsync(p, get("opens the connection", "/ready"), results)
 			if result := <-results; result.err != nil {
@@ -108,13 +125,13 @@
 			}
 			tb.forwardAsync(p, get("held", "/held"), results)
 			<-s.heldArrived
-			awaitChecks() // The write of the request counts as activity once it has returned.
-			advance(60 * time.Minute)
+			awaitChecks(tb, clock) // The write of the request counts as activity once it has returned.
+			advance(tb, clock, 60*time.Minute)
 			<-s.loadArrived
-			advance(test.loadPageDelay)
+			advance(tb, clock, test.loadPageDelay)
 			close(s.allowLoad)
-			awaitChecks()
-			advance(test.silentAfter)
+			awaitChecks(tb, clock)
+			advance(tb, clock, test.silentAfter)
 			if !test.isCancelled {
 				close(s.allowHeld)
 			}
@@ -127,3 +144,54 @@
 		})
 	}
 }
+
+// TestVerifiedBeforeSilence guards against a response that is cut off without a check of its
+// connection, because a newer one returned a response before the silence began.
+func TestVerifiedBeforeSilence(t *testing.T) {
+	tb := newTestbed(t)
+	s := startStalledEndpoint(tb)
+	clock := &jumpingClock{}
+	p := newHourlyPool(tb, clock)
+	results := make(chan forwardResult, 1)
+	tb.forwardAsync(p, get("opens the connection", "/ready"), results)
+	if result := <-results; result.err != nil {
+		t.Fatal(result.err)
+	}
+	started := make(chan error, 1)
+	ended := make(chan error, 1)
+	go func() {
+		response, err := p.Forward(t.Context(), get("partial", "/partial"))
+		if err == nil {
+			_, err = io.ReadFull(response.Body, make([]byte, len("part")))
+		}
+		started <- err
+		if err == nil {
+			_, err = io.Copy(io.Discard, response.Body)
+			_ = response.Body.Close()
+		}
+		ended <- err
+	}()
+	<-s.partialArrived
+	awaitChecks(tb, clock)
+	tb.forwardAsync(p, get("on a newer connection", "/ready"), results)
+	if result := <-results; result.err != nil {
+		t.Fatal(result.err)
+	}
+	clock.ahead.Add(int64(time.Minute))
+	close(s.allowPart)
+	if err := <-started; err != nil {
+		t.Fatal(err)
+	}
+	awaitChecks(tb, clock)
+	advance(tb, clock, 60*time.Minute)
+	select {
+	case <-s.loadArrived:
+	case err := <-ended:
+		t.Fatalf("the response ended with %v before its connection was checked", err)
+	}
+	close(s.allowLoad)
+	close(s.allowHeld)
+	if err := <-ended; err != nil {
+		t.Errorf("response of an endpoint that stood still: %v", err)
+	}
+}
--- a/upstream/watch.go
+++ b/upstream/watch.go
@@ -120,7 +120,7 @@
 		if silence < min(oldConnTimeout, p.limits.ProgressTimeout) || a.connSilent.Load() {
 			continue
 		}
-		superseded := a.conn.Load().openedAt < e.verifiedConnOpened && e.verifiedAt > a.roundTripAt.Load()
+		superseded := a.conn.Load().openedAt < e.verifiedConnOpened && e.verifiedAt > nowNanos-int64(silence)
 		mayFollow := a.silentFor(nowNanos, max(p.resumedAt, e.resumedAt)) < graceAfterResumption
 		switch {
 		case superseded && silence >= oldConnTimeout && !mayFollow, silence >= p.limits.ProgressTimeout:
