Fail responses of HTTP/1.0 with a Transfer-Encoding

A caller of a gateway got "9\r\npart", a chunk that was cut off with its size, as a complete response of an endpoint that answered with HTTP/1.0 and chunks.

http.ReadResponse drops the field Transfer-Encoding of HTTP/1.0, which has no chunks, so that the body ended with the connection. HTTP says that the framing of such a message is faulty.

The reader of heads records one of HTTP/1.0, and a response with the field is the endpoint's failure.

Before: status 200 with "9\r\npart" or "4\r\npart\r\n0\r\n\r\n"; after: failed, also if the bytes arrive in two pieces.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -290,6 +290,8 @@
 	c.headReader.startHead(c.reader.Buffered())
 	defer c.headReader.endHead()
 	for {
+		buffered, _ := c.reader.Peek(c.reader.Buffered())
+		c.headReader.startMessage(buffered)
 		head, err := http.ReadResponse(c.reader, &http.Request{Method: request.Method}) //nolint:bodyclose // readBody reads it to its end and closes it.
 		if err != nil {
 			return nil, err
@@ -300,6 +302,9 @@
 		if err := checkHead(head); err != nil {
 			return nil, err
 		}
+		if !head.ProtoAtLeast(1, 1) && c.headReader.hasOldTransferEncoding() {
+			return nil, savorystep.NewError(savorystep.KindUpstreamFailed, "answer of %s has a Transfer-Encoding", head.Proto)
+		}
 		if isSkippedInterim(head.StatusCode) {
 			continue
 		}
