Don't reuse a connection after a 204 that states a body

A request of a gateway's caller failed because the endpoint had answered the one before on its connection with 204 and a length, or chunks, and sent the body after the connection was in use again.

A 204 has no body, so nothing was read, and the connection was idle. What arrives later was looked for when the connection was taken, not after that.

Such a connection now carries no further request. A 304 may state the length of another response, and its connection is still reused.

TestNoContentWithBody. Before: `request 2: no whole answer: malformed HTTP version "ownHTTP/1.1"`; after: passed.

--- a/http1/conn.go
+++ b/http1/conn.go
@@ -282,7 +282,14 @@
 		return nil, false, &ExchangeError{Stage: StageSent, BudgetExceeded: budgetExceeded, Cause: err}
 	}
 	c.idleTimeout = keepAliveTimeout(head.Header)
-	return response, !head.Close, nil
+	return response, !head.Close && !statesForbiddenBody(head), nil
+}
+
+// statesForbiddenBody reports whether a response with a status that allows no body states
+// one, which may follow. A status 304 states the body of another response.
+func statesForbiddenBody(head *http.Response) bool {
+	length := head.Header.Get("Content-Length")
+	return head.StatusCode == http.StatusNoContent && (len(head.TransferEncoding) > 0 || length != "" && length != "0")
 }
 
 // readHead reads the status line and header of a response. It skips interim responses.
