Deliver a response before a stop closes its connection

A caller lost a part of a response to a request that had been passed on: the response was begun before a stop, so that it didn't say that the connection closes, the stop then found the connection idle, and the caller's next request arrived just before the close. In a test, 109,436 of 524,288 bytes came, then a reset.

The kernel resets a connection that is closed with unread bytes, or that gets bytes after the close, and drops what is not acknowledged. The close of an idle connection took the last response for delivered.

Before it closes such a connection, the server now ends its side and waits until the caller's kernel has acknowledged everything, 2 s at most. The crossing request stays unread, so that its caller knows that it has not run.

--- a/http1/serverconn.go
+++ b/http1/serverconn.go
@@ -11,12 +11,18 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // maxLinger is how long a connection with unread bytes stays open for the caller to read
 // the last response.
 const maxLinger = 2 * time.Second
 
+// deliveryPollInterval is the interval of the checks whether the caller has received the
+// last response.
+const deliveryPollInterval = 2 * time.Millisecond
+
 // A CloseCause is the reason for which a server closes a connection.
 type CloseCause string
 
@@ -55,6 +61,8 @@
 	closing atomic.Pointer[Closing]
 	// isAnswered is true once a handler has returned, until the next request.
 	isAnswered atomic.Bool
+	// isEndedIdle is true once a read has ended the connection after a response.
+	isEndedIdle atomic.Bool
 
 	mu    sync.Mutex
 	state connState
@@ -156,7 +164,7 @@
 		c.server.closing(cause)
 		// A request that crosses the close stays unread, which tells its caller that it
 		// has not run.
-		c.isAnswered.Store(false)
+		c.isEndedIdle.Store(c.isAnswered.Swap(false))
 		return 0, err
 	}
 }
@@ -187,14 +195,54 @@
 
 // Close implements net.Conn. The kernel resets a connection that is closed with unread
 // bytes, such as a pipelined request, and drops what the caller has not received yet. So
-// after a complete response, Close first waits for the caller to close its side.
+// Close first waits for the caller: after a complete response to close its side, and on an
+// idle connection, whose unread bytes must stay unread, to receive the last response.
 func (c *serverConn) Close() error {
-	if c.isAnswered.Load() && !c.server.isAborted.Load() && c.readArrived(make([]byte, 1)) > 0 {
+	switch {
+	case c.server.isAborted.Load():
+	case c.isEndedIdle.Load():
+		c.awaitDelivery()
+	case c.isAnswered.Load() && c.readArrived(make([]byte, 1)) > 0:
 		c.linger()
 	}
 	return c.Conn.Close()
 }
 
+// awaitDelivery ends the writing side of the connection if the caller has not received all
+// that was written, and waits until it has, for at most maxLinger.
+func (c *serverConn) awaitDelivery() {
+	ticker := time.NewTicker(deliveryPollInterval)
+	defer ticker.Stop()
+	deadline := time.Now().Add(maxLinger)
+	// CloseWrite fails once the caller has reset the connection.
+	for c.undelivered() > 0 && c.CloseWrite() == nil && !c.server.isAborted.Load() {
+		if now := <-ticker.C; now.After(deadline) {
+			return
+		}
+	}
+}
+
+// undelivered returns how many bytes the caller's kernel has not acknowledged yet, zero if
+// that is not known.
+func (c *serverConn) undelivered() int {
+	syscallConn, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := syscallConn.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _ = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) //nolint:gosec // Descriptors are small.
+	})
+	if err != nil {
+		return 0
+	}
+	return n
+}
+
 // linger ends the writing side of the connection and reads until the caller closes its side,
 // for at most maxLinger.
 func (c *serverConn) linger() {
