Look up each pending fact once for a round of gossip

It sorts all pending facts in each round and looked up both facts of each comparison in a map by three strings.

The sort now has what it compares. Order and frames stay the same.

--- a/peer/linkgossip.go
+++ b/peer/linkgossip.go
@@ -97,10 +97,11 @@
 	if !l.gossipDue && !l.urgentPending {
 		return false
 	}
-	entries := l.sendableFacts()
+	pending := l.sendableFacts()
 	remaining := available
 	added, frameBytes := 0, 0
-	for _, entry := range entries {
+	for _, fact := range pending {
+		entry := fact.entry
 		keepFree := reservedBytes + l.exchange.vectorReservedBytes
 		if isUrgent(entry.key.kind) {
 			keepFree = 0
@@ -122,7 +123,7 @@
 		delete(l.pending, entry.key)
 		added++
 	}
-	if added == len(entries) {
+	if added == len(pending) {
 		l.gossipDue, l.urgentPending = false, false
 	} else if added == 0 {
 		// The byte budget is used up. The next gossip round continues.
@@ -131,12 +132,19 @@
 	return added > 0
 }
 
+// A pendingFact is a fact that is to be sent on a link.
+type pendingFact struct {
+	*entry
+	// isMissing is true if anti-entropy found that the peer lacks it.
+	isMissing bool
+}
+
 // sendableFacts returns the pending facts that may be sent now: endings first, then
 // other urgent facts, then the rest, each newest first, and last those that anti-entropy
 // found missing, in random order.
-func (l *link) sendableFacts() []*entry {
+func (l *link) sendableFacts() []pendingFact {
 	e := l.exchange
-	entries := make([]*entry, 0, len(l.pending))
+	facts := make([]pendingFact, 0, len(l.pending))
 	for key, isMissing := range l.pending {
 		entry := e.store.get(key)
 		if entry == nil {
@@ -144,14 +152,14 @@
 			continue
 		}
 		if l.gossipDue || (isUrgent(key.kind) && !isMissing) {
-			entries = append(entries, entry)
+			facts = append(facts, pendingFact{entry: entry, isMissing: isMissing})
 		}
 	}
-	slices.SortFunc(entries, func(a, b *entry) int {
+	slices.SortFunc(facts, func(a, b pendingFact) int {
 		if order := compareBools(isEnding(b.key.kind), isEnding(a.key.kind)); order != 0 {
 			return order
 		}
-		if order := compareBools(l.pending[a.key], l.pending[b.key]); order != 0 || l.pending[a.key] {
+		if order := compareBools(a.isMissing, b.isMissing); order != 0 || a.isMissing {
 			return order
 		}
 		return cmp.Or(
@@ -160,7 +168,7 @@
 			cmp.Compare(b.sequence, a.sequence),
 		)
 	})
-	return entries
+	return facts
 }
 
 func compareBools(a, b bool) int {
