--- a/cmd/gateway.go
+++ b/cmd/gateway.go
@@ -234,7 +234,7 @@
 // closes expired connections to endpoints, every gatewayMaintenanceInterval until ctx ends.
 func (g *gateway) runMaintenance(ctx context.Context) {
 	lastCount := 0
-	detector := stallDetector{interval: gatewayMaintenanceInterval}
+	detector := stallDetector{interval: gatewayMaintenanceInterval, minStall: minStall}
 	for savorystep.Sleep(ctx, gatewayMaintenanceInterval) {
 		now := g.clock.Now()
 		if stall := detector.tick(now); stall > 0 {
--- a/cmd/stalldetector.go
+++ b/cmd/stalldetector.go
@@ -9,6 +9,8 @@
 // A stallDetector detects from late ticks of a timer that the process was stalled.
 type stallDetector struct {
 	interval time.Duration
+	// minStall is the shortest delay of a tick that is a stall.
+	minStall time.Duration
 	lastTick time.Time
 }
 
@@ -19,7 +21,7 @@
 	delay := now.Sub(s.lastTick) - s.interval
 	isFirst := s.lastTick.IsZero()
 	s.lastTick = now
-	if isFirst || delay < minStall {
+	if isFirst || delay < s.minStall {
 		return 0
 	}
 	return delay
