Keep the tests of exchanges from depending on 20 to 350 ms

Cause: a fault of the tests. Their pools have the product's limit of 350 ms for opening a connection, and TestClosedByEndpoint gave all cases a deadline of 300 ms, which only those of an endpoint that waits need. By reading, TestExchangeCancelClosesConnection and TestExchangeTimeoutResetsConnection wait for ever for an endpoint that never got a request, if their 20 ms pass before the connection is open.

Change: the pools of the tests have 20 s to open a connection. Endpoints that end the exchange themselves are met without a deadline. The caller leaves when the endpoint has read its request. An exchange whose deadline passed before anything was sent is repeated with a longer one. What is asked for is the same; the deadline test now asks for an error that is a timeout, where any error did.

With the reset replaced by a close TestExchangeTimeoutResetsConnection fails ("EOF, want connection reset by peer"), with the cause of a cancelled context left out TestExchangeCancelClosesConnection does.

--- a/http1/closedbyendpoint_test.go
+++ b/http1/closedbyendpoint_test.go
@@ -1,7 +1,6 @@
 package http1_test
 
 import (
-	"context"
 	"errors"
 	"net"
 	"net/http"
@@ -61,9 +60,12 @@
 			if test.isUpload {
 				request = newUpload("1")
 			}
-			ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
-			defer cancel()
-			_, err := newPool().Exchange(ctx, target, request)
+			var err error
+			if test.waits {
+				err = exchangeWithin(t, 300*time.Millisecond, target, request)
+			} else {
+				_, err = newPool().Exchange(t.Context(), target, request)
+			}
 			var exchangeErr *http1.ExchangeError
 			if !errors.As(err, &exchangeErr) || exchangeErr.Stage != http1.StageSent {
 				t.Fatalf("error %v, want an ExchangeError of a request that was sent", err)
--- a/http1/pool_test.go
+++ b/http1/pool_test.go
@@ -69,8 +69,27 @@
 	return savorystep.Endpoint{ID: "e", Address: savorystep.Address(listener.Addr().String())}, &accepted
 }
 
+// dialTimeout only ends a test whose endpoint can't be reached.
+const dialTimeout = 20 * time.Second
+
 func newPool() *http1.Pool {
-	return http1.NewPool(http1.Config{HeaderNames: savorystep.HeaderNames{AttemptID: "Attempt", NotExecuted: "Not-Run"}})
+	return http1.NewPool(http1.Config{DialTimeout: dialTimeout, HeaderNames: savorystep.HeaderNames{AttemptID: "Attempt", NotExecuted: "Not-Run"}})
+}
+
+// exchangeWithin makes an exchange that its endpoint does not complete, and returns its
+// error. If the request could not be sent before the timeout, it is repeated with a longer
+// one.
+func exchangeWithin(t *testing.T, timeout time.Duration, target savorystep.Endpoint, request *http1.Request) error {
+	t.Helper()
+	for pool := newPool(); ; timeout *= 2 {
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		_, err := pool.Exchange(ctx, target, request)
+		cancel()
+		var exchangeErr *http1.ExchangeError
+		if !errors.As(err, &exchangeErr) || exchangeErr.Stage == http1.StageSent || timeout > dialTimeout {
+			return err
+		}
+	}
 }
 
 func newRequest(id string) *http1.Request {
@@ -247,14 +266,14 @@
 // for a caller that has disconnected: the connection must close when the context
 // is cancelled.
 func TestExchangeCancelClosesConnection(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
 	connClosed := make(chan struct{})
 	target, _ := startEndpoint(t, func(c *serverConn) {
 		_, _ = c.readRequest()
+		cancel()
 		_, _ = c.readRequest()
 		close(connClosed)
 	})
-	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(20*time.Millisecond, cancel)
 	if _, err := newPool().Exchange(ctx, target, newRequest("1")); !errors.Is(err, context.Canceled) {
 		t.Errorf("error %v, want %v", err, context.Canceled)
 	}
@@ -268,14 +287,15 @@
 func TestExchangeTimeoutResetsConnection(t *testing.T) {
 	connClosed := make(chan error, 1)
 	target, _ := startEndpoint(t, func(c *serverConn) {
-		_, _ = c.readRequest()
+		if _, err := c.readRequest(); err != nil {
+			return
+		}
 		_, err := c.reader.ReadByte()
 		connClosed <- err
 	})
-	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
-	defer cancel()
-	if _, err := newPool().Exchange(ctx, target, newRequest("1")); err == nil {
-		t.Fatal("exchange succeeded, want a timeout")
+	var timeoutErr net.Error
+	if err := exchangeWithin(t, 20*time.Millisecond, target, newRequest("1")); !errors.As(err, &timeoutErr) || !timeoutErr.Timeout() {
+		t.Fatalf("error %v, want a timeout", err)
 	}
 	if err := <-connClosed; !errors.Is(err, syscall.ECONNRESET) {
 		t.Errorf("endpoint's read failed with %v, want %v", err, syscall.ECONNRESET)
--- a/http1/responselimits_test.go
+++ b/http1/responselimits_test.go
@@ -114,5 +114,5 @@
 }
 
 func newPoolWithBudget(budget *http1.MemoryBudget) *http1.Pool {
-	return http1.NewPool(http1.Config{ResponseBudget: budget, HeaderNames: savorystep.HeaderNames{AttemptID: "Attempt", NotExecuted: "Not-Run"}})
+	return http1.NewPool(http1.Config{DialTimeout: dialTimeout, ResponseBudget: budget, HeaderNames: savorystep.HeaderNames{AttemptID: "Attempt", NotExecuted: "Not-Run"}})
 }
--- a/http1/slowreader_test.go
+++ b/http1/slowreader_test.go
@@ -29,7 +29,7 @@
 			c.writeResponse(r.Header.Get("Attempt"), "stored")
 		}
 	})
-	pool := http1.NewPool(http1.Config{HeaderNames: savorystep.HeaderNames{AttemptID: "Attempt"}, TCPUserTimeout: 200 * time.Millisecond})
+	pool := http1.NewPool(http1.Config{DialTimeout: dialTimeout, HeaderNames: savorystep.HeaderNames{AttemptID: "Attempt"}, TCPUserTimeout: 200 * time.Millisecond})
 	for _, request := range []*http1.Request{newUpload("1"), newRequest("2"), newUpload("3")} {
 		response, err := pool.Exchange(t.Context(), target, request)
 		if err != nil {
