Guard the hook of a test's crash log with its lock

Found by reading: TestClearedDuringClaim sets the hook of its crash log under the lock, while the keeper's goroutine reads and clears it without, just after it has saved the row for which the test waits. Under the race detector the test fails if the read comes late.

Change: the hook is taken under the lock, too. What the test asks for is the same.

Measured: with a pause of 20 ms before the read (trial, race detector) the test failed in the first of 4 runs: "WARNING: DATA RACE". Without the pause no run failed, before or after (10 runs with the race detector after).

--- a/ingress/quarantinekeeper_test.go
+++ b/ingress/quarantinekeeper_test.go
@@ -312,8 +312,11 @@
 
 func (l *hookedCrashLog) Edit(ctx context.Context, edit func([]savorystep.RequestCrashes) ([]savorystep.RequestCrashes, bool)) error {
 	err := l.memoryCrashLog.Edit(ctx, edit)
-	if hook := l.afterEdit; hook != nil {
-		l.afterEdit = nil
+	l.mu.Lock()
+	hook := l.afterEdit
+	l.afterEdit = nil
+	l.mu.Unlock()
+	if hook != nil {
 		hook()
 	}
 	return err
