Keep tests of the ingress from depending on 30 to 500 ms

Cause: a fault of the tests. They use real time with the product's limits: 350 ms for opening a connection, 300 ms for a request on the test's route, 500 ms for a health check, and 400 ms for a request that waits for its instance. An instance that misses these limits does what it should, which isn't what the tests look at. TestNoRetryAfterCallerDisconnects, by reading, sees no attempt if its caller's 30 ms pass before the request is sent.

Change: the pools of these tests have 20 s to open a connection, the endings' routes 20 s for a request (extendTimeouts, as other tests), and a check ends by its response. TestRequestsWaitForReadiness runs in synctest, where both the wait and its end are exact. The caller that leaves does so when its request has arrived. What is asked for is the same.

--- a/ingress/crash_test.go
+++ b/ingress/crash_test.go
@@ -87,6 +87,11 @@
 	}
 }
 
+// newPool returns a pool whose connections are also opened on a busy machine.
+func newPool() *http1.Pool {
+	return http1.NewPool(http1.Config{DialTimeout: 20 * time.Second, HeaderNames: names})
+}
+
 // extendTimeouts gives the routes timeouts that no busy machine misses.
 func extendTimeouts(router *ingress.Router) {
 	current := router.Routing()
@@ -115,7 +120,7 @@
 	facts := &fakeFacts{}
 	return ingress.NewProxy(ingress.ProxyConfig{
 		Clock: savorystep.SystemClock{}, HeaderNames: names, Endings: ingress.NewEndings(facts, router), Leavings: ingress.NewLeavings(facts, router), Notices: noticeDecoder{}, Quarantine: ingress.NewQuarantine(facts, nil), RateLimits: ingress.NewRateLimits(facts, router),
-		Transport: http1.NewPool(http1.Config{HeaderNames: names}), Router: router,
+		Transport: newPool(), Router: router,
 	})
 }
 
--- a/ingress/ending_test.go
+++ b/ingress/ending_test.go
@@ -52,6 +52,7 @@
 	var first *ingress.Proxy
 	for i := range routers {
 		_, _, router := newTestProxy(t, "ok")
+		extendTimeouts(router)
 		router.WithTable(func(table *endpoint.Table) {
 			for _, id := range []savorystep.EndpointID{"a", "b", "c"} {
 				table.Remove(time.Now(), id)
@@ -94,7 +95,7 @@
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			proxy, routers := newEndingProxies(t, &fakeFacts{}, http1.NewPool(http1.Config{HeaderNames: names}), c.address)
+			proxy, routers := newEndingProxies(t, &fakeFacts{}, newPool(), c.address)
 			post(t, proxy, "/once/poison", "body")
 			for i, router := range routers {
 				if got := countCold(router); got != 1 {
@@ -113,7 +114,7 @@
 	var runs atomic.Int64
 	alive := startMortalEndpoint(t, mortalEndpoint{runs: &runs, survives: true})
 	garbled := startMortalEndpoint(t, mortalEndpoint{runs: &runs, survives: true, dying: "no response\r\n\r\n"})
-	pool := http1.NewPool(http1.Config{HeaderNames: names})
+	pool := newPool()
 	exchangeError := func(stage http1.Stage, cause error) ingress.Transport {
 		return errorTransport{err: &http1.ExchangeError{Stage: stage, Cause: cause}}
 	}
--- a/ingress/proxy_test.go
+++ b/ingress/proxy_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"testing"
 	"testing/iotest"
+	"testing/synctest"
 	"time"
 
 	"savorystep"
@@ -155,7 +156,7 @@
 func TestNoRetryAfterCallerDisconnects(t *testing.T) {
 	proxy, transport, _ := newTestProxy(t, "silent", "ok")
 	ctx, cancel := context.WithCancel(t.Context())
-	time.AfterFunc(30*time.Millisecond, cancel)
+	transport.onExchange = cancel
 	r := httptest.NewRequestWithContext(ctx, http.MethodGet, "http://h/safe/", http.NoBody)
 	r.RequestURI = "/safe/"
 	proxy.ServeHTTP(httptest.NewRecorder(), r)
@@ -209,6 +210,10 @@
 // ready a moment later, because the caller would retry only after about half a
 // second. An instance that does not become ready must respond with 503.
 func TestRequestsWaitForReadiness(t *testing.T) {
+	synctest.Test(t, checkRequestsWaitForReadiness)
+}
+
+func checkRequestsWaitForReadiness(t *testing.T) {
 	_, transport, readyRouter := newTestProxy(t, "ok")
 	router := ingress.NewRouter(endpoint.Config{Self: "self"})
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
--- a/ingress/refusal_test.go
+++ b/ingress/refusal_test.go
@@ -38,7 +38,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { _ = listener.Close() })
-	e := &repeatingEndpoint{refusal: refusal, pool: http1.NewPool(http1.Config{HeaderNames: names}), address: savorystep.Address(listener.Addr().String()), runs: make(map[string]int)}
+	e := &repeatingEndpoint{refusal: refusal, pool: newPool(), address: savorystep.Address(listener.Addr().String()), runs: make(map[string]int)}
 	go func() {
 		for {
 			c, err := listener.Accept()
--- a/ingress/warmupchecker_test.go
+++ b/ingress/warmupchecker_test.go
@@ -15,7 +15,8 @@
 )
 
 // A checkTransport sends health checks to endpoints and then ends the checker, which
-// finishes the check that it is at. Other requests go to Transport.
+// finishes the check that it is at. A check ends by its response only, not by the checker's
+// timeout. Other requests go to Transport.
 type checkTransport struct {
 	ingress.Transport
 	pool *http1.Pool
@@ -26,7 +27,7 @@
 	if request.Target != healthPath {
 		return c.Transport.Exchange(ctx, e, request)
 	}
-	response, err := c.pool.Exchange(ctx, e, request)
+	response, err := c.pool.Exchange(context.WithoutCancel(ctx), e, request)
 	c.stop()
 	return response, err
 }
@@ -41,7 +42,7 @@
 	for _, router := range routers {
 		setWarmup(router, time.Minute)
 	}
-	checked := checkTransport{Transport: transport, pool: http1.NewPool(http1.Config{HeaderNames: names}), stop: cancel}
+	checked := checkTransport{Transport: transport, pool: newPool(), stop: cancel}
 	endings := ingress.NewEndings(facts, routers[0])
 	checker := ingress.NewWarmupChecker(ingress.WarmupCheckerConfig{Clock: savorystep.SystemClock{}, Endings: endings, HeaderNames: names, Router: routers[0], Transport: checked})
 	proxy := ingress.NewProxy(ingress.ProxyConfig{
@@ -65,7 +66,7 @@
 func TestRestartBeforeRefusalIsColdEverywhere(t *testing.T) {
 	const cold = "ID: d\r\nCold: 3000\r\n"
 	silent := errorTransport{err: &http1.ExchangeError{Stage: http1.StageSent, Cause: syscall.ETIMEDOUT}}
-	pool := http1.NewPool(http1.Config{HeaderNames: names})
+	pool := newPool()
 	cases := []struct {
 		name      string
 		health    string
@@ -138,7 +139,7 @@
 			})
 			checker := ingress.NewWarmupChecker(ingress.WarmupCheckerConfig{
 				Clock: stoppedClock(now), Endings: ingress.NewEndings(facts, routers[0]), HeaderNames: names, Router: routers[0],
-				Transport: checkTransport{pool: http1.NewPool(http1.Config{HeaderNames: names}), stop: cancel},
+				Transport: checkTransport{pool: newPool(), stop: cancel},
 			})
 			select {
 			case err := <-checker.Start(ctx):
