Run TestKeyedRefusesBeforeDeadline in virtual time

Cause: a fault of the test. The forwarder keeps a tenth of the time for its answer, 100 ms of the second in the test. A process that stands still for longer at that moment misses the deadline.

Change: the test runs in synctest, where an answer that comes in time is exact. What is asked for is the same.

--- a/upstream/keyedforwarder_test.go
+++ b/upstream/keyedforwarder_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"savorystep"
@@ -223,6 +224,10 @@
 // the deadline, so that the caller gives up before it learns that the request
 // was not executed.
 func TestKeyedRefusesBeforeDeadline(t *testing.T) {
+	synctest.Test(t, checkKeyedRefusesBeforeDeadline)
+}
+
+func checkKeyedRefusesBeforeDeadline(t *testing.T) {
 	k := upstream.NewKeyedForwarder(newTestbed(t).newPool(nil), upstream.KeyedForwarderConfig{Store: unavailableStore{}})
 	request := keyedPost("r1", "/echo")
 	request.Deadline = time.Now().Add(time.Second)
