Count no request for statuses without a response as one without news

An instance could know only some of the others for good: it stopped asking for the statuses that it lacks. In TestCatchUpAtStart a node had 21 members while its peers had 40 to 48.

Cause: a request for statuses that fails, as all do that are late by a second on a busy machine or during a fault of the network, counted like a response without a new status. After two of them the pauses double, and after 16 s the instance asks no more unless many facts arrive. The rest is left to gossip, whose budget is too small for it.

Change: a failed request says nothing of what is missing. The pause after it still doubles, up to 16 s, but requests go on until one has a response. An instance without peers goes on asking every second.

--- a/peer/catchup.go
+++ b/peer/catchup.go
@@ -21,9 +21,9 @@
 	// status after which they become rarer. One may have gone to a peer that has
 	// just started itself.
 	maxIdleCatchUps = 2
-	// maxCatchUpPause is the time between requests after which catching up ends.
-	// The pauses double up to it, since all requests may have gone to instances
-	// that know only each other.
+	// maxCatchUpPause is the time between requests after which catching up ends,
+	// unless the last one had no response. The pauses double up to it, since all
+	// requests may have gone to instances that know only each other.
 	maxCatchUpPause = 16 * time.Second
 	// minCatchUpDuration is how long an instance catches up at least after its
 	// start. Instances that start at the same time become ready within this
@@ -39,8 +39,10 @@
 	idleCount, pause := 0, catchUpFirstPause
 	startedAt := e.config.Clock.Now()
 	for {
-		switch e.catchUp(ctx) {
-		case 0:
+		merged, err := e.catchUp(ctx)
+		switch {
+		case err != nil: // Without a response, nothing is known of what is missing.
+		case merged == 0:
 			idleCount++
 		default:
 			idleCount = 0
@@ -52,7 +54,9 @@
 		switch {
 		case isSignalled:
 			idleCount, pause = 0, catchUpPause
-		case idleCount < maxIdleCatchUps || e.hasNoPeers() || e.config.Clock.Now().Sub(startedAt) < minCatchUpDuration:
+		case err != nil && !e.hasNoPeers() && !e.isStarting(startedAt):
+			pause = min(2*pause, maxCatchUpPause)
+		case idleCount < maxIdleCatchUps || e.hasNoPeers() || e.isStarting(startedAt):
 			pause = catchUpPause
 		default:
 			pause *= 2
@@ -60,6 +64,12 @@
 	}
 }
 
+// isStarting reports whether instances that started together with this one, at startedAt,
+// may still be starting.
+func (e *Exchange) isStarting(startedAt time.Time) bool {
+	return e.config.Clock.Now().Sub(startedAt) < minCatchUpDuration
+}
+
 // awaitCatchUp waits for a pause. If that is longer than catchUpPause, it ends as soon as
 // many facts are new, and isSignalled is true; after maxCatchUpPause it waits for these
 // only. It returns false if ctx ends.
@@ -98,19 +108,20 @@
 	}
 }
 
-// catchUp requests statuses from one peer and returns how many were new.
-func (e *Exchange) catchUp(ctx context.Context) int {
+// catchUp requests statuses from one peer and returns how many were new. The error means
+// that there was no response.
+func (e *Exchange) catchUp(ctx context.Context) (int, error) {
 	e.mu.Lock()
 	address := e.chooseCatchUpPeer(e.config.Clock.Now())
 	request := e.newCatchUpRequest(e.config.Clock.Now())
 	e.mu.Unlock()
 	if address == "" {
-		return 0
+		return 0, nil
 	}
 	response, err := e.fetchStatuses(ctx, address, request)
 	if err != nil {
 		logger.Debugf("fetch statuses from %s: %v", address, err)
-		return 0
+		return 0, err
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -119,7 +130,7 @@
 	if merged > 0 {
 		e.wakeOverlay()
 	}
-	return merged
+	return merged, nil
 }
 
 // latestMemberRevision returns the greatest revision in force at a live member or at an
--- a/peer/catchup_test.go
+++ b/peer/catchup_test.go
@@ -43,8 +43,8 @@
 		Self:   savorystep.Instance{ID: "starting", PeerAddress: "127.0.0.1:1", State: savorystep.StateLive},
 		Secret: "secret", Dial: f.network.dialer("127.0.0.1:1"), Seeds: []savorystep.Address{f.nodes[0].Self().PeerAddress},
 	})
-	if got := peer.CatchUp(t.Context(), starting); got != 3 {
-		t.Errorf("%d new statuses, want 3", got)
+	if got, err := peer.CatchUp(t.Context(), starting); got != 3 || err != nil {
+		t.Errorf("%d new statuses, error %v, want 3", got, err)
 	}
 	var revision savorystep.Revision
 	for _, m := range starting.Members(time.Now()) {
--- a/peer/export_test.go
+++ b/peer/export_test.go
@@ -46,6 +46,6 @@
 }
 
 // CatchUp requests missing statuses from a peer once and returns how many were new.
-func CatchUp(ctx context.Context, e *Exchange) int {
+func CatchUp(ctx context.Context, e *Exchange) (int, error) {
 	return e.catchUp(ctx)
 }
--- a/peer/reportedrevision_test.go
+++ b/peer/reportedrevision_test.go
@@ -76,8 +76,8 @@
 	address := savorystep.Address(strings.TrimPrefix(server.URL, "http://"))
 	running := New(Config{Secret: "secret", Self: savorystep.Instance{ID: "running"}, Seeds: []savorystep.Address{address}})
 	running.Publish(savorystep.FactRevision, "", savorystep.RevisionFact{Revision: 224})
-	if got := running.catchUp(t.Context()); got != 1 {
-		t.Fatalf("%d new statuses, want that of the starting instance", got)
+	if got, err := running.catchUp(t.Context()); got != 1 {
+		t.Fatalf("%d new statuses, error %v, want that of the starting instance", got, err)
 	}
 	now := time.Now()
 	if members := starting.Members(now); len(members) != 2 {
@@ -98,8 +98,8 @@
 		address := savorystep.Address(strings.TrimPrefix(server.URL, "http://"))
 		seed.recordRevision(time.Now(), memberRevision{revision: 224, instance: reporter})
 		starting := New(Config{Secret: "secret", Self: savorystep.Instance{ID: "starting"}, Seeds: []savorystep.Address{address}})
-		if got := starting.catchUp(t.Context()); got != 1 {
-			t.Fatalf("%d new statuses, want that of the seed", got)
+		if got, err := starting.catchUp(t.Context()); got != 1 {
+			t.Fatalf("%d new statuses, error %v, want that of the seed", got, err)
 		}
 		if got := greatestRevision(starting, time.Now()); got != 224 {
 			t.Errorf("greatest revision %d in the response, want 224, reported of %q", got, reporter)
@@ -124,8 +124,8 @@
 	// A known status with the same hash and a later sequence keeps it out of the response.
 	hash := factKey{kind: savorystep.FactStatus, instance: "ahead"}.hash()
 	starting.store.facts[savorystep.FactStatus][factKey{kind: savorystep.FactStatus, instance: "same hash"}] = &entry{hash: hash, sequence: 2}
-	if got := starting.catchUp(t.Context()); got != 1 {
-		t.Fatalf("%d new statuses, want that of the seed", got)
+	if got, err := starting.catchUp(t.Context()); got != 1 {
+		t.Fatalf("%d new statuses, error %v, want that of the seed", got, err)
 	}
 	if got := greatestRevision(starting, time.Now()); got != 224 {
 		t.Errorf("greatest revision %d, want 224", got)
