--- a/cmd/proof_test.go
+++ b/cmd/proof_test.go
@@ -5,8 +5,10 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -59,7 +61,7 @@
 		processSystem: &processSystem{t: t},
 		platform:      standin.NewPlatform(standin.PlatformConfig{Table: config.Table}),
 		endpoints:     make(map[savorystep.EndpointID]*standin.Upstream),
-		concurrency:   proofConcurrency{current: make(map[proofFlow]int), peak: make(map[proofFlow]int)},
+		concurrency:   newProofConcurrency(),
 	}
 	ctx, cancel := context.WithCancel(context.WithoutCancel(t.Context()))
 	t.Cleanup(cancel)
@@ -169,11 +171,31 @@
 	origin, target savorystep.Region
 }
 
+// A proofRun is the run of a request at an upstream.
+type proofRun struct {
+	id        savorystep.RequestID
+	startedAt time.Time
+	// endedAt is zero while the request runs.
+	endedAt time.Time
+	// isCancelled is true if the entry closed the connection before the run ended.
+	isCancelled bool
+}
+
 // A proofConcurrency counts the requests that run at the upstreams at once.
 type proofConcurrency struct {
 	mu      sync.Mutex
-	current map[proofFlow]int
+	running map[proofFlow]map[*http.Request]*proofRun
 	peak    map[proofFlow]int
+	// peakRuns holds the runs of the first moment at which a flow had its peak.
+	peakRuns map[proofFlow][]*proofRun
+}
+
+func newProofConcurrency() proofConcurrency {
+	return proofConcurrency{
+		running:  make(map[proofFlow]map[*http.Request]*proofRun),
+		peak:     make(map[proofFlow]int),
+		peakRuns: make(map[proofFlow][]*proofRun),
+	}
 }
 
 // observer returns the function that an endpoint calls when a request starts or
@@ -183,17 +205,46 @@
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		origin := savorystep.Region(request.Header.Get(savorystep.HeaderFrom))
+		now := time.Now()
+		started := &proofRun{id: savorystep.RequestID(request.Header.Get(savorystep.HeaderRequest)), startedAt: now}
 		for _, flow := range []proofFlow{{service: service, origin: origin, target: region}, {service: service, target: region}} {
 			if !running {
-				c.current[flow]--
+				// A request without an origin is in one flow only.
+				if run := c.running[flow][request]; run != nil {
+					run.endedAt, run.isCancelled = now, request.Context().Err() != nil
+					delete(c.running[flow], request)
+				}
 				continue
 			}
-			c.current[flow]++
-			c.peak[flow] = max(c.peak[flow], c.current[flow])
+			c.start(flow, request, started)
 		}
 	}
 }
 
+// start adds a run to a flow. The caller holds mu.
+func (c *proofConcurrency) start(flow proofFlow, request *http.Request, run *proofRun) {
+	if c.running[flow] == nil {
+		c.running[flow] = make(map[*http.Request]*proofRun)
+	}
+	c.running[flow][request] = run
+	if len(c.running[flow]) > c.peak[flow] {
+		c.peak[flow] = len(c.running[flow])
+		c.peakRuns[flow] = slices.Collect(maps.Values(c.running[flow]))
+	}
+}
+
+// logPeak logs the runs of the first moment at which a flow had its peak: whether the
+// sum was exceeded by a request that its entry had given up, or by one that it had not.
+func (c *proofConcurrency) logPeak(t *testing.T, flow proofFlow) {
+	t.Helper()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, run := range c.peakRuns[flow] {
+		t.Logf("at the peak of %+v: request %s from %s to %s, cancelled %t", flow, run.id,
+			run.startedAt.Format(time.StampMicro), run.endedAt.Format(time.StampMicro), run.isCancelled)
+	}
+}
+
 // peakOf returns the largest number of requests of a flow that ran at once.
 func (c *proofConcurrency) peakOf(flow proofFlow) int {
 	c.mu.Lock()
--- a/cmd/proofcaps_test.go
+++ b/cmd/proofcaps_test.go
@@ -98,6 +98,8 @@
 	load.stopAndWait()
 	shift, region := p.peakInFlight()
 	if shift > proofShiftCap || region > proofRegionLimit {
+		p.concurrency.logPeak(t, proofFlow{service: "stock", origin: "recife", target: "natal"})
+		p.concurrency.logPeak(t, proofFlow{service: "stock", target: "natal"})
 		t.Errorf("%d requests of the shift ran at once, want at most the cap of %d; %d in the region, want at most the limit of %d", shift, proofShiftCap, region, proofRegionLimit)
 	}
 	t.Logf("%d requests answered, failures: %v", load.answered.Load(), load.failuresByKind)
