Hold the permits of an abandoned request until its endpoint ends it

What callers saw: more requests of a shift or in a region at once than its cap allows, by those that the system had given up: their callers had left, or had run out of time.

Cause: upstream.endAttempt returned slot and permits as soon as an attempt was cancelled. The endpoint runs the request until it notices the close of its connection; what got the permit runs beside it.

The wait is bounded by Limits.CloseTimeout, 3 s, as long as the kernel waits for an acknowledgement. The slot of a request on a silent connection is released at once as before, its permits are not. A retry that finds no permit now waits as one that finds no slot, since the first attempt may hold it.

The cap holds for endpoints that notice a close within 3 s.

TestRetryWaitsForRoom failed before for CapReached.

--- a/cmd/proofcaps_test.go
+++ b/cmd/proofcaps_test.go
@@ -105,6 +105,36 @@
 	t.Logf("%d requests answered, failures: %v", load.answered.Load(), load.failuresByKind)
 }
 
+// TestProofCapsAbandoned guards against a shift above its cap and a region above its limit
+// because callers leave: a request that its entry has given up runs at its endpoint until
+// that notices.
+func TestProofCapsAbandoned(t *testing.T) {
+	t.Parallel()
+	p := startProofSystem(t, proofConfig{
+		Entries: 4, EndpointsPerService: 4, Services: []savorystep.Service{"stock"}, Regions: []savorystep.Region{"recife", "natal"}, Slots: 8,
+	})
+	p.applyAndWait(newCapsRecord(p))
+	load := p.startLoad(24, func(worker, n int) proofRequest {
+		request := newCapsRequest(worker, n)
+		if n%2 == 0 {
+			request.timeout = 15 * time.Millisecond
+		}
+		return request
+	})
+	time.Sleep(8 * time.Second)
+	load.stopAndWait()
+	shift, region := p.peakInFlight()
+	if shift > proofShiftCap || region > proofRegionLimit {
+		p.concurrency.logPeak(t, proofFlow{service: "stock", origin: "recife", target: "natal"})
+		p.concurrency.logPeak(t, proofFlow{service: "stock", target: "natal"})
+		t.Errorf("%d requests of the shift ran at once, want at most the cap of %d; %d in the region, want at most the limit of %d", shift, proofShiftCap, region, proofRegionLimit)
+	}
+	if load.answered.Load() == 0 {
+		t.Error("no request was answered, want at least one")
+	}
+	t.Logf("%d requests answered, failures: %v", load.answered.Load(), load.failuresByKind)
+}
+
 // A staleTable answers the reads of budget rows with rows that are up to staleFor old, so
 // that instances decide on the same version even if a busy machine runs them one after the
 // other. The conditions of a correct table refuse what they write then.
--- a/upstream/attempt.go
+++ b/upstream/attempt.go
@@ -65,3 +65,16 @@
 	}
 	return time.Duration(now - max(since, dueSince, c.lastActivity.Load()))
 }
+
+// mayRunOn returns the connection on which the endpoint may still run a request that ended
+// with a verdict, or nil if it does not run it.
+func (a *attempt) mayRunOn(v verdict) *conn {
+	guard := a.guard.Load()
+	if guard == nil {
+		return nil
+	}
+	if v == verdictSuccess || v == verdictShed {
+		guard.setAnswered()
+	}
+	return guard.mayRunOn()
+}
--- a/upstream/connset.go
+++ b/upstream/connset.go
@@ -46,7 +46,7 @@
 		if limits.wrapConn != nil {
 			raw = limits.wrapConn(raw, address)
 		}
-		c := &conn{Conn: raw, base: base, openedAt: base.now()}
+		c := &conn{Conn: raw, base: base, openedAt: base.now(), closeTimeout: limits.CloseTimeout, ended: make(chan struct{})}
 		c.lastActivity.Store(c.openedAt)
 		return c, nil
 	}
--- a/upstream/limits.go
+++ b/upstream/limits.go
@@ -38,6 +38,10 @@
 	// TCPUserTimeout is how long sent data may stay unacknowledged before the
 	// kernel closes the connection; 3 s by default.
 	TCPUserTimeout time.Duration
+	// CloseTimeout bounds for how long the slot and the permits of a request that was given
+	// up stay in use while its endpoint may still run it; 3 s by default, as TCPUserTimeout:
+	// after that the kernel gives up a close that the endpoint's host does not acknowledge.
+	CloseTimeout time.Duration
 	// BackgroundTimeout bounds an at-most-once request that continues after its
 	// caller has gone; 60 s by default.
 	BackgroundTimeout time.Duration
@@ -73,6 +77,7 @@
 	setDefault(&l.ProgressTimeout, 5*time.Second)
 	setDefault(&l.OldConnProgressTimeout, time.Second)
 	setDefault(&l.TCPUserTimeout, 3*time.Second)
+	setDefault(&l.CloseTimeout, 3*time.Second)
 	setDefault(&l.BackgroundTimeout, time.Minute)
 	setDefault(&l.QueueFactor, 4)
 	setDefault(&l.MaxCountAge, time.Second)
--- a/upstream/retrier.go
+++ b/upstream/retrier.go
@@ -28,7 +28,7 @@
 
 const (
 	// overloadBackoff is the first wait after a retry was rejected because of
-	// overload. It doubles up to maxBackoffDoublings times.
+	// overload or a cap. It doubles up to maxBackoffDoublings times.
 	overloadBackoff     = 50 * time.Millisecond
 	maxBackoffDoublings = 3
 	// maxOverloadWaits bounds the number of these waits for a request that has not
@@ -57,10 +57,10 @@
 		reported = mostExecuted(reported, err)
 		var failure *AttemptError
 		if !errors.As(err, &failure) {
-			// A retry that is rejected because of overload was not executed.
-			// Since an earlier attempt has already failed, the request waits
-			// and tries again.
-			if attempt > 1 && savorystep.KindOf(err) == savorystep.KindOverloaded && mayAwaitRoom(ctx, reported, overloadWaits) &&
+			// A retry that is rejected because of overload or a cap was not executed.
+			// Since an earlier attempt has already failed, and may still hold its
+			// permits, the request waits and tries again.
+			if attempt > 1 && isLackOfRoom(err) && mayAwaitRoom(ctx, reported, overloadWaits) &&
 				savorystep.Sleep(ctx, overloadBackoff<<min(overloadWaits, maxBackoffDoublings)) {
 				overloadWaits++
 				attempt--
@@ -87,6 +87,12 @@
 	return waits < maxOverloadWaits || hasDeadline && executionOf(reported) != savorystep.NotExecuted
 }
 
+// isLackOfRoom reports whether a request was rejected because there is no room for it now.
+func isLackOfRoom(err error) bool {
+	kind := savorystep.KindOf(err)
+	return kind == savorystep.KindOverloaded || kind == savorystep.KindCapReached
+}
+
 // mostExecuted returns the error of two attempts that holds for both: once an
 // attempt may have executed the request, no later error may report it as not
 // executed.
--- a/upstream/retrier_test.go
+++ b/upstream/retrier_test.go
@@ -98,15 +98,20 @@
 }
 
 // TestRetryWaitsForRoom guards against losing a request because its retry was
-// rejected at a moment of overload: when many connections become silent at
-// once, a region admits failover traffic only gradually.
+// rejected at a moment of overload or at a cap: when many connections become silent at
+// once, a region admits failover traffic only gradually, and the requests on them hold
+// their permits for some time.
 func TestRetryWaitsForRoom(t *testing.T) {
-	silent := savorystep.WrapError(savorystep.KindUpstreamFailed, &upstream.AttemptError{Endpoint: "a", Sent: true}, "silent")
-	full := savorystep.NewError(savorystep.KindOverloaded, "failover limit is reached")
-	next := &scriptedForwarder{errs: []error{silent, full, full, nil}}
-	response, err := upstream.NewRetrier(next, upstream.RetrierConfig{}).Forward(t.Context(), get("r", "/x"))
-	if err != nil || response == nil || next.calls != 4 {
-		t.Errorf("response %v, error %v after %d calls, want a response after 4", response, err, next.calls)
+	for _, full := range []error{
+		savorystep.NewError(savorystep.KindOverloaded, "failover limit is reached"),
+		savorystep.NewError(savorystep.KindCapReached, "budget is used up"),
+	} {
+		silent := savorystep.WrapError(savorystep.KindUpstreamFailed, &upstream.AttemptError{Endpoint: "a", Sent: true}, "silent")
+		next := &scriptedForwarder{errs: []error{silent, full, full, nil}}
+		response, err := upstream.NewRetrier(next, upstream.RetrierConfig{}).Forward(t.Context(), get("r", "/x"))
+		if err != nil || response == nil || next.calls != 4 {
+			t.Errorf("%v: response %v, error %v after %d calls, want a response after 4", full, response, err, next.calls)
+		}
 	}
 }
 
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -261,8 +261,8 @@
 	return true
 }
 
-// endAttempt ends an attempt: it releases the slot and the permits and records
-// the verdict in the endpoint's health. heldFor is how long the attempt used
+// endAttempt ends an attempt: it records the verdict in the endpoint's health and
+// releases the slot and the permits, once the endpoint runs the request no more. heldFor is how long the attempt used
 // the endpoint. Only the first call has an effect.
 func (p *Pool) endAttempt(a *attempt, heldFor time.Duration, v verdict) {
 	a.endOnce.Do(func() {
@@ -294,9 +294,31 @@
 		if ejected {
 			p.recordEjection(g, a.lease.info.ID)
 		}
-		if a.connSilent.Load() {
-			heldFor = 0
-		}
+		p.releaseLease(a, heldFor, v)
+	})
+}
+
+// releaseLease releases the lease of an attempt that has ended. An endpoint may run a
+// request that was given up until it notices the close of its connection; meanwhile the
+// request counts, at most for Limits.CloseTimeout. The slot of one on a silent connection
+// is released at once: whether the endpoint runs it is unknown for longer than that.
+func (p *Pool) releaseLease(a *attempt, heldFor time.Duration, v verdict) {
+	if a.connSilent.Load() {
+		heldFor = 0
+		a.lease.releaseSlot(heldFor)
+	}
+	c := a.mayRunOn(v)
+	if c == nil {
 		a.lease.release(heldFor)
+		return
+	}
+	p.background.Go(func() {
+		defer a.lease.release(heldFor)
+		timer := time.NewTimer(p.limits.CloseTimeout)
+		defer timer.Stop()
+		select {
+		case <-c.ended:
+		case <-timer.C:
+		}
 	})
 }
--- a/upstream/writeguard.go
+++ b/upstream/writeguard.go
@@ -19,6 +19,9 @@
 	mu     sync.Mutex
 	sealed bool
 	sent   bool
+	// answered is true once the endpoint has ended the request: its response is complete,
+	// or says that the request was shed.
+	answered bool
 	// firstConn is the connection that the first byte was written to. Writes to
 	// another connection fail, so that net/http cannot send the request again
 	// by itself.
@@ -80,6 +83,31 @@
 	return w.sent
 }
 
+// setAnswered records that the endpoint has ended the request.
+func (w *writeGuard) setAnswered() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.answered = true
+}
+
+// awaitsResponse reports whether a byte was sent and the endpoint has not ended the
+// request.
+func (w *writeGuard) awaitsResponse() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.sent && !w.answered
+}
+
+// mayRunOn returns the connection on which the endpoint may still run the request, or nil.
+func (w *writeGuard) mayRunOn() *conn {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.sent || w.answered || w.firstConn.closedByEndpoint.Load() {
+		return nil
+	}
+	return w.firstConn
+}
+
 // isClosedByEndpoint reports whether the endpoint closed the connection that the first
 // byte was written to.
 func (w *writeGuard) isClosedByEndpoint() bool {
