Recover panics of requests in serve and give back what they hold

What callers saw: by reading, none so far. A panic in the goroutine of a request that runs at most once and has no idempotency key ended the process and all requests in it. After a panic that was answered, the slot of the endpoint and the permits stayed in use for good, a request with the same fingerprint as one that had crashed an endpoint waited for the panicked one until its deadline, and a keyed response was not closed.

Cause: only the goroutine of keyed requests recovered, and all of these were released by statements after the call that may panic.

Change: Pool recovers around the attempt, answers KindInternal with an unknown execution, and ends the attempt; goroutines of a taskGroup are recovered. Slot, permits, lock and response are released by defer. endAttempt releases its lease also if the record of its verdict panics. Both log, and count in savorystep_upstream_panics_total. A recovered panic is thus no longer one of the handler (savorystep_caller_panics_total).

Open, by reading: net/http's own goroutines call Permit.Valid and read the caller's body; a panic there still ends the process.

--- a/cmd/instancemetrics.go
+++ b/cmd/instancemetrics.go
@@ -26,6 +26,11 @@
 			help:  "Bytes sent to other instances, WebSocket headers included.",
 			value: func() float64 { return float64(i.exchange.Stats().SentBytes) },
 		},
+		{
+			name:  "savorystep_upstream_panics_total",
+			help:  "Requests and tasks in the background that panicked while a request was forwarded.",
+			value: func() float64 { return float64(i.pool.Panics() + i.forwarder.Panics()) },
+		},
 	}
 	for _, c := range counters {
 		registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: c.name, Help: c.help}, c.value))
--- a/upstream/forward.go
+++ b/upstream/forward.go
@@ -106,13 +106,19 @@
 		return nil, savorystep.NewError(savorystep.KindNoUpstream, "all endpoints of service %s in region %s became unusable while the request was queued", g.service, g.region)
 	}
 	leased := &lease{group: g, endpoint: e, decision: decision}
+	isPassedOn := false
+	defer func() {
+		if !isPassedOn {
+			leased.release(0)
+		}
+	}()
 	g.mu.Lock()
 	leased.conns, leased.info = e.conns, e.info
 	g.mu.Unlock()
 	if err := p.acquirePermits(request, leased); err != nil {
-		leased.release(0)
 		return nil, err
 	}
+	isPassedOn = true
 	return leased, nil
 }
 
--- a/upstream/keyedforwarder.go
+++ b/upstream/keyedforwarder.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"runtime/debug"
 	"time"
 
 	"savorystep"
@@ -62,6 +61,11 @@
 	k.background.Wait()
 }
 
+// Panics returns the number of requests and of tasks in the background that panicked.
+func (k *KeyedForwarder) Panics() int64 {
+	return k.background.panics.count.Load()
+}
+
 // Forward forwards a request. A request with a key continues when ctx ends, so
 // that its response is stored.
 func (k *KeyedForwarder) Forward(ctx context.Context, request *savorystep.Request) (*savorystep.Response, error) {
@@ -88,7 +92,8 @@
 	}
 	result := make(chan outcome, 1)
 	k.background.Go(func() {
-		result <- recoverOutcome(request, func() outcome { return k.run(context.WithoutCancel(ctx), callerCtx, request, attempt) })
+		// If the request panics, its key remains used.
+		result <- k.background.panics.recoverOutcome(request, func() outcome { return k.run(context.WithoutCancel(ctx), callerCtx, request, attempt) })
 	})
 	if o, ok := awaitOutcome(callerCtx, result); ok {
 		return o.unpack()
@@ -101,18 +106,6 @@
 	return nil, savorystep.WrapError(savorystep.KindDeadlineExceeded, callerCtx.Err(), "request with an idempotency key continues without its caller")
 }
 
-// recoverOutcome returns the outcome of run. If run panics, the request fails with an
-// unknown execution, and its key remains used.
-func recoverOutcome(request *savorystep.Request, run func() outcome) (o outcome) {
-	defer func() {
-		if cause := recover(); cause != nil {
-			log.Errorf("request %s to service %s panicked: %v\n%s", request.ID, request.Service, cause, debug.Stack())
-			o = outcome{err: savorystep.NewError(savorystep.KindInternal, "internal error while the request was forwarded")}
-		}
-	}()
-	return run()
-}
-
 // storedResponse converts a stored response to a Response.
 func storedResponse(storedResult *savorystep.StoredResponse) *savorystep.Response {
 	return &savorystep.Response{
@@ -137,18 +130,23 @@
 		}
 		return outcome{err: err}
 	}
+	isPassedOn := false
+	defer func(body io.Closer) {
+		if !isPassedOn {
+			_ = body.Close()
+		}
+	}(response.Body)
 	body, err := io.ReadAll(io.LimitReader(response.Body, int64(k.config.MaxResponseBytes)+1))
 	if err != nil {
-		_ = response.Body.Close()
 		return outcome{err: savorystep.WrapError(savorystep.KindOutcomeUnknown, err, "response ended early")}
 	}
 	if len(body) > k.config.MaxResponseBytes {
 		rest := response.Body
 		response.Body = &prefixedBody{Reader: io.MultiReader(bytes.NewReader(body), rest), Closer: rest}
 		log.Warningf("response to request %s exceeds %d bytes and is not stored", request.ID, k.config.MaxResponseBytes)
+		isPassedOn = true
 		return outcome{response: response}
 	}
-	_ = response.Body.Close()
 	// The caller may change the header while the response is being stored.
 	storedResult := savorystep.StoredResponse{Status: response.Status, Header: response.Header.Clone(), Body: body}
 	k.pending.add(request, &storedResult)
--- a/upstream/pool.go
+++ b/upstream/pool.go
@@ -93,6 +93,11 @@
 	return p.networkSuspect.Load()
 }
 
+// Panics returns the number of requests and of tasks in the background that panicked.
+func (p *Pool) Panics() int64 {
+	return p.background.panics.count.Load()
+}
+
 // RegionLoads returns the load of each region of a service at the given time.
 func (p *Pool) RegionLoads(service savorystep.Service, now time.Time) []savorystep.RegionLoad {
 	return p.appendRegionLoads(nil, service, now)
--- a/upstream/quarantine.go
+++ b/upstream/quarantine.go
@@ -98,11 +98,17 @@
 	options := optionsFrom(ctx)
 	options.onEndpointCrashed = a.onEndpointCrashed
 	options.beforeRetry = a.beforeAttempt
+	isPassedOn := false
+	defer func() {
+		if !isPassedOn {
+			a.releaseLock()
+		}
+	}()
 	response, err := q.next.Forward(options.withContext(ctx), request)
 	if err != nil {
-		a.releaseLock()
 		return nil, err
 	}
+	isPassedOn = true
 	response.Body = &notifyingBody{ReadCloser: response.Body, onEnd: a.releaseLock, onComplete: a.onAnswered}
 	return response, nil
 }
--- a/upstream/responsebody.go
+++ b/upstream/responsebody.go
@@ -65,9 +65,9 @@
 	b.ended = true
 	remainder := &responseBody{pool: b.pool, attempt: b.attempt, body: b.body}
 	b.pool.background.Go(func() {
+		defer func() { _ = remainder.body.Close() }()
+		defer remainder.finish(verdictNeutral)
 		_, _ = io.Copy(io.Discard, remainder)
-		remainder.finish(verdictNeutral)
-		_ = remainder.body.Close()
 	})
 	return nil
 }
--- a/upstream/send.go
+++ b/upstream/send.go
@@ -50,14 +50,14 @@
 	a.cancelCallerCtx = cancelCaller
 	p.registerAttempt(a)
 	if !a.atMostOnce || request.IdempotencyKey != "" {
-		return p.runAttempt(sendCtx, callerCtx, a).unpack()
+		return p.runRecovered(sendCtx, callerCtx, a).unpack()
 	}
 	// The end of the attempt also cancels callerCtx, so the wait uses a context
 	// of its own.
 	waitCtx, cancelWait := withDeadline(ctx, request.Deadline)
 	defer cancelWait()
 	result := make(chan outcome, 1)
-	p.background.Go(func() { result <- p.runAttempt(sendCtx, callerCtx, a) })
+	p.background.Go(func() { result <- p.runRecovered(sendCtx, callerCtx, a) })
 	if o, ok := awaitOutcome(waitCtx, result); ok {
 		return o.unpack()
 	}
@@ -111,6 +111,22 @@
 	a.lease.endpoint.attempts[a] = struct{}{}
 }
 
+// runRecovered is runAttempt, but for a panic, which ends the attempt: the request fails
+// with an unknown execution.
+func (p *Pool) runRecovered(sendCtx, callerCtx context.Context, a *attempt) outcome {
+	return p.background.panics.recoverOutcome(a.request, func() outcome {
+		hasReturned := false
+		defer func() {
+			if !hasReturned {
+				p.endAttempt(a, p.clock.Now().Sub(a.startedAt), verdictNeutral)
+			}
+		}()
+		o := p.runAttempt(sendCtx, callerCtx, a)
+		hasReturned = true
+		return o
+	})
+}
+
 // runAttempt passes a request to transports until one returns a response or it
 // must not be tried again.
 func (p *Pool) runAttempt(sendCtx, callerCtx context.Context, a *attempt) outcome {
@@ -266,38 +282,41 @@
 // the endpoint. Only the first call has an effect.
 func (p *Pool) endAttempt(a *attempt, heldFor time.Duration, v verdict) {
 	a.endOnce.Do(func() {
+		defer p.releaseLease(a, heldFor, v)
 		a.stopCallerWatch()
 		a.cancel()
 		a.cancelCallerCtx()
-		now := p.clock.Now()
-		hasPeers := (v == verdictFailed || v == verdictNotListening) && p.hasPeers(now)
-		g, e := a.lease.group, a.lease.endpoint
-		g.mu.Lock()
-		delete(e.attempts, a)
-		ejected := false
-		switch v {
-		case verdictSuccess:
-			e.health.RecordSuccess(now)
-		case verdictShed:
-			e.health.RecordShed(now)
-		case verdictFailed:
-			// The failure of a silent connection was recorded by endSilent.
-			if !a.connSilent.Load() {
-				ejected = g.recordFailure(e, now, hasPeers)
-			}
-		case verdictNotListening:
-			e.health.RecordNotListening()
-			ejected = g.recordFailure(e, now, hasPeers)
-		case verdictNeutral:
-		}
-		g.mu.Unlock()
-		if ejected {
-			p.recordEjection(g, a.lease.info.ID)
+		if p.recordVerdict(a, v) {
+			p.recordEjection(a.lease.group, a.lease.info.ID)
 		}
-		p.releaseLease(a, heldFor, v)
 	})
 }
 
+// recordVerdict records the verdict on an attempt that has ended in the endpoint's health.
+// It reports whether the endpoint was ejected.
+func (p *Pool) recordVerdict(a *attempt, v verdict) bool {
+	now := p.clock.Now()
+	hasPeers := (v == verdictFailed || v == verdictNotListening) && p.hasPeers(now)
+	g, e := a.lease.group, a.lease.endpoint
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	delete(e.attempts, a)
+	switch v {
+	case verdictSuccess:
+		e.health.RecordSuccess(now)
+	case verdictShed:
+		e.health.RecordShed(now)
+	case verdictFailed:
+		// The failure of a silent connection was recorded by endSilent.
+		return !a.connSilent.Load() && g.recordFailure(e, now, hasPeers)
+	case verdictNotListening:
+		e.health.RecordNotListening()
+		return g.recordFailure(e, now, hasPeers)
+	case verdictNeutral:
+	}
+	return false
+}
+
 // releaseLease releases the lease of an attempt that has ended. An endpoint may run a
 // request that was given up until it notices the close of its connection; meanwhile the
 // request counts, at most for Limits.CloseTimeout. The slot of one on a silent connection
--- a/upstream/taskgroup.go
+++ b/upstream/taskgroup.go
@@ -2,12 +2,15 @@
 
 import "sync"
 
-// A taskGroup tracks goroutines. Unlike with a sync.WaitGroup, goroutines may
+// A taskGroup tracks goroutines and recovers their panics, which would end the process and
+// all requests in it. Unlike with a sync.WaitGroup, goroutines may
 // be added from zero while another goroutine is in Wait.
 type taskGroup struct {
 	mu    sync.Mutex
 	count int
 	idle  chan struct{}
+	// panics counts the panics of the goroutines and of the requests in them.
+	panics panicCounter
 }
 
 // Go runs f in a tracked goroutine.
@@ -17,6 +20,11 @@
 	t.mu.Unlock()
 	go func() {
 		defer t.done()
+		defer func() {
+			if cause := recover(); cause != nil {
+				t.panics.record("task in the background", cause)
+			}
+		}()
 		f()
 	}()
 }
