Give back the slot of an endpoint after a panic in a gateway

What callers saw: by reading, none so far. Each request that panicked while it was forwarded, and was answered with a 500, kept its slot at the endpoint, so that in the end no endpoint had room: 503 for everybody. The memory of a response that had arrived, or of an earlier failed one, and the connection to the endpoint were kept as well.

Cause: outcome, response and connection were given back by statements after the call that may panic.

Change: Forwarder.attempt records an outcome that says nothing of the endpoint and releases the response by defer, ServeHTTP releases an earlier failed response, and http1.Pool resets the connection of an exchange that doesn't return. The line of the request log now has its route. What a response states is recorded in a function of its own (length of attempt).

Open, by reading: memory reserved for a response while it is read, and the goroutine that writes a large body, whose panic would end the process.

Measured: TestPanicReleasesSlot failed before in all cases: 503 "no endpoint has room" from request 17 on in two of them, a response that was not released in the third; TestPanicClosesConnection found the connection open after 10 s. After: 20 of 20 runs of each; packages ingress and http1 pass, also with -race -short.

--- a/http1/pool.go
+++ b/http1/pool.go
@@ -72,21 +72,32 @@
 func (p *Pool) Exchange(ctx context.Context, endpoint savorystep.Endpoint, request *Request) (*Response, error) {
 	key := poolKey{id: endpoint.ID, address: endpoint.Address, startedAtMillis: endpoint.StartedAtMillis}
 	c := p.takeIdle(key, time.Now())
-	if c == nil {
+	isNew := c == nil
+	if isNew {
 		var err error
 		if c, err = p.dial(ctx, key.address); err != nil {
 			return nil, &ExchangeError{Stage: StageDial, NewConnection: true, Cause: err}
 		}
+	}
+	// After an error or a panic the endpoint must not go on with the request.
+	mustReset := true
+	defer func() {
+		if mustReset {
+			c.reset()
+		}
+	}()
+	if isNew {
 		if err := request.confirm(); err != nil {
+			mustReset = false
 			_ = c.Close()
 			return nil, &ExchangeError{Stage: StageUnsent, NewConnection: true, Cause: err}
 		}
 	}
 	response, persistent, err := c.exchange(ctx, request, &p.config)
 	if err != nil {
-		c.reset()
 		return nil, err
 	}
+	mustReset = false
 	if !persistent {
 		_ = c.Close()
 		return response, nil
--- a/ingress/forwarder.go
+++ b/ingress/forwarder.go
@@ -209,22 +209,21 @@
 	request.Header[f.config.HeaderNames.Deadline] = []string{strconv.FormatInt(pr.deadline.Sub(now).Milliseconds(), 10)}
 	request.Header[f.config.HeaderNames.ExpectedEndpoint] = []string{string(choice.Endpoint.ID)}
 	request.BeforeSend = func() error { return f.config.Router.recheck(f.config.Clock.Now(), choice) }
+	var response *http1.Response
+	isRecorded, hasReturned := false, false
+	defer func() {
+		if !hasReturned {
+			f.endPanicked(choice, response, isRecorded)
+		}
+	}()
 	response, err := f.exchange(ctx, pr, choice.Endpoint, &request)
 	endedAt := f.config.Clock.Now()
 	result := f.classify(ctx, response, err)
-	var load *endpoint.Load
-	if response != nil {
-		if reported, ok := endpoint.ParseLoad(response.Header.Get(f.config.HeaderNames.Load)); ok {
-			load = &reported
-		}
-		if statement, ok := f.rateLimitStatement(response); ok {
-			f.config.RateLimits.record(endedAt, choice, statement)
-		}
-		f.recordNotice(endedAt, choice, f.notice(endedAt, choice, response))
-	}
+	load := f.recordStatements(endedAt, choice, response)
 	if response != nil && result.response == nil {
 		response.Release()
 	}
+	isRecorded = true
 	f.config.Router.recordOutcome(endedAt, choice, result.outcome, load)
 	if cause := endpointDownCause(err); cause != nil {
 		f.attempts.cancelAll(choice.Endpoint.IncarnationID(), cause)
@@ -246,9 +245,39 @@
 		f.checkWarmup(endedAt, choice.Endpoint)
 	}
 	pr.addStep(fmt.Sprintf("%s: %s in %v", describeChoice(choice), describeResult(result, err), endedAt.Sub(now).Round(time.Millisecond)))
+	hasReturned = true
 	return result
 }
 
+// recordStatements applies what a response, if there is one, says about its endpoint. It
+// returns the load that it states, or nil.
+func (f *Forwarder) recordStatements(now time.Time, choice endpoint.Choice, response *http1.Response) *endpoint.Load {
+	if response == nil {
+		return nil
+	}
+	if statement, ok := f.rateLimitStatement(response); ok {
+		f.config.RateLimits.record(now, choice, statement)
+	}
+	f.recordNotice(now, choice, f.notice(now, choice, response))
+	load, ok := endpoint.ParseLoad(response.Header.Get(f.config.HeaderNames.Load))
+	if !ok {
+		return nil
+	}
+	return &load
+}
+
+// endPanicked ends an attempt that panicked: it releases the response, if there is one, and
+// the endpoint's slot unless the outcome was recorded. The panic says nothing about the
+// endpoint.
+func (f *Forwarder) endPanicked(choice endpoint.Choice, response *http1.Response, isRecorded bool) {
+	if response != nil {
+		response.Release()
+	}
+	if !isRecorded {
+		f.config.Router.recordOutcome(f.config.Clock.Now(), choice, endpoint.OutcomeCancelled, nil)
+	}
+}
+
 // checkWarmup lets an endpoint that gave no response be asked for how long it is cold.
 func (f *Forwarder) checkWarmup(now time.Time, e savorystep.Endpoint) {
 	if f.config.WarmupChecker != nil {
--- a/ingress/proxy.go
+++ b/ingress/proxy.go
@@ -93,16 +93,20 @@
 	p.inFlight.Add(1)
 	defer p.inFlight.Add(-1)
 	receivedAt := p.config.Clock.Now()
+	var pr *proxiedRequest
 	isAnswerBegun := false
 	defer func() {
 		if cause := recover(); cause != nil {
-			p.endPanic(w, r, cause, requestOutcome{receivedAt: receivedAt}, isAnswerBegun)
+			if pr != nil {
+				pr.setFailedResponse(nil)
+			}
+			p.endPanic(w, r, cause, requestOutcome{receivedAt: receivedAt, proxied: pr}, isAnswerBegun)
 		}
 	}()
 	reservation := p.bodyBudget.NewReservation()
 	defer reservation.Release()
-	pr, reply := p.accept(receivedAt, w, r, reservation)
-	if reply == nil {
+	var reply *localReply
+	if pr, reply = p.accept(receivedAt, w, r, reservation); reply == nil {
 		var response *http1.Response
 		if response, reply = p.forwarder.forward(r.Context(), pr); reply == nil {
 			defer response.Release()
