Close abandoned connections that have no CloseWrite at once

Cause: conn.Close first ends the transport's read by a deadline, then closes the sending side. Such connections have neither: the read went on, and the connection stayed open behind it.

Measured: TestAbandonedRequestIsClosed failed before on such a connection (the endpoint had not seen the end after 20 s), and passed on TCP; both pass, 10 runs. Package upstream passes, also with -race -short.

--- a/upstream/closewait_test.go
+++ b/upstream/closewait_test.go
@@ -116,9 +116,54 @@
 	}
 }
 
-// A plainConn is a connection whose sending side can't be closed alone.
+// A plainConn is a connection whose sending side can't be closed alone, and which has no
+// deadlines.
 type plainConn struct{ net.Conn }
 
+func (plainConn) SetDeadline(time.Time) error { return nil }
+
+func (plainConn) SetReadDeadline(time.Time) error { return nil }
+
+// TestAbandonedRequestIsClosed guards against an endpoint that can't notice that a request
+// was given up, because its connection stays open.
+func TestAbandonedRequestIsClosed(t *testing.T) {
+	for _, test := range []struct {
+		name     string
+		wrapConn func(c net.Conn, address string) net.Conn
+	}{
+		{name: "TCP"},
+		{name: "connection without CloseWrite and deadlines", wrapConn: func(c net.Conn, _ string) net.Conn { return plainConn{c} }},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			tb := newTestbed(t)
+			arrived, closed := make(chan struct{}), make(chan struct{})
+			tb.addRawServer(func(conn net.Conn, _, _ int) bool {
+				close(arrived)
+				_, _ = conn.Read(make([]byte, 1))
+				close(closed)
+				return false
+			})
+			p := tb.newPool(func(config *upstream.Config) {
+				config.WrapConn = test.wrapConn
+				config.Limits.LoadPageInterval = -1
+				config.Limits.CloseTimeout = 20 * time.Millisecond
+			})
+			ctx, cancel := context.WithCancel(t.Context())
+			go func() {
+				<-arrived
+				cancel()
+			}()
+			_, err := p.Forward(ctx, get("r1", "/x"))
+			wantError(t, err, savorystep.KindDeadlineExceeded)
+			select {
+			case <-closed:
+			case <-time.After(testTimeout):
+				t.Error("the endpoint has not seen the end of the connection")
+			}
+		})
+	}
+}
+
 // TestUnnoticedCloseReleasesPermit guards against permits and slots that are lost for good
 // because an endpoint never notices that a request was given up.
 func TestUnnoticedCloseReleasesPermit(t *testing.T) {
--- a/upstream/conn.go
+++ b/upstream/conn.go
@@ -82,6 +82,11 @@
 	return errors.Is(err, io.EOF) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE)
 }
 
+// A halfCloser is a connection whose sending side can be closed alone.
+type halfCloser interface {
+	CloseWrite() error
+}
+
 // Close implements net.Conn. After an exchange that was given up, only the sending side is
 // closed at first: an endpoint closes its own side when it has stopped to run the request.
 // Close does not wait for that, ended says when it was seen.
@@ -94,39 +99,40 @@
 			close(c.ended)
 			return
 		}
-		// Ends the transport's reads and writes, which may block.
-		c.closeErr = c.SetDeadline(time.Unix(1, 0))
+		half, ok := c.Conn.(halfCloser)
+		if ok {
+			// Ends the transport's reads and writes, which may block.
+			c.closeErr = c.SetDeadline(time.Unix(1, 0))
+		} else {
+			c.closeErr = c.Conn.Close()
+		}
 		ctx, cancel := context.WithTimeout(context.Background(), c.closeTimeout)
 		go func() {
 			defer cancel()
 			defer close(c.ended)
-			c.awaitEndpointClose(ctx)
+			if !ok || !c.awaitEndpointClose(ctx, half) {
+				<-ctx.Done()
+			}
 		}()
 	})
 	return c.closeErr
 }
 
-// awaitEndpointClose closes the sending side and returns when the endpoint has closed its
-// own, or when ctx ends.
-func (c *conn) awaitEndpointClose(ctx context.Context) {
-	err := c.discardRest(ctx)
+// awaitEndpointClose closes the sending side, and the connection when the endpoint has
+// closed its own, ctx ends or too much arrives. It reports whether the endpoint has.
+func (c *conn) awaitEndpointClose(ctx context.Context, half halfCloser) bool {
+	err := c.discardRest(ctx, half)
 	if closeErr := c.Conn.Close(); closeErr != nil {
 		log.Debugf("close connection to %s: %v", c.RemoteAddr(), closeErr)
 	}
-	if !isEndpointClose(err) {
-		<-ctx.Done()
-	}
+	return isEndpointClose(err)
 }
 
-// discardRest closes the sending side, then reads until the endpoint closes its own, ctx
-// ends or too much arrives. It returns the error that ended the read.
-func (c *conn) discardRest(ctx context.Context) error {
+// discardRest closes the sending side and reads the rest of what arrives. It returns the
+// error that ended the read, or nil if too much arrived.
+func (c *conn) discardRest(ctx context.Context, half halfCloser) error {
 	c.readMu.Lock()
 	defer c.readMu.Unlock()
-	half, ok := c.Conn.(interface{ CloseWrite() error })
-	if !ok {
-		return errors.ErrUnsupported
-	}
 	if err := half.CloseWrite(); err != nil {
 		return err
 	}
