--- a/peer/catchupreset_test.go
+++ b/peer/catchupreset_test.go
@@ -88,7 +88,7 @@
 			return &resetConn{Conn: opened, received: make(chan []byte, 1), ended: make(chan struct{})}, nil
 		},
 	})
-	if got := peer.CatchUp(t.Context(), starting); got != 0 {
-		t.Errorf("%d new statuses from a response that was reset, want none", got)
+	if got, err := peer.CatchUp(t.Context(), starting); got != 0 || err == nil {
+		t.Errorf("%d new statuses and error %v from a response that was reset, want none and an error", got, err)
 	}
 }
