Don't claim that the caps proof has a paused entry's units taken over

TestProofCaps pauses an entry for 40 s. Its comment and docs/PROOFS.md said that others get its units meanwhile; by reading they are reclaimed 65 s after its last renewal, since it is not listed as ended. The test is the same; a pause of more than 65 s would show it.

--- a/cmd/proofcaps_test.go
+++ b/cmd/proofcaps_test.go
@@ -85,8 +85,8 @@
 	phase("one killed and one started", 4*time.Second)
 	p.startEntry("recife")
 	p.awaitAndAddEntry(len(p.entries) - 1)
-	// A grant has a lifetime of 30 s and a guard of 5 s. After that the other entries
-	// get the units of the paused entry.
+	// The grant of the paused entry expires after 30 s. Its units stay reserved for 65 s,
+	// since it is not listed as ended.
 	phase("one more started", 40*time.Second-time.Since(paused))
 	p.platform.SetFaults(standin.PlatformFaults{Down: true})
 	p.entries[1].signal(syscall.SIGCONT)
