Wait longer each time a registration is sent again

An instance of serve opened a connection to the platform every 10 s for as long as its registration had no answer, and kept each: 361 after an hour of a platform that accepts connections and is silent. In the end it would have had no descriptors left for its callers.

The wait now doubles with each connection, up to 5 minutes: 16 connections in an hour by the same schedule.

--- a/store/registrar.go
+++ b/store/registrar.go
@@ -23,9 +23,14 @@
 // errNotConfirmed means that the platform has not confirmed a registration in time.
 var errNotConfirmed = errors.New("registration not confirmed in time")
 
-// reopenFactor times the time-out of a call is how long a registration waits for the
-// platform before it is sent on another connection as well.
-const reopenFactor = 5
+const (
+	// reopenFactor times the time-out of a call is how long a registration waits for the
+	// platform before it is sent on another connection as well. The wait doubles with each.
+	reopenFactor = 5
+	// maxReopenPause bounds that wait. Each connection stays open, so a shorter one takes
+	// more descriptors in a long outage.
+	maxReopenPause = 5 * time.Minute
+)
 
 // A registrar keeps registrations open. Each has its own connection; when it
 // closes, the platform lists the member as ended.
@@ -200,13 +205,16 @@
 			results <- a
 		}()
 	}
-	ticker := time.NewTicker(reopenFactor * r.client.config.Timeout)
-	defer ticker.Stop()
+	pause := reopenFactor * r.client.config.Timeout
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
 	send()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 			send()
+			pause = min(2*pause, maxReopenPause)
+			timer.Reset(pause)
 		case a := <-results:
 			delete(pending, a)
 			if a.err != nil {
