--- a/upstream/send.go
+++ b/upstream/send.go
@@ -278,8 +278,8 @@
 }
 
 // endAttempt ends an attempt: it records the verdict in the endpoint's health and
-// releases the slot and the permits, once the endpoint runs the request no more. heldFor is how long the attempt used
-// the endpoint. Only the first call has an effect.
+// releases the slot and the permits, once the endpoint runs the request no more. heldFor
+// is how long the attempt used the endpoint. Only the first call has an effect.
 func (p *Pool) endAttempt(a *attempt, heldFor time.Duration, v verdict) {
 	a.endOnce.Do(func() {
 		defer p.releaseLease(a, heldFor, v)
